--- /dev/null
+++ b/crates/persimmon-lease/src/takeover.rs
@@ -0,0 +1,58 @@
+use crate::{Drift, Quorum};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+/// What a taker does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Ask these witnesses for a release.
+    Ask(Vec<String>),
+    /// Take the shard over.
+    Take,
+}
+
+/// The takeover of one shard from an owner that the store no longer lists.
+#[derive(Debug, Clone)]
+pub struct Takeover {
+    witnesses: Vec<String>,
+    released_by: BTreeSet<String>,
+    missing_since: Instant,
+    limit: Duration,
+    drift: Drift,
+}
+
+impl Takeover {
+    /// A takeover from an owner that the store was seen without at `missing_since`.
+    ///
+    /// `witnesses` are those that the owner recorded with the shard; `limit` is the longest time
+    /// that an owner goes on without the store.
+    pub fn new(
+        witnesses: Vec<String>,
+        missing_since: Instant,
+        limit: Duration,
+        drift: Drift,
+    ) -> Self {
+        Self { witnesses, released_by: BTreeSet::new(), missing_since, limit, drift }
+    }
+
+    /// Notes a release by `witness`.
+    pub fn confirm(&mut self, witness: &str) {
+        if self.witnesses.iter().any(|known| known == witness) {
+            self.released_by.insert(witness.to_owned());
+        }
+    }
+
+    /// What to do at `now`.
+    pub fn decide(&self, now: Instant) -> Decision {
+        let needed = Quorum::of(self.witnesses.len()).releases();
+        let limit = self.limit + self.drift.allowance(self.limit);
+        let outlasted = now.saturating_duration_since(self.missing_since) > limit;
+        if self.released_by.len() >= needed || outlasted {
+            return Decision::Take;
+        }
+        let open = self.witnesses.iter().filter(|witness| !self.released_by.contains(*witness));
+        Decision::Ask(open.cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/persimmon-mesh/src/lib.rs
@@ -0,0 +1,14 @@
+//! Calls between daemons: one message and one answer over a QUIC stream, with mutual TLS.
+//!
+//! [`Mesh`] is both ends on one UDP socket. What a message means is its user's matter; here it is
+//! any pair of serialisable types. A failed call tells whether the peer can have received it.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod call;
+mod mesh;
+mod tls;
+
+pub use call::{Error, Reach};
+pub use mesh::{Handler, Mesh, Options};
+pub use tls::{Keys, KeysError, PEER_NAME};
--- /dev/null
+++ b/crates/persimmon-shard/src/core/decide.rs
@@ -0,0 +1,147 @@
+use super::{Core, Demand, WaitReason};
+use crate::{Entry, Job, JobEvent, JobState, Step};
+use persimmon_peak::Work;
+use persimmon_place::{place, Kind, WorkerKey};
+use persimmon_types::Size;
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+impl Core {
+    /// Places queued jobs where they may run, most pressing first; the number placed.
+    pub fn decide(&mut self, now: Instant, now_unix_ms: u64) -> usize {
+        let closed = self.suspects(now);
+        let mut claimed = self.batch_claimed_cpu_millis();
+        let mut no_room: HashSet<Size> = HashSet::new();
+        let candidates: Vec<u64> = self.queue.iter().map(|key| key.number).collect();
+        let mut placed = 0;
+        for number in candidates {
+            match self.try_place(number, now_unix_ms, claimed, &closed, &mut no_room) {
+                Ok(size) => {
+                    claimed += u64::from(size.cpu_millis);
+                    placed += 1;
+                }
+                Err(reason) => drop(self.waiting.insert(number, reason)),
+            }
+        }
+        placed
+    }
+
+    /// What batch tasks of this shard use and need at `now_unix_ms`.
+    pub fn demand(&self, now_unix_ms: u64) -> Demand {
+        let open = self.book.iter().filter(|job| !job.is_ended() && job.state != JobState::Unknown);
+        let work: Vec<Work> = open.map(|job| self.work(job, now_unix_ms)).collect();
+        let queued = self.queue.iter().filter_map(|key| self.book.try_find(key.number));
+        Demand {
+            claimed_cpu_millis: self.batch_claimed_cpu_millis(),
+            required_cpu_millis: persimmon_peak::required_cpu_millis(now_unix_ms, &work),
+            queued_cpu_millis: queued.map(|job| u64::from(job.size.cpu_millis)).sum(),
+        }
+    }
+
+    fn try_place(
+        &mut self,
+        number: u64,
+        now_unix_ms: u64,
+        claimed_cpu_millis: u64,
+        closed: &HashSet<WorkerKey>,
+        no_room: &mut HashSet<Size>,
+    ) -> Result<Size, WaitReason> {
+        let Some(job) = self.book.try_find(number) else { return Err(WaitReason::NoRoom) };
+        let size = job.size;
+        if no_room.contains(&size) {
+            return Err(WaitReason::NoRoom);
+        }
+        if !self.quota_admits(job) {
+            return Err(WaitReason::Quota);
+        }
+        let level = claimed_cpu_millis + u64::from(size.cpu_millis);
+        if level > self.batch_budget_cpu_millis && !self.must_start(job, now_unix_ms) {
+            return Err(WaitReason::BusiestMinute);
+        }
+        let team = job.team.clone();
+        let Some(key) = self.choose(number, size, closed) else {
+            no_room.insert(size);
+            return Err(WaitReason::NoRoom);
+        };
+        let Ok(claim) = self.ledger.claim(key, Kind::Batch, size) else {
+            return Err(WaitReason::NoRoom);
+        };
+        self.start(number, key.index(), now_unix_ms);
+        self.claims.insert(number, claim);
+        self.quotas.add(&team, size);
+        Ok(size)
+    }
+
+    fn start(&mut self, number: u64, position: usize, now_unix_ms: u64) {
+        let worker = &self.workers[position];
+        let incarnation = worker.incarnation.unwrap_or_default();
+        let chosen = Some((worker.spec.id.clone(), incarnation));
+        self.push(Entry::Step(Step {
+            number,
+            event: JobEvent::Place,
+            at_unix_ms: now_unix_ms,
+            worker: chosen,
+            checkpoint: None,
+            counts: false,
+        }));
+        self.workers[position].held.insert(number);
+    }
+
+    fn choose(
+        &mut self,
+        number: u64,
+        size: Size,
+        closed: &HashSet<WorkerKey>,
+    ) -> Option<WorkerKey> {
+        const SUSPECT_COST: u32 = 1_000;
+        const LAST_WORKER_COST: u32 = 1;
+        // A job that was just lost or failed somewhere had better go elsewhere, if it can.
+        let last = self.book.try_find(number).and_then(|job| job.worker.clone());
+        let last = last.and_then(|(id, _)| self.find_worker(&id)).map(|at| self.workers[at].key);
+        self.rotation = self.rotation.wrapping_add(1);
+        let cost = |key: WorkerKey| {
+            let suspect = if closed.contains(&key) { SUSPECT_COST } else { 0 };
+            suspect + if Some(key) == last { LAST_WORKER_COST } else { 0 }
+        };
+        let options = persimmon_place::place::Options::default();
+        let mut found = place(&self.ledger, Kind::Batch, size, self.rotation, options, cost);
+        if found.is_some_and(|key| closed.contains(&key)) {
+            // All candidates were suspects; look at every worker before giving up.
+            let options = persimmon_place::place::Options { candidates_max: self.workers.len() };
+            found = place(&self.ledger, Kind::Batch, size, self.rotation, options, cost);
+        }
+        found.filter(|key| !closed.contains(key))
+    }
+
+    /// The team's quota counts over all shards, as far as their owners have told.
+    fn quota_admits(&self, job: &Job) -> bool {
+        let Some(quota) = self.team_quotas.get(&job.team).copied() else { return true };
+        let elsewhere = self.team_used_elsewhere.get(&job.team).copied().unwrap_or(Size::ZERO);
+        self.quotas.admits(&job.team, quota.saturating_sub(elsewhere), job.size)
+    }
+
+    fn must_start(&self, job: &Job, now_unix_ms: u64) -> bool {
+        job.urgent || now_unix_ms + self.padded(job).as_millis() as u64 >= job.deadline_unix_ms
+    }
+
+    fn padded(&self, job: &Job) -> Duration {
+        job.run_time * (100 + self.options.run_time_margin_percent) / 100
+    }
+
+    fn work(&self, job: &Job, now_unix_ms: u64) -> Work {
+        let ran_ms = if job.is_held() { now_unix_ms.saturating_sub(job.placed_unix_ms) } else { 0 };
+        let run_ms = self.padded(job).as_millis() as u64;
+        Work {
+            cpu_millis: u64::from(job.size.cpu_millis),
+            run_ms: run_ms.saturating_sub(ran_ms),
+            deadline_unix_ms: job.deadline_unix_ms,
+        }
+    }
+
+    fn batch_claimed_cpu_millis(&self) -> u64 {
+        let held = self.claims.keys().filter_map(|number| self.book.try_find(*number));
+        held.map(|job| u64::from(job.size.cpu_millis)).sum()
+    }
+}
--- /dev/null
+++ b/crates/persimmon-shard/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions of a shard's owner, without sockets or clocks.
+//!
+//! - [`Book`] is the durable state: the fold of journal [`Entry`]s, kept in one record of the
+//!   store, a [`RecordWire`].
+//! - [`Core`] decides: it takes submissions, answers of workers and the time, and gives entries to
+//!   commit and calls to make. Nothing that an entry allows (a start, an acknowledgement) leaves
+//!   the core before that entry is in the store.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod book;
+mod charts;
+mod core;
+mod entry;
+mod record;
+
+pub use crate::{
+    book::{Book, Job},
+    charts::{Charts, JobEvent, JobState, WorkerEvent, WorkerState},
+    core::{
+        CancelError, CancelOutcome, Core, Demand, Options, SubmitError, SubmitOutcome, Submission,
+        SyncAnswer, SyncCall, SyncFailure, TaskCommand, TaskStatus, TaskView, WaitReason,
+        WorkerSpec, WorkerSummary,
+    },
+    entry::{Entry, Seq, Step},
+    record::{BaseRef, BaseWire, EntryWire, JobWire, OwnerWire, RecordWire, StepWire, SubmitWire},
+};
--- /dev/null
+++ b/crates/persimmon-shard/src/record.rs
@@ -0,0 +1,315 @@
+use crate::{Book, Charts, Entry, Job, JobEvent, JobState, Step};
+use persimmon_chart::Label;
+use persimmon_ticket::RerunWire;
+use persimmon_types::Size;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The value of a shard's key in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct RecordWire {
+    /// Rises with each change of owner.
+    pub epoch: u64,
+    /// The owner; `None` after a handover.
+    pub owner: Option<OwnerWire>,
+    /// The members whose promises the owner may rely on.
+    pub witnesses: Vec<String>,
+    /// Differs with each write, so that a writer knows its own.
+    pub token: String,
+    /// Where the book stood before `tail`.
+    pub base: Option<BaseRef>,
+    /// Entries since.
+    pub tail: Vec<EntryWire>,
+}
+
+/// The owner of a shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerWire {
+    /// The member's id.
+    pub member: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+/// Names a [`BaseWire`] cut into several values.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BaseRef {
+    /// The prefix of its keys.
+    pub prefix: String,
+    /// The number of values.
+    pub chunks: u32,
+}
+
+/// A whole book.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct BaseWire {
+    pub last_number: u64,
+    pub evictions: u64,
+    pub deadlines_met: u64,
+    pub deadlines_missed: u64,
+    pub jobs: Vec<JobWire>,
+}
+
+/// See [`Job`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct JobWire {
+    pub number: u64,
+    pub key: String,
+    pub class: String,
+    pub team: String,
+    pub size: Size,
+    pub run_time_ms: u64,
+    pub rerun: String,
+    pub attempts_max: u32,
+    pub urgent: bool,
+    pub deadline_unix_ms: u64,
+    pub submitted_unix_ms: u64,
+    pub state: String,
+    pub attempt: u32,
+    pub failures: u32,
+    pub evictions: u32,
+    pub worker: Option<(String, u64)>,
+    pub placed_unix_ms: u64,
+    pub checkpoint: Option<String>,
+    pub ended_unix_ms: Option<u64>,
+    pub reasons: Vec<String>,
+}
+
+/// See [`Entry`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EntryWire {
+    /// See [`Entry::Submit`].
+    Submit(SubmitWire),
+    /// See [`Entry::Step`].
+    Step(StepWire),
+}
+
+/// See [`Entry::Submit`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct SubmitWire {
+    pub number: u64,
+    pub key: String,
+    pub class: String,
+    pub team: String,
+    pub size: Size,
+    pub run_time_ms: u64,
+    pub rerun: String,
+    pub attempts_max: u32,
+    pub urgent: bool,
+    pub deadline_unix_ms: u64,
+    pub at_unix_ms: u64,
+}
+
+/// See [`Step`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct StepWire {
+    pub number: u64,
+    pub event: String,
+    pub at_unix_ms: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker: Option<(String, u64)>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint: Option<String>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub counts: bool,
+}
+
+/// A record of the store can't be understood.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("shard record: {field} {value:?} is not known")]
+pub struct DecodeError {
+    /// The field.
+    pub field: &'static str,
+    /// Its value.
+    pub value: String,
+}
+
+fn rerun_text(rerun: persimmon_ticket::Rerun) -> String {
+    match RerunWire::from(rerun) {
+        RerunWire::Safe => "safe".to_owned(),
+        RerunWire::Never => "never".to_owned(),
+    }
+}
+
+fn rerun_value(text: &str) -> Result<persimmon_ticket::Rerun, DecodeError> {
+    match text {
+        "safe" => Ok(persimmon_ticket::Rerun::Safe),
+        "never" => Ok(persimmon_ticket::Rerun::Never),
+        other => Err(DecodeError { field: "rerun", value: other.to_owned() }),
+    }
+}
+
+impl From<&Entry> for EntryWire {
+    fn from(entry: &Entry) -> Self {
+        match entry {
+            Entry::Submit {
+                number,
+                key,
+                class,
+                team,
+                size,
+                run_time,
+                rerun,
+                attempts_max,
+                urgent,
+                deadline_unix_ms,
+                at_unix_ms,
+            } => Self::Submit(SubmitWire {
+                number: *number,
+                key: key.clone(),
+                class: class.clone(),
+                team: team.clone(),
+                size: *size,
+                run_time_ms: run_time.as_millis() as u64,
+                rerun: rerun_text(*rerun),
+                attempts_max: *attempts_max,
+                urgent: *urgent,
+                deadline_unix_ms: *deadline_unix_ms,
+                at_unix_ms: *at_unix_ms,
+            }),
+            Entry::Step(step) => Self::Step(StepWire {
+                number: step.number,
+                event: step.event.label().to_owned(),
+                at_unix_ms: step.at_unix_ms,
+                worker: step.worker.clone(),
+                checkpoint: step.checkpoint.clone(),
+                counts: step.counts,
+            }),
+        }
+    }
+}
+
+impl TryFrom<EntryWire> for Entry {
+    type Error = DecodeError;
+
+    fn try_from(wire: EntryWire) -> Result<Self, DecodeError> {
+        match wire {
+            EntryWire::Submit(wire) => Ok(Self::Submit {
+                number: wire.number,
+                key: wire.key,
+                class: wire.class,
+                team: wire.team,
+                size: wire.size,
+                run_time: Duration::from_millis(wire.run_time_ms),
+                rerun: rerun_value(&wire.rerun)?,
+                attempts_max: wire.attempts_max,
+                urgent: wire.urgent,
+                deadline_unix_ms: wire.deadline_unix_ms,
+                at_unix_ms: wire.at_unix_ms,
+            }),
+            EntryWire::Step(wire) => Ok(Self::Step(Step {
+                number: wire.number,
+                event: JobEvent::find(&wire.event)
+                    .ok_or_else(|| DecodeError { field: "event", value: wire.event.clone() })?,
+                at_unix_ms: wire.at_unix_ms,
+                worker: wire.worker,
+                checkpoint: wire.checkpoint,
+                counts: wire.counts,
+            })),
+        }
+    }
+}
+
+impl From<&Job> for JobWire {
+    fn from(job: &Job) -> Self {
+        Self {
+            number: job.number,
+            key: job.key.clone(),
+            class: job.class.clone(),
+            team: job.team.clone(),
+            size: job.size,
+            run_time_ms: job.run_time.as_millis() as u64,
+            rerun: rerun_text(job.rerun),
+            attempts_max: job.attempts_max,
+            urgent: job.urgent,
+            deadline_unix_ms: job.deadline_unix_ms,
+            submitted_unix_ms: job.submitted_unix_ms,
+            state: job.state.label().to_owned(),
+            attempt: job.attempt,
+            failures: job.failures,
+            evictions: job.evictions,
+            worker: job.worker.clone(),
+            placed_unix_ms: job.placed_unix_ms,
+            checkpoint: job.checkpoint.clone(),
+            ended_unix_ms: job.ended_unix_ms,
+            reasons: job.reasons.clone(),
+        }
+    }
+}
+
+impl TryFrom<JobWire> for Job {
+    type Error = DecodeError;
+
+    fn try_from(wire: JobWire) -> Result<Self, DecodeError> {
+        Ok(Self {
+            number: wire.number,
+            key: wire.key,
+            class: wire.class,
+            team: wire.team,
+            size: wire.size,
+            run_time: Duration::from_millis(wire.run_time_ms),
+            rerun: rerun_value(&wire.rerun)?,
+            attempts_max: wire.attempts_max,
+            urgent: wire.urgent,
+            deadline_unix_ms: wire.deadline_unix_ms,
+            submitted_unix_ms: wire.submitted_unix_ms,
+            state: JobState::find(&wire.state)
+                .ok_or_else(|| DecodeError { field: "state", value: wire.state.clone() })?,
+            attempt: wire.attempt,
+            failures: wire.failures,
+            evictions: wire.evictions,
+            worker: wire.worker,
+            placed_unix_ms: wire.placed_unix_ms,
+            checkpoint: wire.checkpoint,
+            ended_unix_ms: wire.ended_unix_ms,
+            reasons: wire.reasons,
+        })
+    }
+}
+
+impl From<&Book> for BaseWire {
+    fn from(book: &Book) -> Self {
+        Self {
+            last_number: book.last_number,
+            evictions: book.evictions,
+            deadlines_met: book.deadlines_met,
+            deadlines_missed: book.deadlines_missed,
+            jobs: book.iter().map(JobWire::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<BaseWire> for Book {
+    type Error = DecodeError;
+
+    fn try_from(wire: BaseWire) -> Result<Self, DecodeError> {
+        let mut book = Self {
+            last_number: wire.last_number,
+            evictions: wire.evictions,
+            deadlines_met: wire.deadlines_met,
+            deadlines_missed: wire.deadlines_missed,
+            ..Self::default()
+        };
+        for job in wire.jobs {
+            let job = Job::try_from(job)?;
+            book.by_key.insert(job.key.clone(), job.number);
+            book.jobs.insert(job.number, job);
+        }
+        Ok(book)
+    }
+}
+
+impl Book {
+    /// Adds the entries of a record's tail.
+    pub fn replay(&mut self, charts: &Charts, tail: Vec<EntryWire>) -> Result<(), DecodeError> {
+        for wire in tail {
+            self.apply(charts, &Entry::try_from(wire)?);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/persimmon-store/src/http.rs
@@ -0,0 +1,134 @@
+use crate::{CasOutcome, Effect, Error, Lease, Store, Watched};
+use persimmon_wire::store::{Cas, Entry, Grant, Lease as LeaseWire, Range, Written};
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// The store over HTTP.
+#[derive(Debug)]
+pub struct HttpStore {
+    client: Client,
+    address: String,
+    timeout: Duration,
+    calls: AtomicU64,
+}
+
+impl HttpStore {
+    /// A client of the store at `address` (`IP:PORT`) that waits `timeout` for each call.
+    pub fn new(client: Client, address: String, timeout: Duration) -> Self {
+        Self { client, address, timeout, calls: AtomicU64::new(0) }
+    }
+
+    /// The calls made so far, watches included.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    fn error(&self, step: &'static str, reason: String, effect: Effect) -> Error {
+        Error { step, peer: self.address.clone(), reason, effect }
+    }
+
+    async fn send(
+        &self,
+        step: &'static str,
+        request: RequestBuilder,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let answer = request.timeout(timeout).send().await;
+        let response = answer.map_err(|err| {
+            let effect = if err.is_connect() { Effect::None } else { Effect::Unknown };
+            self.error(step, err.without_url().to_string(), effect)
+        })?;
+        match response.status() {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                let reason = format!("status {}", response.status());
+                Err(self.error(step, reason, Effect::None))
+            }
+            status if status.is_server_error() => {
+                Err(self.error(step, format!("status {status}"), Effect::Unknown))
+            }
+            _ => Ok(response),
+        }
+    }
+
+    async fn body<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        response: Response,
+    ) -> Result<T, Error> {
+        let status = response.status();
+        response.json().await.map_err(|err| {
+            let reason = format!("status {status}: {}", err.without_url());
+            self.error(step, reason, Effect::Unknown)
+        })
+    }
+}
+
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
+        let request = self.client.get(self.url("/v1/kv")).query(&[("key", key)]);
+        let response = self.send("get", request, self.timeout).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        self.body("get", response).await.map(Some)
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Range, Error> {
+        let request = self.client.get(self.url("/v1/range")).query(&[("prefix", prefix)]);
+        let response = self.send("range", request, self.timeout).await?;
+        self.body("range", response).await
+    }
+
+    async fn cas(&self, cas: &Cas) -> Result<CasOutcome, Error> {
+        let request = self.client.post(self.url("/v1/cas")).json(cas);
+        let response = self.send("cas", request, self.timeout).await?;
+        let conflict = response.status() == StatusCode::CONFLICT;
+        let Written { revision } = self.body("cas", response).await?;
+        if conflict {
+            return Ok(CasOutcome::Conflict { revision });
+        }
+        Ok(CasOutcome::Written { revision })
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        let body = Grant { ttl_ms: ttl.as_millis() as u64 };
+        let request = self.client.post(self.url("/v1/lease")).json(&body);
+        let response = self.send("grant", request, self.timeout).await?;
+        let LeaseWire { lease } = self.body("grant", response).await?;
+        Ok(Lease(lease))
+    }
+
+    async fn renew(&self, lease: Lease) -> Result<bool, Error> {
+        let body = LeaseWire { lease: lease.0 };
+        let request = self.client.post(self.url("/v1/lease/renew")).json(&body);
+        let response = self.send("renew", request, self.timeout).await?;
+        Ok(response.status().is_success())
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        let body = LeaseWire { lease: lease.0 };
+        let request = self.client.post(self.url("/v1/lease/revoke")).json(&body);
+        self.send("revoke", request, self.timeout).await.map(drop)
+    }
+
+    async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Watched, Error> {
+        let after = revision.to_string();
+        let wait_ms = wait.as_millis().to_string();
+        let query = [("prefix", prefix), ("after", &after), ("wait_ms", &wait_ms)];
+        let request = self.client.get(self.url("/v1/watch")).query(&query);
+        let response = self.send("watch", request, wait + self.timeout).await?;
+        if response.status() == StatusCode::GONE {
+            return Ok(Watched::Compacted);
+        }
+        self.body("watch", response).await.map(Watched::Changes)
+    }
+}
--- /dev/null
+++ b/crates/persimmon-types/src/lib.rs
@@ -0,0 +1,11 @@
+//! Sizes, identifiers and the clock that the other crates share.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod clock;
+mod id;
+mod size;
+
+pub use clock::{unix_ms, Clock, SystemClock};
+pub use id::{shard_of, JobId, ParseJobIdError};
+pub use size::Size;
--- /dev/null
+++ b/crates/persimmon-types/src/size.rs
@@ -0,0 +1,79 @@
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// An amount of an instance's resources, in integers so that sums are exact.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// Processor time in thousandths of a core.
+    pub cpu_millis: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+impl Size {
+    /// Nothing at all.
+    pub const ZERO: Self = Self { cpu_millis: 0, memory_mib: 0, accelerators: 0 };
+
+    /// Tells whether `self` fits into `room` in every dimension.
+    pub fn fits(self, room: Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Adds in each dimension; `None` on overflow.
+    pub fn checked_add(self, other: Self) -> Option<Self> {
+        Some(Self {
+            cpu_millis: self.cpu_millis.checked_add(other.cpu_millis)?,
+            memory_mib: self.memory_mib.checked_add(other.memory_mib)?,
+            accelerators: self.accelerators.checked_add(other.accelerators)?,
+        })
+    }
+
+    /// Subtracts in each dimension, stopping at zero.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The larger of the two in each dimension.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// The smaller of the two in each dimension.
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// `percent` hundredths of each dimension, rounded down.
+    pub fn percent(self, percent: u32) -> Self {
+        let part = |amount: u32| (u64::from(amount) * u64::from(percent) / 100) as u32;
+        Self {
+            cpu_millis: part(self.cpu_millis),
+            memory_mib: part(self.memory_mib),
+            accelerators: part(self.accelerators),
+        }
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{} mcpu, {} MiB, {} acc", self.cpu_millis, self.memory_mib, self.accelerators)
+    }
+}
--- /dev/null
+++ b/crates/persimmonshift-standin/src/main.rs
@@ -0,0 +1,17 @@
+//! `persimmonshift-standin`: small stand-ins of the platform, for tests and demonstrations only.
+#![forbid(unsafe_code)]
+
+use persimmonshift_standin::{run, Args};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let args: Args = argh::from_env();
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("persimmonshift-standin: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonshift-standin/src/worker.rs
@@ -0,0 +1,340 @@
+use crate::{
+    args::WorkerArgs,
+    http::{announce, bind, json, register, serve, text, Body, Call},
+    Error,
+};
+use hyper::{Response, StatusCode};
+use persimmon_types::{unix_ms, Size};
+use persimmon_wire::{
+    instances::{Instance, Role, State},
+    worker::{
+        Attempt, Command, Refused, SyncRequest, SyncResponse, TaskReport, TaskState, Usage,
+    },
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant, SystemTime},
+};
+
+/// How often tasks and leases are looked at.
+const TICK: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Switches {
+    /// Every task fails at once.
+    fail_all: bool,
+    /// Calls are not answered.
+    silent: bool,
+    /// How long tasks run, in hundredths of the declared time.
+    run_time_percent: u64,
+    /// What tasks use, in hundredths of what they claim.
+    use_percent: u32,
+}
+
+impl Default for Switches {
+    fn default() -> Self {
+        Self { fail_all: false, silent: false, run_time_percent: 100, use_percent: 100 }
+    }
+}
+
+/// One stretch of time in which an attempt ran, for tests.
+#[derive(Debug, Clone, Serialize)]
+struct Run {
+    #[serde(flatten)]
+    attempt: Attempt,
+    class: String,
+    from_ms: u64,
+    started_unix_ms: u64,
+    ended_unix_ms: Option<u64>,
+    ended_as: Option<TaskState>,
+}
+
+struct Task {
+    state: TaskState,
+    size: Size,
+    run_ms: u64,
+    /// Work done before `since`.
+    done_ms: f64,
+    since: Instant,
+    percent: u32,
+    run: usize,
+}
+
+#[derive(Default)]
+struct Inner {
+    epochs: HashMap<u16, u64>,
+    nonce: u64,
+    nonce_at: Option<Instant>,
+    lease_until: Option<Instant>,
+    tasks: BTreeMap<Attempt, Task>,
+    runs: Vec<Run>,
+    switches: Switches,
+    usage: Vec<(Instant, Size)>,
+}
+
+struct Worker {
+    inner: Mutex<Inner>,
+    incarnation: u64,
+    usage_lag: Duration,
+}
+
+#[derive(Serialize)]
+struct Addresses {
+    workers: Vec<String>,
+}
+
+pub(crate) async fn run(args: WorkerArgs) -> Result<(), Error> {
+    let mut addresses = Vec::new();
+    for number in 0..args.count {
+        let listener = bind(0).await?;
+        let address = listener.local_addr().map_err(|err| Error::new("listen", err))?.to_string();
+        let worker = Arc::new(Worker {
+            inner: Mutex::new(Inner::default()),
+            incarnation: unix_ms(SystemTime::now()) * 1000 + u64::from(number),
+            usage_lag: Duration::from_millis(args.usage_lag_ms),
+        });
+        let ticking = Arc::clone(&worker);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                ticking.tick(Instant::now());
+            }
+        });
+        tokio::spawn(serve(listener, u32::MAX, worker, answer));
+        let instance = Instance {
+            id: format!("{}{number}", args.prefix),
+            address: args.advertise.clone().unwrap_or_else(|| address.clone()),
+            data_centre: args.data_centre.clone(),
+            rack: format!("{}-rack{}", args.prefix, number / args.per_rack.max(1)),
+            state: State::Live,
+            role: Role::Worker {
+                capacity: Size {
+                    cpu_millis: args.cpu_millis,
+                    memory_mib: args.memory_mib,
+                    accelerators: args.accelerators,
+                },
+            },
+        };
+        register(&args.instances, &instance).await?;
+        addresses.push(address);
+    }
+    announce(&Addresses { workers: addresses });
+    std::future::pending().await
+}
+
+async fn answer(worker: Arc<Worker>, call: Call) -> Response<Body> {
+    match call.path.as_str() {
+        "/v1/sync" => {
+            if worker.lock().switches.silent {
+                std::future::pending::<()>().await;
+            }
+            match call.json::<SyncRequest>() {
+                Ok(request) => worker.sync(request),
+                Err(response) => response,
+            }
+        }
+        "/control/runs" => json(StatusCode::OK, &worker.lock().runs),
+        "/control" => match call.json::<Switches>() {
+            Ok(switches) => {
+                worker.lock().switches = switches;
+                text(StatusCode::OK, "{}")
+            }
+            Err(response) => response,
+        },
+        _ => text(StatusCode::NOT_FOUND, "no such call"),
+    }
+}
+
+impl Worker {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn sync(&self, request: SyncRequest) -> Response<Body> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.advance(now);
+        let seen = inner.epochs.entry(request.shard).or_insert(request.epoch);
+        if request.epoch < *seen {
+            return json(StatusCode::CONFLICT, &Refused { epoch: *seen });
+        }
+        *seen = request.epoch;
+        let term = Duration::from_millis(request.lease_term_ms);
+        let echoed = request.echo_nonce == Some(inner.nonce) && inner.nonce > 0;
+        let until = inner.nonce_at.filter(|_| echoed).map(|at| at + term);
+        let applied = until.is_some_and(|until| until > now);
+        if applied {
+            inner.lease_until = inner.lease_until.max(until);
+            for command in request.commands {
+                inner.carry_out(command, now);
+            }
+        }
+        inner.nonce += 1;
+        inner.nonce_at = Some(now);
+        let response = SyncResponse {
+            incarnation: self.incarnation,
+            nonce: inner.nonce,
+            applied,
+            tasks: inner.reports(now),
+            usage: inner.usage_at(now, self.usage_lag),
+        };
+        json(StatusCode::OK, &response)
+    }
+
+    fn tick(&self, now: Instant) {
+        let mut inner = self.lock();
+        inner.advance(now);
+        let used = inner.used();
+        inner.usage.push((now, used));
+        let lag = self.usage_lag * 2;
+        inner.usage.retain(|(at, _)| now.saturating_duration_since(*at) <= lag);
+    }
+}
+
+impl Inner {
+    /// Ends tasks that are complete, and all of them when the lease has lapsed.
+    fn advance(&mut self, now: Instant) {
+        let lapsed = self.lease_until.is_none_or(|until| until <= now);
+        let mut ended = Vec::new();
+        for (attempt, task) in &self.tasks {
+            if task.state != TaskState::Running {
+                continue;
+            }
+            if task.progress(now) >= task.run_ms as f64 {
+                ended.push((*attempt, TaskState::Done));
+            } else if lapsed {
+                ended.push((*attempt, TaskState::Lapsed));
+            }
+        }
+        for (attempt, state) in ended {
+            self.end(attempt, state, now);
+        }
+    }
+
+    fn carry_out(&mut self, command: Command, now: Instant) {
+        match command {
+            Command::Start { attempt, class, size, run_time_ms, checkpoint } => {
+                if !self.tasks.contains_key(&attempt) {
+                    self.start(attempt, class, size, run_time_ms, checkpoint, now);
+                }
+            }
+            Command::Throttle { attempt, percent } => {
+                if let Some(task) = self.tasks.get_mut(&attempt) {
+                    task.done_ms = task.progress(now);
+                    task.since = now;
+                    task.percent = percent;
+                }
+            }
+            Command::Evict { attempt } | Command::Stop { attempt } => {
+                if !self.tasks.contains_key(&attempt) {
+                    self.note_stopped(attempt, now);
+                }
+                self.end(attempt, TaskState::Stopped, now);
+            }
+            Command::Forget { attempt } => {
+                let running =
+                    self.tasks.get(&attempt).is_some_and(|it| it.state == TaskState::Running);
+                if !running {
+                    self.tasks.remove(&attempt);
+                }
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        attempt: Attempt,
+        class: String,
+        size: Size,
+        run_time_ms: u64,
+        checkpoint: Option<String>,
+        now: Instant,
+    ) {
+        let done_ms = checkpoint.as_deref().and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        self.runs.push(Run {
+            attempt,
+            class,
+            from_ms: done_ms,
+            started_unix_ms: unix_ms(SystemTime::now()),
+            ended_unix_ms: None,
+            ended_as: None,
+        });
+        let task = Task {
+            state: TaskState::Running,
+            size,
+            run_ms: run_time_ms * self.switches.run_time_percent / 100,
+            done_ms: done_ms as f64,
+            since: now,
+            percent: 100,
+            run: self.runs.len() - 1,
+        };
+        self.tasks.insert(attempt, task);
+        if self.switches.fail_all {
+            self.end(attempt, TaskState::Failed, now);
+        }
+    }
+
+    /// A stop that came before its start: the start must then do nothing.
+    fn note_stopped(&mut self, attempt: Attempt, now: Instant) {
+        self.tasks.insert(attempt, Task {
+            state: TaskState::Stopped,
+            size: Size::ZERO,
+            run_ms: 0,
+            done_ms: 0.0,
+            since: now,
+            percent: 100,
+            run: usize::MAX,
+        });
+    }
+
+    fn end(&mut self, attempt: Attempt, state: TaskState, now: Instant) {
+        let Some(task) = self.tasks.get_mut(&attempt) else { return };
+        if task.state != TaskState::Running {
+            return;
+        }
+        task.done_ms = task.progress(now);
+        task.state = state;
+        if let Some(run) = self.runs.get_mut(task.run) {
+            run.ended_unix_ms = Some(unix_ms(SystemTime::now()));
+            run.ended_as = Some(state);
+        }
+    }
+
+    fn reports(&self, now: Instant) -> Vec<TaskReport> {
+        let report = |(attempt, task): (&Attempt, &Task)| TaskReport {
+            attempt: *attempt,
+            state: task.state,
+            checkpoint: Some((task.progress(now) as u64).to_string()),
+        };
+        self.tasks.iter().map(report).collect()
+    }
+
+    fn used(&self) -> Size {
+        let running = self.tasks.values().filter(|task| task.state == TaskState::Running);
+        running.fold(Size::ZERO, |sum, task| {
+            let used = task.size.percent(self.switches.use_percent * task.percent / 100);
+            sum.checked_add(used).unwrap_or(sum)
+        })
+    }
+
+    fn usage_at(&self, now: Instant, lag: Duration) -> Usage {
+        let old = self.usage.iter().rev().find(|(at, _)| now.saturating_duration_since(*at) >= lag);
+        old.map_or(Usage::default(), |(at, used)| Usage {
+            age_ms: now.saturating_duration_since(*at).as_millis() as u64,
+            used: *used,
+        })
+    }
+}
+
+impl Task {
+    fn progress(&self, now: Instant) -> f64 {
+        if self.state != TaskState::Running {
+            return self.done_ms;
+        }
+        let elapsed_ms = now.saturating_duration_since(self.since).as_secs_f64() * 1000.0;
+        self.done_ms + elapsed_ms * f64::from(self.percent) / 100.0
+    }
+}
