--- a/crates/persimmon-chart/src/label.rs
+++ b/crates/persimmon-chart/src/label.rs
@@ -8,12 +8,18 @@
 
     /// Finds the value named `label`.
     fn find(label: &str) -> Option<Self> {
-        Self::ALL.iter().copied().find(|value| value.label() == label)
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|value| value.label() == label)
     }
 
     /// The position within [`Self::ALL`].
     fn position(self) -> usize {
-        Self::ALL.iter().position(|value| *value == self).unwrap_or(usize::MAX)
+        Self::ALL
+            .iter()
+            .position(|value| *value == self)
+            .unwrap_or(usize::MAX)
     }
 }
 
--- a/crates/persimmon-chart/src/machine.rs
+++ b/crates/persimmon-chart/src/machine.rs
@@ -28,8 +28,11 @@
     }
 
     fn bind(file: &str, chart: &Chart) -> Result<Self, ParseError> {
-        let error =
-            |line: usize, reason: String| ParseError { chart: file.to_owned(), line, reason };
+        let error = |line: usize, reason: String| ParseError {
+            chart: file.to_owned(),
+            line,
+            reason,
+        };
         let state = |name: &str, line: usize| {
             S::find(name).ok_or_else(|| error(line, format!("the code has no state {name:?}")))
         };
@@ -42,16 +45,25 @@
             table[from.position() * E::ALL.len() + event.position()] =
                 Some(state(&arrow.to, arrow.line)?);
         }
-        if let Some(missing) =
-            S::ALL.iter().find(|value| !chart.states.iter().any(|name| name == value.label()))
-        {
-            return Err(error(1, format!("state {:?} of the code is missing", missing.label())));
-        }
-        if let Some(missing) = E::ALL
+        if let Some(missing) = S::ALL
             .iter()
-            .find(|value| !chart.transitions.iter().any(|arrow| arrow.on == value.label()))
+            .find(|value| !chart.states.iter().any(|name| name == value.label()))
         {
-            return Err(error(1, format!("event {:?} of the code is missing", missing.label())));
+            return Err(error(
+                1,
+                format!("state {:?} of the code is missing", missing.label()),
+            ));
+        }
+        if let Some(missing) = E::ALL.iter().find(|value| {
+            !chart
+                .transitions
+                .iter()
+                .any(|arrow| arrow.on == value.label())
+        }) {
+            return Err(error(
+                1,
+                format!("event {:?} of the code is missing", missing.label()),
+            ));
         }
         Ok(Self {
             name: chart.name.clone(),
--- a/crates/persimmon-chart/src/parse.rs
+++ b/crates/persimmon-chart/src/parse.rs
@@ -70,15 +70,26 @@
     };
     let raw: ChartFile =
         toml::from_str(text).map_err(|err| error(err.span(), err.message().to_owned()))?;
-    let states: Vec<String> = raw.states.iter().map(|state| state.get_ref().clone()).collect();
+    let states: Vec<String> = raw
+        .states
+        .iter()
+        .map(|state| state.get_ref().clone())
+        .collect();
     let known = |state: &Spanned<String>| {
         if states.contains(state.get_ref()) {
             return Ok(state.get_ref().clone());
         }
-        Err(error(Some(state.span()), format!("state {:?} is not declared", state.get_ref())))
+        Err(error(
+            Some(state.span()),
+            format!("state {:?} is not declared", state.get_ref()),
+        ))
     };
     let initial = known(&raw.initial)?;
-    let terminal = raw.terminal.iter().map(known).collect::<Result<Vec<_>, _>>()?;
+    let terminal = raw
+        .terminal
+        .iter()
+        .map(known)
+        .collect::<Result<Vec<_>, _>>()?;
     let mut transitions: Vec<Transition> = Vec::with_capacity(raw.transition.len());
     for arrow in &raw.transition {
         let (from, to) = (known(&arrow.from)?, known(&arrow.to)?);
@@ -87,7 +98,10 @@
             let reason = format!("state {from:?} is terminal but has a way out");
             return Err(error(Some(arrow.from.span()), reason));
         }
-        if transitions.iter().any(|other| other.from == from && other.on == on) {
+        if transitions
+            .iter()
+            .any(|other| other.from == from && other.on == on)
+        {
             let reason = format!("state {from:?} has two ways out on {on:?}");
             return Err(error(Some(arrow.on.span()), reason));
         }
@@ -98,12 +112,25 @@
         let name = state.get_ref();
         let reached = *name == initial || transitions.iter().any(|arrow| arrow.to == *name);
         if !reached {
-            return Err(error(Some(state.span()), format!("state {name:?} is never entered")));
+            return Err(error(
+                Some(state.span()),
+                format!("state {name:?} is never entered"),
+            ));
         }
     }
-    Ok(Chart { name: raw.name, initial, states, terminal, transitions })
+    Ok(Chart {
+        name: raw.name,
+        initial,
+        states,
+        terminal,
+        transitions,
+    })
 }
 
 fn line_at(text: &str, offset: usize) -> usize {
-    text.as_bytes()[..offset.min(text.len())].iter().filter(|byte| **byte == b'\n').count() + 1
+    text.as_bytes()[..offset.min(text.len())]
+        .iter()
+        .filter(|byte| **byte == b'\n')
+        .count()
+        + 1
 }
--- a/crates/persimmon-lease/src/drift.rs
+++ b/crates/persimmon-lease/src/drift.rs
@@ -12,7 +12,10 @@
 impl Default for Drift {
     /// 10 thousandths and 50 ms.
     fn default() -> Self {
-        Self { rate_per_mille: 10, fixed: Duration::from_millis(50) }
+        Self {
+            rate_per_mille: 10,
+            fixed: Duration::from_millis(50),
+        }
     }
 }
 
--- a/crates/persimmon-lease/src/extension.rs
+++ b/crates/persimmon-lease/src/extension.rs
@@ -16,7 +16,12 @@
 impl Extension {
     /// No promises yet; each lasts `term`, and all end `limit` after the last word of the store.
     pub fn new(term: Duration, limit: Duration, drift: Drift) -> Self {
-        Self { term, limit, drift, asked_at: BTreeMap::new() }
+        Self {
+            term,
+            limit,
+            drift,
+            asked_at: BTreeMap::new(),
+        }
     }
 
     /// Notes a promise of `witness` that was asked for at `asked_at`.
@@ -34,8 +39,10 @@
         if needed == 0 {
             return Some(limit);
         }
-        let mut asked: Vec<Instant> =
-            witnesses.iter().filter_map(|witness| self.asked_at.get(witness).copied()).collect();
+        let mut asked: Vec<Instant> = witnesses
+            .iter()
+            .filter_map(|witness| self.asked_at.get(witness).copied())
+            .collect();
         asked.sort_unstable_by(|a, b| b.cmp(a));
         let weakest = *asked.get(needed - 1)?;
         Some(limit.min(weakest + self.drift.safe_part(self.term)))
--- a/crates/persimmon-lease/src/session.rs
+++ b/crates/persimmon-lease/src/session.rs
@@ -12,7 +12,11 @@
 impl Session {
     /// A session that has not begun.
     pub fn new(ttl: Duration, drift: Drift) -> Self {
-        Self { ttl, drift, asked_at: None }
+        Self {
+            ttl,
+            drift,
+            asked_at: None,
+        }
     }
 
     /// Notes a grant or renewal that was *asked for* at `asked_at` and confirmed since.
@@ -30,7 +34,8 @@
 
     /// Until when it may be relied on.
     pub fn valid_until(&self) -> Option<Instant> {
-        self.asked_at.map(|asked_at| asked_at + self.drift.safe_part(self.ttl))
+        self.asked_at
+            .map(|asked_at| asked_at + self.drift.safe_part(self.ttl))
     }
 
     /// Tells whether it may be relied on at `now`.
--- a/crates/persimmon-lease/src/takeover.rs
+++ b/crates/persimmon-lease/src/takeover.rs
@@ -34,7 +34,13 @@
         limit: Duration,
         drift: Drift,
     ) -> Self {
-        Self { witnesses, released_by: BTreeSet::new(), missing_since, limit, drift }
+        Self {
+            witnesses,
+            released_by: BTreeSet::new(),
+            missing_since,
+            limit,
+            drift,
+        }
     }
 
     /// Notes a release by `witness`.
@@ -52,7 +58,10 @@
         if self.released_by.len() >= needed || outlasted {
             return Decision::Take;
         }
-        let open = self.witnesses.iter().filter(|witness| !self.released_by.contains(*witness));
+        let open = self
+            .witnesses
+            .iter()
+            .filter(|witness| !self.released_by.contains(*witness));
         Decision::Ask(open.cloned().collect())
     }
 }
--- a/crates/persimmon-lease/src/task.rs
+++ b/crates/persimmon-lease/src/task.rs
@@ -18,7 +18,12 @@
     /// The knowledge of an owner that took the shard over at `owned_since`: an earlier owner may
     /// have echoed a nonce until then.
     pub fn new(term: Duration, drift: Drift, owned_since: Instant) -> Self {
-        Self { term, drift, bound: owned_since, nonce: None }
+        Self {
+            term,
+            drift,
+            bound: owned_since,
+            nonce: None,
+        }
     }
 
     /// Notes a nonce that the worker gave, received at `now`.
--- a/crates/persimmon-lease/src/witness.rs
+++ b/crates/persimmon-lease/src/witness.rs
@@ -49,7 +49,13 @@
     /// A witness that started at `started_at` and promises for `term`.
     pub fn new(term: Duration, drift: Drift, started_at: Instant) -> Self {
         let (promised_until, released) = (HashMap::new(), HashMap::new());
-        Self { term, drift, started_at, promised_until, released }
+        Self {
+            term,
+            drift,
+            started_at,
+            promised_until,
+            released,
+        }
     }
 
     /// Promises `holder` that its shards are not released before the term has passed.
@@ -68,7 +74,8 @@
         if store_reachable {
             return Err(PromiseError::StoreReachable);
         }
-        self.promised_until.insert(holder.clone(), now + self.span());
+        self.promised_until
+            .insert(holder.clone(), now + self.span());
         Ok(())
     }
 
@@ -77,7 +84,9 @@
         let promised_until = self.promised_until.get(holder).copied();
         let until = promised_until.unwrap_or(now).max(self.quiet_until());
         if until > now {
-            return Err(ReleaseError::Promised { remaining: until - now });
+            return Err(ReleaseError::Promised {
+                remaining: until - now,
+            });
         }
         self.released.insert(holder.clone(), now);
         self.forget(now);
@@ -96,6 +105,7 @@
     fn forget(&mut self, now: Instant) {
         let memory = self.term * Self::RELEASE_MEMORY_TERMS;
         self.promised_until.retain(|_, until| *until > now);
-        self.released.retain(|_, at| now.saturating_duration_since(*at) < memory);
+        self.released
+            .retain(|_, at| now.saturating_duration_since(*at) < memory);
     }
 }
--- a/crates/persimmon-mesh/src/mesh.rs
+++ b/crates/persimmon-mesh/src/mesh.rs
@@ -24,7 +24,10 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { message_max_bytes: 4 * 1024 * 1024, idle_timeout: Duration::from_secs(10) }
+        Self {
+            message_max_bytes: 4 * 1024 * 1024,
+            idle_timeout: Duration::from_secs(10),
+        }
     }
 }
 
@@ -60,8 +63,10 @@
         server.transport_config(Arc::clone(&transport));
         let mut client = ClientConfig::new(Arc::new(keys.client()?));
         client.transport_config(transport);
-        let mut endpoint = Endpoint::server(server, address)
-            .map_err(|err| KeysError { part: "socket", reason: format!("{address}: {err}") })?;
+        let mut endpoint = Endpoint::server(server, address).map_err(|err| KeysError {
+            part: "socket",
+            reason: format!("{address}: {err}"),
+        })?;
         endpoint.set_default_client_config(client);
         Ok(Self {
             endpoint,
@@ -73,6 +78,11 @@
         })
     }
 
+    /// Where the mesh listens.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
     /// Bytes of messages and answers sent and received.
     pub fn bytes(&self) -> (u64, u64) {
         let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
@@ -88,13 +98,13 @@
     }
 
     /// Calls `peer` and waits for its answer, `timeout` at most.
-    pub async fn call(
-        &self,
-        peer: SocketAddr,
-        message: &Q,
-        timeout: Duration,
-    ) -> Result<A, Error> {
-        let error = |step, reason: String, reach| Error { step, peer, reason, reach };
+    pub async fn call(&self, peer: SocketAddr, message: &Q, timeout: Duration) -> Result<A, Error> {
+        let error = |step, reason: String, reach| Error {
+            step,
+            peer,
+            reason,
+            reach,
+        };
         let bytes = postcard::to_stdvec(message)
             .map_err(|err| error("mesh.encode", err.to_string(), Reach::NotSent))?;
         let started = tokio::time::Instant::now();
@@ -125,28 +135,33 @@
         if let Some(connection) = known.filter(|it| it.close_reason().is_none()) {
             return Ok(connection);
         }
-        let connecting =
-            self.endpoint.connect(peer, PEER_NAME).map_err(|err| err.to_string())?;
+        let connecting = self
+            .endpoint
+            .connect(peer, PEER_NAME)
+            .map_err(|err| err.to_string())?;
         let connection = connecting.await.map_err(|err| err.to_string())?;
         self.lock().insert(peer, connection.clone());
         Ok(connection)
     }
 
     async fn exchange(&self, connection: &Connection, bytes: &[u8]) -> Result<Vec<u8>, String> {
-        let (mut send, mut receive) =
-            connection.open_bi().await.map_err(|err| err.to_string())?;
+        let (mut send, mut receive) = connection.open_bi().await.map_err(|err| err.to_string())?;
         send.write_all(bytes).await.map_err(|err| err.to_string())?;
         send.finish().map_err(|err| err.to_string())?;
-        self.sent_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.sent_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         let answer = receive.read_to_end(self.options.message_max_bytes).await;
         let answer = answer.map_err(|err| err.to_string())?;
-        self.received_bytes.fetch_add(answer.len() as u64, Ordering::Relaxed);
+        self.received_bytes
+            .fetch_add(answer.len() as u64, Ordering::Relaxed);
         Ok(answer)
     }
 
     fn drop_connection(&self, peer: SocketAddr, failed: &Connection) {
         let mut connections = self.lock();
-        let same = connections.get(&peer).is_some_and(|it| it.stable_id() == failed.stable_id());
+        let same = connections
+            .get(&peer)
+            .is_some_and(|it| it.stable_id() == failed.stable_id());
         if same {
             connections.remove(&peer);
         }
@@ -165,13 +180,17 @@
         while let Ok((mut send, mut receive)) = connection.accept_bi().await {
             let handler = Arc::clone(&handler);
             tokio::spawn(async move {
-                let Ok(bytes) = receive.read_to_end(max).await else { return };
+                let Ok(bytes) = receive.read_to_end(max).await else {
+                    return;
+                };
                 let Ok(message) = postcard::from_bytes::<Q>(&bytes) else {
                     log::warn!("step=mesh.decode peer={peer} bytes={}", bytes.len());
                     return;
                 };
                 let answer = handler.handle(message).await;
-                let Ok(bytes) = postcard::to_stdvec(&answer) else { return };
+                let Ok(bytes) = postcard::to_stdvec(&answer) else {
+                    return;
+                };
                 // A peer that went away has no use for the answer.
                 let _ = send.write_all(&bytes).await;
                 let _ = send.finish();
@@ -180,6 +199,8 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
-        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/persimmon-mesh/src/tls.rs
+++ b/crates/persimmon-mesh/src/tls.rs
@@ -42,7 +42,10 @@
 
 impl KeysError {
     fn of<E: fmt::Display>(part: &'static str) -> impl Fn(E) -> Self {
-        move |err| Self { part, reason: err.to_string() }
+        move |err| Self {
+            part,
+            reason: err.to_string(),
+        }
     }
 }
 
@@ -76,7 +79,9 @@
     fn roots(&self) -> Result<RootCertStore, KeysError> {
         let mut roots = RootCertStore::empty();
         for certificate in certificates(&self.authorities, "authorities")? {
-            roots.add(certificate).map_err(KeysError::of("authorities"))?;
+            roots
+                .add(certificate)
+                .map_err(KeysError::of("authorities"))?;
         }
         Ok(roots)
     }
@@ -95,14 +100,14 @@
     Arc::new(ring::default_provider())
 }
 
-fn certificates(
-    pem: &str,
-    part: &'static str,
-) -> Result<Vec<CertificateDer<'static>>, KeysError> {
+fn certificates(pem: &str, part: &'static str) -> Result<Vec<CertificateDer<'static>>, KeysError> {
     let parsed: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem.as_bytes()).collect();
     let certificates = parsed.map_err(KeysError::of(part))?;
     if certificates.is_empty() {
-        return Err(KeysError { part, reason: "holds no certificate".to_owned() });
+        return Err(KeysError {
+            part,
+            reason: "holds no certificate".to_owned(),
+        });
     }
     Ok(certificates)
 }
--- a/crates/persimmon-peak/src/required.rs
+++ b/crates/persimmon-peak/src/required.rs
@@ -11,13 +11,18 @@
 
 /// The least level of processors, held from now on, that can meet all deadlines.
 ///
-/// The critical-interval bound: for each deadline, the work due by then over the time until then.
-/// No schedule can do with less; one of rigid tasks may need more.
+/// The critical-interval bound: for each deadline, the work due by then over the time until then,
+/// and the widest task. No schedule can do with less; one of rigid tasks may need more.
 pub fn required_cpu_millis(now_unix_ms: u64, work: &[Work]) -> u64 {
     let mut by_deadline: Vec<&Work> = work.iter().collect();
     by_deadline.sort_unstable_by_key(|work| work.deadline_unix_ms);
     let mut due: u128 = 0;
-    let mut level: u128 = 0;
+    // A task is rigid: while it runs it takes all its processors.
+    let mut level: u128 = work
+        .iter()
+        .map(|it| u128::from(it.cpu_millis))
+        .max()
+        .unwrap_or(0);
     for work in by_deadline {
         due += u128::from(work.cpu_millis) * u128::from(work.run_ms);
         let left_ms = work.deadline_unix_ms.saturating_sub(now_unix_ms).max(1);
--- a/crates/persimmon-place/src/health.rs
+++ b/crates/persimmon-place/src/health.rs
@@ -66,7 +66,10 @@
 impl Health {
     /// No worker is suspected.
     pub fn new(options: HealthOptions) -> Self {
-        Self { options, records: HashMap::new() }
+        Self {
+            options,
+            records: HashMap::new(),
+        }
     }
 
     /// Notes that a task completed.
@@ -92,7 +95,10 @@
 
     /// What the worker may be given at `now`.
     pub fn condition(&self, worker: WorkerKey, now: Instant) -> Condition {
-        let until = self.records.get(&worker).and_then(|record| record.quarantined_until);
+        let until = self
+            .records
+            .get(&worker)
+            .and_then(|record| record.quarantined_until);
         match until {
             None => Condition::Open,
             Some(until) if now < until => Condition::Quarantined,
--- a/crates/persimmon-place/src/index.rs
+++ b/crates/persimmon-place/src/index.rs
@@ -12,7 +12,10 @@
 
 impl RoomIndex {
     pub(crate) fn new() -> Self {
-        Self { leaves: 1, nodes: vec![Size::ZERO; 2] }
+        Self {
+            leaves: 1,
+            nodes: vec![Size::ZERO; 2],
+        }
     }
 
     pub(crate) fn set(&mut self, position: usize, room: Size) {
--- a/crates/persimmon-place/src/ledger.rs
+++ b/crates/persimmon-place/src/ledger.rs
@@ -70,14 +70,26 @@
     /// An empty ledger.
     pub fn new(shares: Shares) -> Self {
         let rooms = [RoomIndex::new(), RoomIndex::new()];
-        Self { shares, workers: Vec::new(), slots: Vec::new(), free_slots: Vec::new(), rooms }
+        Self {
+            shares,
+            workers: Vec::new(),
+            slots: Vec::new(),
+            free_slots: Vec::new(),
+            rooms,
+        }
     }
 
     /// Adds an open worker.
     pub fn add(&mut self, capacity: Size) -> WorkerKey {
         let key = WorkerKey(self.workers.len() as u32);
         let claimed = [Size::ZERO; 2];
-        self.workers.push(Worker { capacity, claimed, reserve: Size::ZERO, open: true, claims: 0 });
+        self.workers.push(Worker {
+            capacity,
+            claimed,
+            reserve: Size::ZERO,
+            open: true,
+            claims: 0,
+        });
         self.refresh(key);
         key
     }
@@ -126,7 +138,10 @@
         let growth = size.saturating_sub(old);
         let room = self.room(worker, kind);
         if growth != Size::ZERO && !growth.fits(room) {
-            return Err(claim::Error::NoRoom { wanted: growth, room });
+            return Err(claim::Error::NoRoom {
+                wanted: growth,
+                room,
+            });
         }
         self.slots[key.position as usize].claim = Some((worker, kind, size));
         let claimed = &mut self.workers[worker.0 as usize].claimed[kind as usize];
@@ -168,16 +183,22 @@
     /// What work of `kind` may still claim on `worker`, open or not.
     pub fn room(&self, worker: WorkerKey, kind: Kind) -> Size {
         let entry = self.worker(worker);
-        let of_kind = self.share(entry.capacity, kind).saturating_sub(entry.claimed[kind as usize]);
-        let of_all =
-            entry.capacity.saturating_sub(self.claimed(worker)).saturating_sub(entry.reserve);
+        let of_kind = self
+            .share(entry.capacity, kind)
+            .saturating_sub(entry.claimed[kind as usize]);
+        let of_all = entry
+            .capacity
+            .saturating_sub(self.claimed(worker))
+            .saturating_sub(entry.reserve);
         of_kind.min(of_all)
     }
 
     /// What is claimed on `worker`, over both kinds.
     pub fn claimed(&self, worker: WorkerKey) -> Size {
         let [latency_critical, batch] = self.worker(worker).claimed;
-        latency_critical.checked_add(batch).unwrap_or(latency_critical)
+        latency_critical
+            .checked_add(batch)
+            .unwrap_or(latency_critical)
     }
 
     /// What the worker has.
@@ -207,12 +228,16 @@
 
     /// Tells whether some worker could ever hold `size`, were it empty and open.
     pub fn can_ever_hold(&self, kind: Kind, size: Size) -> bool {
-        self.workers.iter().any(|worker| size.fits(self.share(worker.capacity, kind)))
+        self.workers
+            .iter()
+            .any(|worker| size.fits(self.share(worker.capacity, kind)))
     }
 
     /// The next open worker at or after `from` with room for `size`.
     pub(crate) fn next_fit(&self, from: usize, kind: Kind, size: Size) -> Option<WorkerKey> {
-        self.rooms[kind as usize].next_fit(from, size).map(|position| WorkerKey(position as u32))
+        self.rooms[kind as usize]
+            .next_fit(from, size)
+            .map(|position| WorkerKey(position as u32))
     }
 
     /// The largest room of open workers, in each dimension on its own.
@@ -222,7 +247,10 @@
 
     fn insert(&mut self, worker: WorkerKey, kind: Kind, size: Size) -> ClaimKey {
         let position = self.free_slots.pop().unwrap_or_else(|| {
-            self.slots.push(Slot { generation: 0, claim: None });
+            self.slots.push(Slot {
+                generation: 0,
+                claim: None,
+            });
             self.slots.len() as u32 - 1
         });
         let slot = &mut self.slots[position as usize];
@@ -233,13 +261,17 @@
         entry.claimed[kind as usize] = claimed.checked_add(size).unwrap_or(entry.capacity);
         entry.claims += 1;
         self.refresh(worker);
-        ClaimKey { position, generation }
+        ClaimKey {
+            position,
+            generation,
+        }
     }
 
     fn find(&self, key: ClaimKey) -> Result<(WorkerKey, Kind, Size), claim::Error> {
         let slot = self.slots.get(key.position as usize);
         let live = slot.filter(|slot| slot.generation == key.generation);
-        live.and_then(|slot| slot.claim).ok_or(claim::Error::Released)
+        live.and_then(|slot| slot.claim)
+            .ok_or(claim::Error::Released)
     }
 
     fn worker(&self, key: WorkerKey) -> &Worker {
@@ -253,14 +285,25 @@
         };
         let part = capacity.percent(percent);
         // An accelerator can't be split, so a kind with any share at all may claim each of them.
-        let accelerators = if percent > 0 { capacity.accelerators } else { 0 };
-        Size { accelerators, ..part }
+        let accelerators = if percent > 0 {
+            capacity.accelerators
+        } else {
+            0
+        };
+        Size {
+            accelerators,
+            ..part
+        }
     }
 
     fn refresh(&mut self, worker: WorkerKey) {
         for kind in [Kind::LatencyCritical, Kind::Batch] {
             let open = self.worker(worker).open;
-            let room = if open { self.room(worker, kind) } else { Size::ZERO };
+            let room = if open {
+                self.room(worker, kind)
+            } else {
+                Size::ZERO
+            };
             self.rooms[kind as usize].set(worker.0 as usize, room);
         }
     }
--- a/crates/persimmon-place/src/quota.rs
+++ b/crates/persimmon-place/src/quota.rs
@@ -17,7 +17,8 @@
     /// Counts a claim.
     pub fn add(&mut self, team: &str, size: Size) {
         let used = self.used(team);
-        self.used.insert(team.to_owned(), used.checked_add(size).unwrap_or(used));
+        self.used
+            .insert(team.to_owned(), used.checked_add(size).unwrap_or(used));
     }
 
     /// Counts a release.
--- a/crates/persimmon-route/src/budget.rs
+++ b/crates/persimmon-route/src/budget.rs
@@ -9,7 +9,11 @@
 impl RetryBudget {
     /// Retries for `percent` of the requests, and at most `burst` saved up.
     pub fn new(percent: u32, burst: u32) -> Self {
-        Self { percent, burst, hundredths: 0 }
+        Self {
+            percent,
+            burst,
+            hundredths: 0,
+        }
     }
 
     /// Counts a request.
--- a/crates/persimmon-route/src/naive.rs
+++ b/crates/persimmon-route/src/naive.rs
@@ -13,10 +13,7 @@
     Measured,
 }
 
-pub(crate) fn round_robin(
-    free: &[EndpointKey],
-    last: Option<EndpointKey>,
-) -> Option<EndpointKey> {
+pub(crate) fn round_robin(free: &[EndpointKey], last: Option<EndpointKey>) -> Option<EndpointKey> {
     let after_last = free.iter().find(|key| Some(**key) > last);
     after_last.or(free.first()).copied()
 }
--- a/crates/persimmon-route/src/router.rs
+++ b/crates/persimmon-route/src/router.rs
@@ -144,7 +144,9 @@
             let request = *request;
             if now + self.latency > request.deadline {
                 self.waiting.pop_first();
-                let refusal = Refusal::Deadline { expected_wait: Duration::ZERO };
+                let refusal = Refusal::Deadline {
+                    expected_wait: Duration::ZERO,
+                };
                 decided.push((request.id, self.refuse(&request, refusal)));
                 continue;
             }
@@ -184,12 +186,16 @@
 
     /// Where an endpoint listens.
     pub fn address(&self, key: EndpointKey) -> Option<&str> {
-        self.endpoints.get(&key).map(|endpoint| endpoint.spec.address.as_str())
+        self.endpoints
+            .get(&key)
+            .map(|endpoint| endpoint.spec.address.as_str())
     }
 
     /// The instance of an endpoint.
     pub fn endpoint_id(&self, key: EndpointKey) -> Option<&str> {
-        self.endpoints.get(&key).map(|endpoint| endpoint.spec.id.as_str())
+        self.endpoints
+            .get(&key)
+            .map(|endpoint| endpoint.spec.id.as_str())
     }
 
     /// All endpoints.
@@ -214,21 +220,31 @@
                 let key = EndpointKey(self.next_key);
                 self.next_key += 1;
                 self.by_id.insert(spec.id.clone(), key);
-                self.endpoints.insert(key, Endpoint::new(spec.clone(), self.chart.initial()));
+                self.endpoints
+                    .insert(key, Endpoint::new(spec.clone(), self.chart.initial()));
                 key
             }
         };
-        let Some(endpoint) = self.endpoints.get_mut(&key) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return;
+        };
         endpoint.listed = true;
         endpoint.spec = spec;
         let leaving = endpoint.spec.leaving || endpoint.left_by_itself;
-        let event = if leaving { EndpointEvent::Leave } else { EndpointEvent::Return };
+        let event = if leaving {
+            EndpointEvent::Leave
+        } else {
+            EndpointEvent::Return
+        };
         self.step(key, event);
     }
 
     /// Forgets an endpoint that is listed no longer once nothing is in flight there.
     fn forget_if_idle(&mut self, key: EndpointKey) {
-        let idle = self.endpoints.get(&key).is_some_and(|it| !it.listed && it.in_flight == 0);
+        let idle = self
+            .endpoints
+            .get(&key)
+            .is_some_and(|it| !it.listed && it.in_flight == 0);
         if !idle {
             return;
         }
@@ -238,7 +254,9 @@
     }
 
     fn step(&mut self, key: EndpointKey, event: EndpointEvent) {
-        let Some(endpoint) = self.endpoints.get_mut(&key) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return;
+        };
         if let Some(state) = self.chart.try_step(endpoint.state, event) {
             endpoint.state = state;
         }
@@ -293,14 +311,28 @@
     fn choose_measured(&mut self, free: &[EndpointKey]) -> Option<EndpointKey> {
         let first = free[self.rng.random_range(0..free.len())];
         let second = free[self.rng.random_range(0..free.len())];
-        Some(if self.cost(second) < self.cost(first) { second } else { first })
+        Some(if self.cost(second) < self.cost(first) {
+            second
+        } else {
+            first
+        })
     }
 
     fn cost(&self, key: EndpointKey) -> Duration {
-        let Some(endpoint) = self.endpoints.get(&key) else { return Duration::MAX };
-        let hop = if endpoint.spec.near { Duration::ZERO } else { self.options.far_cost };
+        let Some(endpoint) = self.endpoints.get(&key) else {
+            return Duration::MAX;
+        };
+        let hop = if endpoint.spec.near {
+            Duration::ZERO
+        } else {
+            self.options.far_cost
+        };
         // An endpoint without an answer yet is taken to be as fast as the rest.
-        let latency = if endpoint.latency.is_zero() { self.latency } else { endpoint.latency };
+        let latency = if endpoint.latency.is_zero() {
+            self.latency
+        } else {
+            endpoint.latency
+        };
         (latency + hop) * (endpoint.in_flight + 1)
     }
 
@@ -357,7 +389,9 @@
     fn count_failure(&mut self, key: EndpointKey, crashed: bool, now: Instant) {
         let room = self.may_eject();
         let options = self.options;
-        let Some(endpoint) = self.endpoints.get_mut(&key) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&key) else {
+            return;
+        };
         endpoint.failures_in_a_row += 1;
         endpoint.crashed = crashed;
         let often = endpoint.failures_in_a_row >= options.failures_max
@@ -372,9 +406,10 @@
     }
 
     fn may_eject(&self) -> bool {
-        let ejected = self.endpoints.values().filter(|endpoint| {
-            endpoint.state == EndpointState::Ejected && !endpoint.crashed
-        });
+        let ejected = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.state == EndpointState::Ejected && !endpoint.crashed);
         let most = self.usable() * self.options.ejected_max_percent as usize / 100;
         ejected.count() < most
     }
@@ -399,7 +434,11 @@
         // Only a connection that was never made proves that no byte left.
         let unsent = outcome == Outcome::NotConnected;
         let first = self.sent.get(&request.id).copied().unwrap_or(0) <= 1;
-        let truth = if unsent && first { Verdict::NotRun } else { Verdict::Unknown };
+        let truth = if unsent && first {
+            Verdict::NotRun
+        } else {
+            Verdict::Unknown
+        };
         let useful = !matches!(outcome, Outcome::Answered | Outcome::Abandoned);
         let harmless = request.idempotent || unsent;
         let in_time = now + self.latency < request.deadline;
--- a/crates/persimmon-route/src/share.rs
+++ b/crates/persimmon-route/src/share.rs
@@ -9,8 +9,10 @@
     }
     let count = members.len() as u32;
     let own = (rank(endpoint, member), member);
-    let before =
-        members.iter().filter(|other| (rank(endpoint, other), other.as_str()) < own).count() as u32;
+    let before = members
+        .iter()
+        .filter(|other| (rank(endpoint, other), other.as_str()) < own)
+        .count() as u32;
     total / count + u32::from(before < total % count)
 }
 
--- a/crates/persimmon-shard/src/book.rs
+++ b/crates/persimmon-shard/src/book.rs
@@ -57,7 +57,10 @@
 impl Job {
     /// Tells whether nothing more can happen to it.
     pub fn is_ended(&self) -> bool {
-        matches!(self.state, JobState::Done | JobState::Failed | JobState::Cancelled)
+        matches!(
+            self.state,
+            JobState::Done | JobState::Failed | JobState::Cancelled
+        )
     }
 
     /// Tells whether a worker may hold its newest attempt.
@@ -67,7 +70,8 @@
 
     /// The latest start that meets the deadline, by the declared run time.
     pub fn latest_start_unix_ms(&self) -> u64 {
-        self.deadline_unix_ms.saturating_sub(self.run_time.as_millis() as u64)
+        self.deadline_unix_ms
+            .saturating_sub(self.run_time.as_millis() as u64)
     }
 }
 
@@ -104,7 +108,9 @@
 
     /// Finds a job by idempotency key.
     pub fn try_find_key(&self, key: &str) -> Option<&Job> {
-        self.by_key.get(key).and_then(|number| self.jobs.get(number))
+        self.by_key
+            .get(key)
+            .and_then(|number| self.jobs.get(number))
     }
 
     /// All jobs, by number.
@@ -190,8 +196,12 @@
     }
 
     fn step(&mut self, charts: &Charts, step: &Step) -> bool {
-        let Some(job) = self.jobs.get_mut(&step.number) else { return false };
-        let Some(state) = charts.job.try_step(job.state, step.event) else { return false };
+        let Some(job) = self.jobs.get_mut(&step.number) else {
+            return false;
+        };
+        let Some(state) = charts.job.try_step(job.state, step.event) else {
+            return false;
+        };
         job.state = state;
         if step.event == JobEvent::Place {
             job.attempt += 1;
@@ -236,5 +246,8 @@
         JobEvent::Cancel => "cancelled; newest worker",
         JobEvent::Stop => "stop confirmed by",
     };
-    format!("{} attempt {} {text} {worker}", step.at_unix_ms, job.attempt)
+    format!(
+        "{} attempt {} {text} {worker}",
+        step.at_unix_ms, job.attempt
+    )
 }
--- a/crates/persimmon-shard/src/core/decide.rs
+++ b/crates/persimmon-shard/src/core/decide.rs
@@ -30,9 +30,15 @@
 
     /// What batch tasks of this shard use and need at `now_unix_ms`.
     pub fn demand(&self, now_unix_ms: u64) -> Demand {
-        let open = self.book.iter().filter(|job| !job.is_ended() && job.state != JobState::Unknown);
+        let open = self
+            .book
+            .iter()
+            .filter(|job| !job.is_ended() && job.state != JobState::Unknown);
         let work: Vec<Work> = open.map(|job| self.work(job, now_unix_ms)).collect();
-        let queued = self.queue.iter().filter_map(|key| self.book.try_find(key.number));
+        let queued = self
+            .queue
+            .iter()
+            .filter_map(|key| self.book.try_find(key.number));
         Demand {
             claimed_cpu_millis: self.batch_claimed_cpu_millis(),
             required_cpu_millis: persimmon_peak::required_cpu_millis(now_unix_ms, &work),
@@ -48,7 +54,9 @@
         closed: &HashSet<WorkerKey>,
         no_room: &mut HashSet<Size>,
     ) -> Result<Size, WaitReason> {
-        let Some(job) = self.book.try_find(number) else { return Err(WaitReason::NoRoom) };
+        let Some(job) = self.book.try_find(number) else {
+            return Err(WaitReason::NoRoom);
+        };
         let size = job.size;
         if no_room.contains(&size) {
             return Err(WaitReason::NoRoom);
@@ -98,28 +106,65 @@
         const SUSPECT_COST: u32 = 1_000;
         const LAST_WORKER_COST: u32 = 1;
         // A job that was just lost or failed somewhere had better go elsewhere, if it can.
-        let last = self.book.try_find(number).and_then(|job| job.worker.clone());
-        let last = last.and_then(|(id, _)| self.find_worker(&id)).map(|at| self.workers[at].key);
+        let last = self
+            .book
+            .try_find(number)
+            .and_then(|job| job.worker.clone());
+        let last = last
+            .and_then(|(id, _)| self.find_worker(&id))
+            .map(|at| self.workers[at].key);
         self.rotation = self.rotation.wrapping_add(1);
         let cost = |key: WorkerKey| {
-            let suspect = if closed.contains(&key) { SUSPECT_COST } else { 0 };
-            suspect + if Some(key) == last { LAST_WORKER_COST } else { 0 }
+            let suspect = if closed.contains(&key) {
+                SUSPECT_COST
+            } else {
+                0
+            };
+            suspect
+                + if Some(key) == last {
+                    LAST_WORKER_COST
+                } else {
+                    0
+                }
         };
         let options = persimmon_place::place::Options::default();
-        let mut found = place(&self.ledger, Kind::Batch, size, self.rotation, options, cost);
+        let mut found = place(
+            &self.ledger,
+            Kind::Batch,
+            size,
+            self.rotation,
+            options,
+            cost,
+        );
         if found.is_some_and(|key| closed.contains(&key)) {
             // All candidates were suspects; look at every worker before giving up.
-            let options = persimmon_place::place::Options { candidates_max: self.workers.len() };
-            found = place(&self.ledger, Kind::Batch, size, self.rotation, options, cost);
+            let options = persimmon_place::place::Options {
+                candidates_max: self.workers.len(),
+            };
+            found = place(
+                &self.ledger,
+                Kind::Batch,
+                size,
+                self.rotation,
+                options,
+                cost,
+            );
         }
         found.filter(|key| !closed.contains(key))
     }
 
     /// The team's quota counts over all shards, as far as their owners have told.
     fn quota_admits(&self, job: &Job) -> bool {
-        let Some(quota) = self.team_quotas.get(&job.team).copied() else { return true };
-        let elsewhere = self.team_used_elsewhere.get(&job.team).copied().unwrap_or(Size::ZERO);
-        self.quotas.admits(&job.team, quota.saturating_sub(elsewhere), job.size)
+        let Some(quota) = self.team_quotas.get(&job.team).copied() else {
+            return true;
+        };
+        let elsewhere = self
+            .team_used_elsewhere
+            .get(&job.team)
+            .copied()
+            .unwrap_or(Size::ZERO);
+        self.quotas
+            .admits(&job.team, quota.saturating_sub(elsewhere), job.size)
     }
 
     fn must_start(&self, job: &Job, now_unix_ms: u64) -> bool {
@@ -131,7 +176,11 @@
     }
 
     fn work(&self, job: &Job, now_unix_ms: u64) -> Work {
-        let ran_ms = if job.is_held() { now_unix_ms.saturating_sub(job.placed_unix_ms) } else { 0 };
+        let ran_ms = if job.is_held() {
+            now_unix_ms.saturating_sub(job.placed_unix_ms)
+        } else {
+            0
+        };
         let run_ms = self.padded(job).as_millis() as u64;
         Work {
             cpu_millis: u64::from(job.size.cpu_millis),
@@ -141,7 +190,10 @@
     }
 
     fn batch_claimed_cpu_millis(&self) -> u64 {
-        let held = self.claims.keys().filter_map(|number| self.book.try_find(*number));
+        let held = self
+            .claims
+            .keys()
+            .filter_map(|number| self.book.try_find(*number));
         held.map(|job| u64::from(job.size.cpu_millis)).sum()
     }
 }
--- a/crates/persimmon-shard/src/core/job.rs
+++ b/crates/persimmon-shard/src/core/job.rs
@@ -11,13 +11,18 @@
         now_unix_ms: u64,
     ) -> Result<SubmitOutcome, SubmitError> {
         if let Some(job) = self.book.try_find_key(&submission.key) {
-            let same = job.class == submission.class.name
-                && job.deadline_unix_ms == submission.deadline_unix_ms;
-            if !same {
-                return Err(SubmitError::KeyReused { key: submission.key });
+            // The deadline may differ: callers that give it from now on repeat it later.
+            if job.class != submission.class.name {
+                return Err(SubmitError::KeyReused {
+                    key: submission.key,
+                });
             }
             let number = job.number;
-            return Ok(SubmitOutcome { number, seq: self.newest_seq(number), repeated: true });
+            return Ok(SubmitOutcome {
+                number,
+                seq: self.newest_seq(number),
+                repeated: true,
+            });
         }
         self.check_submission(&submission, now_unix_ms)?;
         let number = self.book.last_number() + 1;
@@ -35,14 +40,20 @@
             deadline_unix_ms: submission.deadline_unix_ms,
             at_unix_ms: now_unix_ms,
         });
-        Ok(SubmitOutcome { number, seq, repeated: false })
+        Ok(SubmitOutcome {
+            number,
+            seq,
+            repeated: false,
+        })
     }
 
     /// Cancels a job, to be acknowledged once the outcome's entry is in the store.
     pub fn cancel(&mut self, number: u64, now_unix_ms: u64) -> Result<CancelOutcome, CancelError> {
         let job = self.book.try_find(number).ok_or(CancelError::Unknown)?;
         if job.is_ended() && job.state != JobState::Cancelled {
-            return Err(CancelError::Ended { state: job.state.label() });
+            return Err(CancelError::Ended {
+                state: job.state.label(),
+            });
         }
         let may_have_run = job.attempt > 0;
         let again = matches!(job.state, JobState::Cancelled | JobState::Cancelling);
@@ -51,21 +62,32 @@
         } else {
             self.step(number, JobEvent::Cancel, now_unix_ms, None, false)
         };
-        let state = self.book.try_find(number).map_or(JobState::Cancelled, |job| job.state);
-        Ok(CancelOutcome { seq, state, may_have_run })
+        let state = self
+            .book
+            .try_find(number)
+            .map_or(JobState::Cancelled, |job| job.state);
+        Ok(CancelOutcome {
+            seq,
+            state,
+            may_have_run,
+        })
     }
 
     /// Asks for a running task to be stopped with a checkpoint and queued again.
     pub fn evict(&mut self, number: u64) -> bool {
-        let placed =
-            self.book.try_find(number).is_some_and(|job| job.state == JobState::Placed);
+        let placed = self
+            .book
+            .try_find(number)
+            .is_some_and(|job| job.state == JobState::Placed);
         placed && self.evict_wanted.insert(number)
     }
 
     /// Asks for a running task to be limited to `percent` of its claim.
     pub fn throttle(&mut self, number: u64, percent: u32) -> bool {
-        let placed =
-            self.book.try_find(number).is_some_and(|job| job.state == JobState::Placed);
+        let placed = self
+            .book
+            .try_find(number)
+            .is_some_and(|job| job.state == JobState::Placed);
         placed && self.throttle_wanted.insert(number, percent) != Some(percent)
     }
 
@@ -77,11 +99,21 @@
         checkpoint: Option<String>,
         counts: bool,
     ) -> Seq {
-        self.push(Entry::Step(Step { number, event, at_unix_ms, worker: None, checkpoint, counts }))
+        self.push(Entry::Step(Step {
+            number,
+            event,
+            at_unix_ms,
+            worker: None,
+            checkpoint,
+            counts,
+        }))
     }
 
     fn newest_seq(&self, number: u64) -> Seq {
-        self.uncommitted.get(&number).copied().unwrap_or(self.committed)
+        self.uncommitted
+            .get(&number)
+            .copied()
+            .unwrap_or(self.committed)
     }
 
     fn check_submission(
--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -5,8 +5,9 @@
 mod worker;
 
 pub use types::{
-    CancelError, CancelOutcome, Demand, Options, Submission, SubmitError, SubmitOutcome, SyncAnswer,
-    SyncCall, SyncFailure, TaskCommand, TaskStatus, TaskView, WaitReason, WorkerSpec, WorkerSummary,
+    CancelError, CancelOutcome, Demand, Options, Submission, SubmitError, SubmitOutcome,
+    SyncAnswer, SyncCall, SyncFailure, TaskCommand, TaskStatus, TaskView, WaitReason, WorkerSpec,
+    WorkerSummary,
 };
 
 use crate::{Book, Charts, Entry, Job, JobState, Seq};
@@ -159,9 +160,15 @@
 
     /// What each team's tasks claim in this shard.
     pub fn team_used(&self) -> BTreeMap<String, Size> {
-        let held = self.book.iter().filter(|job| self.claims.contains_key(&job.number));
+        let held = self
+            .book
+            .iter()
+            .filter(|job| self.claims.contains_key(&job.number));
         let teams: BTreeSet<&str> = held.map(|job| job.team.as_str()).collect();
-        teams.into_iter().map(|team| (team.to_owned(), self.quotas.used(team))).collect()
+        teams
+            .into_iter()
+            .map(|team| (team.to_owned(), self.quotas.used(team)))
+            .collect()
     }
 
     /// Why a queued job was not placed when it was last looked at.
@@ -196,7 +203,9 @@
     }
 
     fn enqueue(&mut self, number: u64) {
-        let Some(job) = self.book.try_find(number) else { return };
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
         let (queued, held) = (job.state == JobState::Queued, job.is_held());
         if queued {
             self.queue.insert(QueueKey::from(job));
@@ -213,7 +222,9 @@
         for worker in &mut self.workers {
             worker.held.remove(&number);
         }
-        let Some(claim) = self.claims.remove(&number) else { return };
+        let Some(claim) = self.claims.remove(&number) else {
+            return;
+        };
         if self.ledger.release(claim).is_ok() {
             if let Some(job) = self.book.try_find(number) {
                 self.quotas.remove(&job.team, job.size);
@@ -223,12 +234,16 @@
 
     /// Records a claim that an earlier owner made and that may still be in use.
     fn reclaim(&mut self, number: u64, worker: usize) {
-        let Some(job) = self.book.try_find(number) else { return };
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
         let (team, size) = (job.team.clone(), job.size);
         if self.claims.contains_key(&number) {
             return;
         }
-        let claim = self.ledger.restore(self.workers[worker].key, Kind::Batch, size);
+        let claim = self
+            .ledger
+            .restore(self.workers[worker].key, Kind::Batch, size);
         self.claims.insert(number, claim);
         self.quotas.add(&team, size);
         self.workers[worker].held.insert(number);
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -9,7 +9,9 @@
     pub fn due(&self, now: Instant) -> Vec<usize> {
         let open = |position: &usize| !self.workers[*position].in_flight;
         let positions = (0..self.workers.len()).filter(open);
-        positions.filter(|position| self.is_due(*position, now)).collect()
+        positions
+            .filter(|position| self.is_due(*position, now))
+            .collect()
     }
 
     /// When the next worker is due, or a lease lapses, with nothing else happening.
@@ -24,10 +26,18 @@
         let worker = &mut self.workers[position];
         worker.in_flight = true;
         let echo_nonce = if valid { worker.lease.echo() } else { None };
-        let commands =
-            if echo_nonce.is_some() { self.commands(position) } else { Vec::new() };
+        let commands = if echo_nonce.is_some() {
+            self.commands(position)
+        } else {
+            Vec::new()
+        };
         let worker = &self.workers[position];
-        SyncCall { worker: position, address: worker.spec.address.clone(), echo_nonce, commands }
+        SyncCall {
+            worker: position,
+            address: worker.spec.address.clone(),
+            echo_nonce,
+            commands,
+        }
     }
 
     /// Takes in what became of a call.
@@ -81,7 +91,12 @@
             let worker = job.worker.as_ref();
             job.is_held() && worker.is_some_and(|(id, _)| self.find_worker(id).is_none())
         };
-        let lost: Vec<u64> = self.book.iter().filter(unlisted).map(|job| job.number).collect();
+        let lost: Vec<u64> = self
+            .book
+            .iter()
+            .filter(unlisted)
+            .map(|job| job.number)
+            .collect();
         for number in lost {
             self.lose(number, now_unix_ms);
         }
@@ -92,7 +107,8 @@
         if worker.state == WorkerState::Gone && worker.held.is_empty() {
             return false;
         }
-        let answers = now.saturating_duration_since(worker.answered_at) < self.options.silence_after;
+        let answers =
+            now.saturating_duration_since(worker.answered_at) < self.options.silence_after;
         worker.next_sync <= now || (answers && !self.commands(position).is_empty())
     }
 
@@ -105,7 +121,10 @@
                 false => TaskCommand::Forget { number, attempt },
             });
         }
-        let held = worker.held.iter().filter_map(|number| self.book.try_find(*number));
+        let held = worker
+            .held
+            .iter()
+            .filter_map(|number| self.book.try_find(*number));
         for job in held.filter(|job| !self.uncommitted.contains_key(&job.number)) {
             let reported = worker.reported.contains(&(job.number, job.attempt));
             commands.extend(self.command(job, reported, worker.incarnation));
@@ -113,12 +132,7 @@
         commands
     }
 
-    fn command(
-        &self,
-        job: &Job,
-        reported: bool,
-        incarnation: Option<u64>,
-    ) -> Option<TaskCommand> {
+    fn command(&self, job: &Job, reported: bool, incarnation: Option<u64>) -> Option<TaskCommand> {
         let (number, attempt) = (job.number, job.attempt);
         let same_process = job.worker.as_ref().map(|(_, placed)| *placed) == incarnation;
         match job.state {
@@ -135,7 +149,11 @@
             }
             JobState::Placed if reported => {
                 let percent = *self.throttle_wanted.get(&number)?;
-                Some(TaskCommand::Throttle { number, attempt, percent })
+                Some(TaskCommand::Throttle {
+                    number,
+                    attempt,
+                    percent,
+                })
             }
             // Sent even when the start was never confirmed, since it may still arrive.
             JobState::Cancelling => Some(TaskCommand::Stop { number, attempt }),
@@ -143,13 +161,7 @@
         }
     }
 
-    fn take_answer(
-        &mut self,
-        position: usize,
-        answer: SyncAnswer,
-        now: Instant,
-        now_unix_ms: u64,
-    ) {
+    fn take_answer(&mut self, position: usize, answer: SyncAnswer, now: Instant, now_unix_ms: u64) {
         let restarted = self.workers[position].incarnation != Some(answer.incarnation);
         self.workers[position].incarnation = Some(answer.incarnation);
         self.step_worker(position, WorkerEvent::Answer);
@@ -158,7 +170,11 @@
         }
         self.reserve_overuse(position, &answer);
         let worker = &mut self.workers[position];
-        worker.reported = answer.tasks.iter().map(|task| (task.number, task.attempt)).collect();
+        worker.reported = answer
+            .tasks
+            .iter()
+            .map(|task| (task.number, task.attempt))
+            .collect();
         worker.strays.clear();
         for task in answer.tasks {
             self.take_report(position, task, now, now_unix_ms);
@@ -172,21 +188,27 @@
     fn reserve_overuse(&mut self, position: usize, answer: &SyncAnswer) {
         let key = self.workers[position].key;
         let overuse = answer.used.saturating_sub(self.ledger.claimed(key));
-        self.ledger.set_reserve(key, persimmon_types::Size { accelerators: 0, ..overuse });
+        self.ledger.set_reserve(
+            key,
+            persimmon_types::Size {
+                accelerators: 0,
+                ..overuse
+            },
+        );
     }
 
-    fn take_report(
-        &mut self,
-        position: usize,
-        task: TaskView,
-        now: Instant,
-        now_unix_ms: u64,
-    ) {
+    fn take_report(&mut self, position: usize, task: TaskView, now: Instant, now_unix_ms: u64) {
         let number = task.number;
         let worker = &self.workers[position];
         let current = self.book.try_find(number).is_some_and(|job| {
-            let here = (worker.spec.id.as_str(), worker.incarnation.unwrap_or_default());
-            let placed = job.worker.as_ref().map(|(id, incarnation)| (id.as_str(), *incarnation));
+            let here = (
+                worker.spec.id.as_str(),
+                worker.incarnation.unwrap_or_default(),
+            );
+            let placed = job
+                .worker
+                .as_ref()
+                .map(|(id, incarnation)| (id.as_str(), *incarnation));
             job.attempt == task.attempt && placed == Some(here) && !job.is_ended()
         });
         if current {
@@ -195,15 +217,11 @@
         self.note_stray(position, &task);
     }
 
-    fn take_current(
-        &mut self,
-        position: usize,
-        task: &TaskView,
-        now: Instant,
-        now_unix_ms: u64,
-    ) {
+    fn take_current(&mut self, position: usize, task: &TaskView, now: Instant, now_unix_ms: u64) {
         let number = task.number;
-        let Some(job) = self.book.try_find(number) else { return };
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
         let key = self.workers[position].key;
         let state = job.state;
         match task.status {
@@ -227,27 +245,33 @@
 
     /// A confirmed stop: the next attempt resumes at the checkpoint.
     fn take_stop(&mut self, number: u64, checkpoint: Option<String>, now_unix_ms: u64) {
-        let Some(job) = self.book.try_find(number) else { return };
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
         // Without a checkpoint there is no telling what ran, so only idempotent work goes on.
         let known = checkpoint.is_some() || job.checkpoint.is_some() || job.rerun == Rerun::Safe;
-        let event = if known { JobEvent::Evict } else { JobEvent::Doubt };
+        let event = if known {
+            JobEvent::Evict
+        } else {
+            JobEvent::Doubt
+        };
         self.step(number, event, now_unix_ms, checkpoint, false);
     }
 
-    fn take_failure(
-        &mut self,
-        position: usize,
-        task: &TaskView,
-        now: Instant,
-        now_unix_ms: u64,
-    ) {
+    fn take_failure(&mut self, position: usize, task: &TaskView, now: Instant, now_unix_ms: u64) {
         let (key, number) = (self.workers[position].key, task.number);
         let id = persimmon_types::JobId { shard: 0, number };
         let counts = self.health.fail(key, id, now) == Verdict::Job;
-        let Some(job) = self.book.try_find(number) else { return };
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
         let failures = job.failures + u32::from(counts);
         let last = failures >= job.attempts_max || job.state == JobState::Unknown;
-        let event = if last { JobEvent::Fail } else { JobEvent::Retry };
+        let event = if last {
+            JobEvent::Fail
+        } else {
+            JobEvent::Retry
+        };
         self.step(number, event, now_unix_ms, task.checkpoint.clone(), counts);
     }
 
@@ -267,7 +291,9 @@
             job.state == JobState::Unknown && job.attempt == task.attempt && !running
         });
         if !wanted && settled && !doubted {
-            self.workers[position].strays.push((task.number, task.attempt, running));
+            self.workers[position]
+                .strays
+                .push((task.number, task.attempt, running));
         } else if !wanted && !settled {
             // Come back for the report soon after the commit.
             let worker = &mut self.workers[position];
@@ -281,8 +307,12 @@
             let placed = job.and_then(|job| job.worker.as_ref().map(|(_, at)| *at));
             placed.is_some_and(|placed| placed != current)
         };
-        let lost: Vec<u64> =
-            self.workers[position].held.iter().copied().filter(earlier).collect();
+        let lost: Vec<u64> = self.workers[position]
+            .held
+            .iter()
+            .copied()
+            .filter(earlier)
+            .collect();
         for number in lost {
             self.lose(number, now_unix_ms);
         }
@@ -297,7 +327,9 @@
 
     /// An attempt that surely runs no longer and of which nothing was heard.
     fn lose(&mut self, number: u64, now_unix_ms: u64) {
-        let Some(job) = self.book.try_find(number) else { return };
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
         let event = match (job.state, job.rerun) {
             (JobState::Cancelling, _) => JobEvent::Stop,
             (_, Rerun::Safe) => JobEvent::Lose,
--- a/crates/persimmon-shard/src/core/types.rs
+++ b/crates/persimmon-shard/src/core/types.rs
@@ -83,8 +83,8 @@
         /// The time until the deadline.
         left_ms: u64,
     },
-    /// The key names a job of another class or deadline.
-    #[error("key {key:?} was used for another job")]
+    /// The key names a job of another class.
+    #[error("key {key:?} was used for a job of another class")]
     KeyReused {
         /// The key.
         key: String,
@@ -171,7 +171,11 @@
         checkpoint: Option<String>,
     },
     /// Limit its processors.
-    Throttle { number: u64, attempt: u32, percent: u32 },
+    Throttle {
+        number: u64,
+        attempt: u32,
+        percent: u32,
+    },
     /// Stop it with a checkpoint.
     Evict { number: u64, attempt: u32 },
     /// Stop it for good.
--- a/crates/persimmon-shard/src/core/worker.rs
+++ b/crates/persimmon-shard/src/core/worker.rs
@@ -65,8 +65,11 @@
         let leaving = spec.leaving;
         let runners = spec.runners;
         let id = spec.id.clone();
-        let lease =
-            TaskLease::new(self.options.lease_term, self.options.drift, self.owned_since);
+        let lease = TaskLease::new(
+            self.options.lease_term,
+            self.options.drift,
+            self.owned_since,
+        );
         self.workers.push(Worker {
             spec,
             key,
@@ -82,7 +85,10 @@
             runners: None,
         });
         self.set_runners(position, runners);
-        let held: Vec<u64> = self.book.iter().filter(|job| job.is_held())
+        let held: Vec<u64> = self
+            .book
+            .iter()
+            .filter(|job| job.is_held())
             .filter(|job| job.worker.as_ref().is_some_and(|(worker, _)| *worker == id))
             .map(|job| job.number)
             .collect();
@@ -96,14 +102,21 @@
 
     fn update_worker(&mut self, position: usize, spec: &WorkerSpec) {
         let worker = &mut self.workers[position];
-        let (key, old) = (worker.key, std::mem::replace(&mut worker.spec, spec.clone()));
+        let (key, old) = (
+            worker.key,
+            std::mem::replace(&mut worker.spec, spec.clone()),
+        );
         if old.capacity != spec.capacity {
             self.ledger.set_capacity(key, spec.capacity);
         }
         if old.runners != spec.runners {
             self.set_runners(position, spec.runners);
         }
-        let event = if spec.leaving { WorkerEvent::Leave } else { WorkerEvent::Return };
+        let event = if spec.leaving {
+            WorkerEvent::Leave
+        } else {
+            WorkerEvent::Return
+        };
         self.step_worker(position, event);
         if spec.leaving {
             self.evict_all(position);
@@ -126,7 +139,9 @@
     fn evict_all(&mut self, position: usize) {
         let held = self.workers[position].held.iter().copied();
         let placed = |number: &u64| {
-            self.book.try_find(*number).is_some_and(|job| job.state == JobState::Placed)
+            self.book
+                .try_find(*number)
+                .is_some_and(|job| job.state == JobState::Placed)
         };
         self.evict_wanted.extend(held.filter(placed));
     }
--- a/crates/persimmon-shard/src/lib.rs
+++ b/crates/persimmon-shard/src/lib.rs
@@ -18,10 +18,13 @@
     book::{Book, Job},
     charts::{Charts, JobEvent, JobState, WorkerEvent, WorkerState},
     core::{
-        CancelError, CancelOutcome, Core, Demand, Options, SubmitError, SubmitOutcome, Submission,
+        CancelError, CancelOutcome, Core, Demand, Options, Submission, SubmitError, SubmitOutcome,
         SyncAnswer, SyncCall, SyncFailure, TaskCommand, TaskStatus, TaskView, WaitReason,
         WorkerSpec, WorkerSummary,
     },
     entry::{Entry, Seq, Step},
-    record::{BaseRef, BaseWire, EntryWire, JobWire, OwnerWire, RecordWire, StepWire, SubmitWire},
+    record::{
+        BaseRef, BaseWire, BusiestWire, DecodeError, EntryWire, JobWire, OwnerWire, RecordWire,
+        StepWire, SubmitWire, WitnessWire,
+    },
 };
--- a/crates/persimmon-shard/src/record.rs
+++ b/crates/persimmon-shard/src/record.rs
@@ -12,14 +12,38 @@
     pub epoch: u64,
     /// The owner; `None` after a handover.
     pub owner: Option<OwnerWire>,
-    /// The members whose promises the owner may rely on.
-    pub witnesses: Vec<String>,
+    /// The processes whose promises the owner may rely on.
+    pub witnesses: Vec<WitnessWire>,
     /// Differs with each write, so that a writer knows its own.
     pub token: String,
     /// Where the book stood before `tail`.
     pub base: Option<BaseRef>,
     /// Entries since.
     pub tail: Vec<EntryWire>,
+    /// The month's busiest minute, as far as the owner knew.
+    #[serde(default)]
+    pub busiest: BusiestWire,
+}
+
+/// The busiest minute of a month.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct BusiestWire {
+    /// Months since January of year 0.
+    pub month: u32,
+    /// Processors claimed over that minute.
+    pub cpu_millis: u64,
+}
+
+/// A process that may promise in the store's place.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessWire {
+    /// The member's id.
+    pub member: String,
+    /// Its incarnation; only this one may promise.
+    pub incarnation: u64,
+    /// Where it listens. An address belongs to one process at a time, so whoever answers there is
+    /// the witness or its successor.
+    pub address: String,
 }
 
 /// The owner of a shard.
@@ -140,7 +164,10 @@
     match text {
         "safe" => Ok(persimmon_ticket::Rerun::Safe),
         "never" => Ok(persimmon_ticket::Rerun::Never),
-        other => Err(DecodeError { field: "rerun", value: other.to_owned() }),
+        other => Err(DecodeError {
+            field: "rerun",
+            value: other.to_owned(),
+        }),
     }
 }
 
@@ -204,8 +231,10 @@
             }),
             EntryWire::Step(wire) => Ok(Self::Step(Step {
                 number: wire.number,
-                event: JobEvent::find(&wire.event)
-                    .ok_or_else(|| DecodeError { field: "event", value: wire.event.clone() })?,
+                event: JobEvent::find(&wire.event).ok_or_else(|| DecodeError {
+                    field: "event",
+                    value: wire.event.clone(),
+                })?,
                 at_unix_ms: wire.at_unix_ms,
                 worker: wire.worker,
                 checkpoint: wire.checkpoint,
@@ -258,8 +287,10 @@
             urgent: wire.urgent,
             deadline_unix_ms: wire.deadline_unix_ms,
             submitted_unix_ms: wire.submitted_unix_ms,
-            state: JobState::find(&wire.state)
-                .ok_or_else(|| DecodeError { field: "state", value: wire.state.clone() })?,
+            state: JobState::find(&wire.state).ok_or_else(|| DecodeError {
+                field: "state",
+                value: wire.state.clone(),
+            })?,
             attempt: wire.attempt,
             failures: wire.failures,
             evictions: wire.evictions,
--- a/crates/persimmon-store/src/http.rs
+++ b/crates/persimmon-store/src/http.rs
@@ -19,7 +19,12 @@
 impl HttpStore {
     /// A client of the store at `address` (`IP:PORT`) that waits `timeout` for each call.
     pub fn new(client: Client, address: String, timeout: Duration) -> Self {
-        Self { client, address, timeout, calls: AtomicU64::new(0) }
+        Self {
+            client,
+            address,
+            timeout,
+            calls: AtomicU64::new(0),
+        }
     }
 
     /// The calls made so far, watches included.
@@ -32,7 +37,12 @@
     }
 
     fn error(&self, step: &'static str, reason: String, effect: Effect) -> Error {
-        Error { step, peer: self.address.clone(), reason, effect }
+        Error {
+            step,
+            peer: self.address.clone(),
+            reason,
+            effect,
+        }
     }
 
     async fn send(
@@ -44,7 +54,11 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let answer = request.timeout(timeout).send().await;
         let response = answer.map_err(|err| {
-            let effect = if err.is_connect() { Effect::None } else { Effect::Unknown };
+            let effect = if err.is_connect() {
+                Effect::None
+            } else {
+                Effect::Unknown
+            };
             self.error(step, err.without_url().to_string(), effect)
         })?;
         match response.status() {
@@ -83,7 +97,10 @@
     }
 
     async fn range(&self, prefix: &str) -> Result<Range, Error> {
-        let request = self.client.get(self.url("/v1/range")).query(&[("prefix", prefix)]);
+        let request = self
+            .client
+            .get(self.url("/v1/range"))
+            .query(&[("prefix", prefix)]);
         let response = self.send("range", request, self.timeout).await?;
         self.body("range", response).await
     }
@@ -100,7 +117,9 @@
     }
 
     async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
-        let body = Grant { ttl_ms: ttl.as_millis() as u64 };
+        let body = Grant {
+            ttl_ms: ttl.as_millis() as u64,
+        };
         let request = self.client.post(self.url("/v1/lease")).json(&body);
         let response = self.send("grant", request, self.timeout).await?;
         let LeaseWire { lease } = self.body("grant", response).await?;
--- a/crates/persimmon-ticket/src/accept.rs
+++ b/crates/persimmon-ticket/src/accept.rs
@@ -46,7 +46,10 @@
 pub fn digest(ticket: &Ticket) -> String {
     // The wire type has a fixed field order, so its JSON is canonical.
     let json = serde_json::to_vec(&TicketWire::from(ticket)).unwrap_or_default();
-    Sha256::digest(&json).iter().map(|byte| format!("{byte:02x}")).collect()
+    Sha256::digest(&json)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
 }
 
 impl Config {
@@ -58,10 +61,16 @@
             if digest == self.digest {
                 return Ok(Outcome::Repeated);
             }
-            return Err(Error::Lost { number, winner_digest: self.digest.clone() });
+            return Err(Error::Lost {
+                number,
+                winner_digest: self.digest.clone(),
+            });
         }
         if number < self.number {
-            return Err(Error::Stale { number, newest: self.number });
+            return Err(Error::Stale {
+                number,
+                newest: self.number,
+            });
         }
         let mut next = self.clone();
         if let Some(missing) = ticket.removals.iter().find(|object| !self.contains(object)) {
@@ -76,7 +85,10 @@
     fn check_references(&self, number: u64) -> Result<(), Error> {
         for class in self.batch_classes.values() {
             if !self.teams.contains_key(&class.team) {
-                let team = Object { kind: ObjectKind::Team, name: class.team.clone() };
+                let team = Object {
+                    kind: ObjectKind::Team,
+                    name: class.team.clone(),
+                };
                 return Err(unknown(number, &team));
             }
         }
@@ -85,5 +97,9 @@
 }
 
 fn unknown(number: u64, object: &Object) -> Error {
-    Error::Unknown { number, kind: object.kind.as_str(), name: object.name.clone() }
+    Error::Unknown {
+        number,
+        kind: object.kind.as_str(),
+        name: object.name.clone(),
+    }
 }
--- a/crates/persimmon-ticket/src/config.rs
+++ b/crates/persimmon-ticket/src/config.rs
@@ -100,9 +100,23 @@
             }
         }
         let named = |name: &String| name.clone();
-        self.services.extend(ticket.services.iter().map(|new| (named(&new.name), new.clone())));
-        self.batch_classes
-            .extend(ticket.batch_classes.iter().map(|new| (named(&new.name), new.clone())));
-        self.teams.extend(ticket.teams.iter().map(|new| (named(&new.name), new.clone())));
+        self.services.extend(
+            ticket
+                .services
+                .iter()
+                .map(|new| (named(&new.name), new.clone())),
+        );
+        self.batch_classes.extend(
+            ticket
+                .batch_classes
+                .iter()
+                .map(|new| (named(&new.name), new.clone())),
+        );
+        self.teams.extend(
+            ticket
+                .teams
+                .iter()
+                .map(|new| (named(&new.name), new.clone())),
+        );
     }
 }
--- a/crates/persimmon-ticket/src/model.rs
+++ b/crates/persimmon-ticket/src/model.rs
@@ -12,7 +12,10 @@
 
 impl Default for Shares {
     fn default() -> Self {
-        Self { latency_critical_percent: 0, batch_percent: 0 }
+        Self {
+            latency_critical_percent: 0,
+            batch_percent: 0,
+        }
     }
 }
 
--- a/crates/persimmon-ticket/src/parse.rs
+++ b/crates/persimmon-ticket/src/parse.rs
@@ -35,7 +35,9 @@
     if text.len() > TICKET_MAX_BYTES {
         return Err(Error::TooLarge { bytes: text.len() });
     }
-    let malformed = |reason: String| Error::Malformed { reason: reason.trim().replace('\n', " ") };
+    let malformed = |reason: String| Error::Malformed {
+        reason: reason.trim().replace('\n', " "),
+    };
     let wire: TicketWire = if text.trim_start().starts_with('{') {
         serde_json::from_str(text).map_err(|err| malformed(err.to_string()))?
     } else {
@@ -53,9 +55,15 @@
         let mut removals = Vec::with_capacity(wire.remove.len());
         for (at, object) in wire.remove.iter().enumerate() {
             let kind = ObjectKind::find(&object.kind).ok_or_else(|| {
-                field(format!("remove[{at}].kind"), "must be service, batch_class or team")
+                field(
+                    format!("remove[{at}].kind"),
+                    "must be service, batch_class or team",
+                )
             })?;
-            removals.push(Object { kind, name: object.name.clone() });
+            removals.push(Object {
+                kind,
+                name: object.name.clone(),
+            });
         }
         Ok(Self {
             number: wire.number,
@@ -69,7 +77,10 @@
 }
 
 fn field(field: String, reason: &str) -> Error {
-    Error::Field { field, reason: reason.to_owned() }
+    Error::Field {
+        field,
+        reason: reason.to_owned(),
+    }
 }
 
 fn check(ok: bool, name: impl FnOnce() -> String, reason: &str) -> Result<(), Error> {
@@ -83,14 +94,26 @@
     check(wire.number > 0, || "number".into(), "must be at least 1")?;
     if let Some(shares) = &wire.shares {
         let sum = u64::from(shares.latency_critical_percent) + u64::from(shares.batch_percent);
-        check(sum <= 100, || "shares".into(), "must add up to 100 percent or less")?;
+        check(
+            sum <= 100,
+            || "shares".into(),
+            "must add up to 100 percent or less",
+        )?;
     }
     for (at, service) in wire.service.iter().enumerate() {
         let of = |name: &str| format!("service[{at}].{name}");
         let slots = 1..=1024;
-        check(slots.contains(&service.slots_per_runner), || of("slots_per_runner"), "1 to 1024")?;
+        check(
+            slots.contains(&service.slots_per_runner),
+            || of("slots_per_runner"),
+            "1 to 1024",
+        )?;
         let enough = service.connections_per_runner >= service.slots_per_runner;
-        check(enough, || of("connections_per_runner"), "must be at least slots_per_runner")?;
+        check(
+            enough,
+            || of("connections_per_runner"),
+            "must be at least slots_per_runner",
+        )?;
         let rate = 1..=99_999;
         let allowed = "1 to 99999, in thousandths of a percent";
         check(
@@ -111,27 +134,57 @@
             "1 to request_timeout_ms",
         )?;
         let body = 1..=64 * 1024 * 1024;
-        check(body.contains(&service.body_max_bytes), || of("body_max_bytes"), "1 to 67108864")?;
+        check(
+            body.contains(&service.body_max_bytes),
+            || of("body_max_bytes"),
+            "1 to 67108864",
+        )?;
     }
     for (at, class) in wire.batch_class.iter().enumerate() {
         let of = |name: &str| format!("batch_class[{at}].{name}");
-        check(class.size.cpu_millis > 0, || of("size.cpu_millis"), "must be at least 1")?;
-        check(class.run_time_ms > 0, || of("run_time_ms"), "must be at least 1")?;
-        check((1..=100).contains(&class.attempts_max), || of("attempts_max"), "1 to 100")?;
+        check(
+            class.size.cpu_millis > 0,
+            || of("size.cpu_millis"),
+            "must be at least 1",
+        )?;
+        check(
+            class.run_time_ms > 0,
+            || of("run_time_ms"),
+            "must be at least 1",
+        )?;
+        check(
+            (1..=100).contains(&class.attempts_max),
+            || of("attempts_max"),
+            "1 to 100",
+        )?;
     }
     Ok(())
 }
 
 fn check_names(wire: &TicketWire) -> Result<(), Error> {
     let services = wire.service.iter().map(|object| ("service", &object.name));
-    let classes = wire.batch_class.iter().map(|object| ("batch_class", &object.name));
+    let classes = wire
+        .batch_class
+        .iter()
+        .map(|object| ("batch_class", &object.name));
     let teams = wire.team.iter().map(|object| ("team", &object.name));
-    let removals = wire.remove.iter().map(|object| (object.kind.as_str(), &object.name));
+    let removals = wire
+        .remove
+        .iter()
+        .map(|object| (object.kind.as_str(), &object.name));
     let mut seen = BTreeSet::new();
     for (kind, name) in services.chain(classes).chain(teams).chain(removals) {
         let of = || format!("{kind} {name:?}");
-        check(check_name(name), of, "a name is 1 to 64 letters, digits, '-', '_' or '.'")?;
-        check(seen.insert((kind, name)), of, "is touched twice by one ticket")?;
+        check(
+            check_name(name),
+            of,
+            "a name is 1 to 64 letters, digits, '-', '_' or '.'",
+        )?;
+        check(
+            seen.insert((kind, name)),
+            of,
+            "is touched twice by one ticket",
+        )?;
     }
     Ok(())
 }
--- a/crates/persimmon-ticket/src/wire.rs
+++ b/crates/persimmon-ticket/src/wire.rs
@@ -219,18 +219,27 @@
 
 impl From<&Team> for TeamWire {
     fn from(team: &Team) -> Self {
-        Self { name: team.name.clone(), quota: team.quota }
+        Self {
+            name: team.name.clone(),
+            quota: team.quota,
+        }
     }
 }
 
 impl From<TeamWire> for Team {
     fn from(wire: TeamWire) -> Self {
-        Self { name: wire.name, quota: wire.quota }
+        Self {
+            name: wire.name,
+            quota: wire.quota,
+        }
     }
 }
 
 impl From<&Object> for ObjectRefWire {
     fn from(object: &Object) -> Self {
-        Self { kind: object.kind.as_str().to_owned(), name: object.name.clone() }
+        Self {
+            kind: object.kind.as_str().to_owned(),
+            name: object.name.clone(),
+        }
     }
 }
--- a/crates/persimmon-types/src/id.rs
+++ b/crates/persimmon-types/src/id.rs
@@ -30,9 +30,14 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let parts = text.split_once('-');
         let parsed = parts.and_then(|(shard, number)| {
-            Some(Self { shard: shard.parse().ok()?, number: number.parse().ok()? })
+            Some(Self {
+                shard: shard.parse().ok()?,
+                number: number.parse().ok()?,
+            })
         });
-        parsed.ok_or_else(|| ParseJobIdError { text: text.to_owned() })
+        parsed.ok_or_else(|| ParseJobIdError {
+            text: text.to_owned(),
+        })
     }
 }
 
@@ -42,8 +47,8 @@
 pub fn shard_of(name: &str, shard_count: u16) -> u16 {
     const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    let hash = name
-        .bytes()
-        .fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    let hash = name.bytes().fold(OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    });
     ((hash ^ (hash >> 32)) % u64::from(shard_count.max(1))) as u16
 }
--- a/crates/persimmon-types/src/size.rs
+++ b/crates/persimmon-types/src/size.rs
@@ -16,7 +16,11 @@
 
 impl Size {
     /// Nothing at all.
-    pub const ZERO: Self = Self { cpu_millis: 0, memory_mib: 0, accelerators: 0 };
+    pub const ZERO: Self = Self {
+        cpu_millis: 0,
+        memory_mib: 0,
+        accelerators: 0,
+    };
 
     /// Tells whether `self` fits into `room` in every dimension.
     pub fn fits(self, room: Self) -> bool {
@@ -74,6 +78,10 @@
 
 impl fmt::Display for Size {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{} mcpu, {} MiB, {} acc", self.cpu_millis, self.memory_mib, self.accelerators)
+        write!(
+            out,
+            "{} mcpu, {} MiB, {} acc",
+            self.cpu_millis, self.memory_mib, self.accelerators
+        )
     }
 }
--- /dev/null
+++ b/crates/persimmonshift-load/src/drive/result.rs
@@ -0,0 +1,125 @@
+use super::send::{Planned, Seen};
+use crate::args::DriveArgs;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The result of a run, as kept in files.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct DriveResult {
+    pub(crate) rate_per_s: u32,
+    pub(crate) seconds: u32,
+    pub(crate) seed: u64,
+    pub(crate) deadline_ms: u64,
+    pub(crate) sent: u64,
+    pub(crate) answered: u64,
+    pub(crate) not_run: u64,
+    pub(crate) unknown: u64,
+    pub(crate) not_sent: u64,
+    pub(crate) broken: u64,
+    pub(crate) wrong: u64,
+    pub(crate) in_time: u64,
+    pub(crate) faults: u64,
+    /// Latencies of answers, from the intended start.
+    pub(crate) p50_ms: f64,
+    pub(crate) p90_ms: f64,
+    pub(crate) p99_ms: f64,
+    pub(crate) p999_ms: f64,
+    pub(crate) max_ms: f64,
+}
+
+/// What a run has seen so far.
+pub(crate) struct Tally {
+    result: DriveResult,
+    deadline: Duration,
+    latency_us: Histogram<u64>,
+    pub(crate) seen: Vec<(String, bool, Seen)>,
+}
+
+impl Tally {
+    pub(crate) fn new(args: &DriveArgs) -> Self {
+        const HOUR_US: u64 = 3_600_000_000;
+        // These bounds are valid for the histogram.
+        let latency_us = Histogram::new_with_bounds(1, HOUR_US, 3)
+            .unwrap_or_else(|_| Histogram::new(3).expect("3 digits are allowed"));
+        Self {
+            result: DriveResult {
+                rate_per_s: args.rate,
+                seconds: args.seconds,
+                seed: args.seed,
+                deadline_ms: args.deadline_ms,
+                ..DriveResult::default()
+            },
+            deadline: Duration::from_millis(args.deadline_ms),
+            latency_us,
+            seen: Vec::new(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, planned: &Planned, seen: Seen, latency: Duration) {
+        let result = &mut self.result;
+        result.sent += 1;
+        match seen {
+            Seen::Answered => {
+                result.answered += 1;
+                result.in_time += u64::from(latency <= self.deadline);
+                self.latency_us
+                    .saturating_record(latency.as_micros() as u64);
+            }
+            Seen::Wrong => result.wrong += 1,
+            Seen::NotRun => result.not_run += 1,
+            Seen::Unknown => result.unknown += 1,
+            Seen::NotSent => result.not_sent += 1,
+            Seen::Broken => result.broken += 1,
+        }
+        self.seen.push((planned.id.clone(), planned.post, seen));
+    }
+
+    pub(crate) fn progress(&self) -> String {
+        let DriveResult {
+            sent,
+            answered,
+            not_run,
+            unknown,
+            ..
+        } = self.result;
+        format!("{sent} ended, {answered} answered, {not_run} not run, {unknown} unknown")
+    }
+
+    pub(crate) fn into_result(self, faults: u64) -> DriveResult {
+        let ms = |percent: f64| self.latency_us.value_at_percentile(percent) as f64 / 1000.0;
+        DriveResult {
+            faults,
+            p50_ms: ms(50.0),
+            p90_ms: ms(90.0),
+            p99_ms: ms(99.0),
+            p999_ms: ms(99.9),
+            max_ms: self.latency_us.max() as f64 / 1000.0,
+            ..self.result
+        }
+    }
+}
+
+impl DriveResult {
+    pub(crate) fn table(&self) -> String {
+        format!(
+            "sent {}, answered {} ({} in time), not run {}, unknown {}, not sent {}, broken {}, \
+             wrong {}, promises broken {}\nlatency ms: p50 {:.2}, p90 {:.2}, p99 {:.2}, p99.9 \
+             {:.2}, max {:.2}",
+            self.sent,
+            self.answered,
+            self.in_time,
+            self.not_run,
+            self.unknown,
+            self.not_sent,
+            self.broken,
+            self.wrong,
+            self.faults,
+            self.p50_ms,
+            self.p90_ms,
+            self.p99_ms,
+            self.p999_ms,
+            self.max_ms
+        )
+    }
+}
--- a/crates/persimmonshift-standin/src/http.rs
+++ b/crates/persimmonshift-standin/src/http.rs
@@ -65,7 +65,9 @@
 {
     let open = Arc::new(AtomicU32::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
         if open.fetch_add(1, Ordering::SeqCst) >= connections_max {
             open.fetch_sub(1, Ordering::SeqCst);
             continue;
@@ -110,7 +112,9 @@
 
 fn query(text: &str) -> HashMap<String, String> {
     let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), decode(value))).collect()
+    pairs
+        .map(|(name, value)| (name.to_owned(), decode(value)))
+        .collect()
 }
 
 fn decode(text: &str) -> String {
@@ -122,7 +126,9 @@
             continue;
         }
         let digits: Vec<u8> = rest.by_ref().take(2).collect();
-        let code = std::str::from_utf8(&digits).ok().and_then(|it| u8::from_str_radix(it, 16).ok());
+        let code = std::str::from_utf8(&digits)
+            .ok()
+            .and_then(|it| u8::from_str_radix(it, 16).ok());
         bytes.push(code.unwrap_or(b'?'));
     }
     String::from_utf8_lossy(&bytes).into_owned()
@@ -137,7 +143,10 @@
     if answer.status().is_success() {
         return Ok(());
     }
-    Err(Error::new("register", format!("{list}: status {}", answer.status())))
+    Err(Error::new(
+        "register",
+        format!("{list}: status {}", answer.status()),
+    ))
 }
 
 fn client() -> Result<reqwest::Client, Error> {
--- a/crates/persimmonshift-standin/src/instances.rs
+++ b/crates/persimmonshift-standin/src/instances.rs
@@ -45,21 +45,33 @@
 
 pub(crate) async fn run(args: InstancesArgs) -> Result<(), Error> {
     let listener = bind(args.port).await?;
-    let address = listener.local_addr().map_err(|err| Error::new("listen", err))?;
-    announce(&Addresses { instances: address.to_string() });
+    let address = listener
+        .local_addr()
+        .map_err(|err| Error::new("listen", err))?;
+    announce(&Addresses {
+        instances: address.to_string(),
+    });
     let inner = Mutex::new(Inner::default());
-    let instances = Arc::new(Instances { inner, lag: Duration::from_millis(args.lag_ms) });
+    let instances = Arc::new(Instances {
+        inner,
+        lag: Duration::from_millis(args.lag_ms),
+    });
     serve(listener, u32::MAX, instances, answer).await;
     Ok(())
 }
 
 async fn answer(instances: Arc<Instances>, call: Call) -> Response<Body> {
-    let mut inner = instances.inner.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut inner = instances
+        .inner
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let now = Instant::now();
     match call.path.as_str() {
         "/v1/instances" => {
             inner.show(now, instances.lag);
-            let list = List { instances: inner.shown.values().cloned().collect() };
+            let list = List {
+                instances: inner.shown.values().cloned().collect(),
+            };
             json(StatusCode::OK, &list)
         }
         "/control/instance" => match call.json::<Instance>() {
--- a/crates/persimmonshift-standin/src/lib.rs
+++ b/crates/persimmonshift-standin/src/lib.rs
@@ -25,7 +25,10 @@
 
 impl Error {
     pub(crate) fn new(step: &'static str, reason: impl std::fmt::Display) -> Self {
-        Self { step, reason: reason.to_string() }
+        Self {
+            step,
+            reason: reason.to_string(),
+        }
     }
 }
 
--- a/crates/persimmonshift-standin/src/relay.rs
+++ b/crates/persimmonshift-standin/src/relay.rs
@@ -50,19 +50,26 @@
     let relay = Arc::new(Relay::default());
     let control = bind(0).await?;
     let mut addresses = Addresses {
-        control: control.local_addr().map_err(|err| Error::new("listen", err))?.to_string(),
+        control: control
+            .local_addr()
+            .map_err(|err| Error::new("listen", err))?
+            .to_string(),
         tcp: Vec::new(),
         udp: Vec::new(),
     };
     for target in args.tcp {
         let listener = bind(0).await?;
-        let address = listener.local_addr().map_err(|err| Error::new("listen", err))?;
+        let address = listener
+            .local_addr()
+            .map_err(|err| Error::new("listen", err))?;
         addresses.tcp.push(address.to_string());
         tokio::spawn(relay_tcp(Arc::clone(&relay), listener, target));
     }
     for target in args.udp {
         let target: SocketAddr = target.parse().map_err(|err| Error::new("--udp", err))?;
-        let socket = UdpSocket::bind("127.0.0.1:0").await.map_err(|err| Error::new("bind", err))?;
+        let socket = UdpSocket::bind("127.0.0.1:0")
+            .await
+            .map_err(|err| Error::new("bind", err))?;
         let address = socket.local_addr().map_err(|err| Error::new("bind", err))?;
         addresses.udp.push(address.to_string());
         tokio::spawn(relay_udp(Arc::clone(&relay), Arc::new(socket), target));
@@ -75,7 +82,10 @@
 async fn answer(relay: Arc<Relay>, call: Call) -> Response<Body> {
     match call.json::<Switches>() {
         Ok(switches) => {
-            *relay.switches.lock().unwrap_or_else(PoisonError::into_inner) = switches;
+            *relay
+                .switches
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = switches;
             text(StatusCode::OK, "{}")
         }
         Err(response) => response,
@@ -84,7 +94,10 @@
 
 impl Relay {
     fn switches(&self) -> Switches {
-        self.switches.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.switches
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Waits while cut, then for the delay.
@@ -104,11 +117,15 @@
 
 async fn relay_tcp(relay: Arc<Relay>, listener: TcpListener, target: String) {
     loop {
-        let Ok((near, _)) = listener.accept().await else { continue };
+        let Ok((near, _)) = listener.accept().await else {
+            continue;
+        };
         let (relay, target) = (Arc::clone(&relay), target.clone());
         tokio::spawn(async move {
             relay.pass().await;
-            let Ok(far) = TcpStream::connect(&target).await else { return };
+            let Ok(far) = TcpStream::connect(&target).await else {
+                return;
+            };
             let (near_read, near_write) = near.into_split();
             let (far_read, far_write) = far.into_split();
             let there = copy(Arc::clone(&relay), near_read, far_write);
@@ -137,14 +154,18 @@
     let mut far_sockets: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let Ok((length, near)) = socket.recv_from(&mut buffer).await else { continue };
+        let Ok((length, near)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
         if relay.drops_datagram() {
             continue;
         }
         let far = match far_sockets.get(&near) {
             Some(far) => Arc::clone(far),
             None => {
-                let Ok(far) = UdpSocket::bind("127.0.0.1:0").await else { continue };
+                let Ok(far) = UdpSocket::bind("127.0.0.1:0").await else {
+                    continue;
+                };
                 let far = Arc::new(far);
                 far_sockets.insert(near, Arc::clone(&far));
                 let back = relay_back(
--- a/crates/persimmonshift-standin/src/runner.rs
+++ b/crates/persimmonshift-standin/src/runner.rs
@@ -70,10 +70,18 @@
     let mut addresses = Vec::new();
     for number in 0..args.count {
         let listener = bind(0).await?;
-        let address = listener.local_addr().map_err(|err| Error::new("listen", err))?.to_string();
+        let address = listener
+            .local_addr()
+            .map_err(|err| Error::new("listen", err))?
+            .to_string();
         let id = format!("{}{number}", args.prefix);
         let inner = Mutex::new(Inner::default());
-        let runner = Runner { inner, id: id.clone(), slots: args.slots, work_ms: args.work_ms };
+        let runner = Runner {
+            inner,
+            id: id.clone(),
+            slots: args.slots,
+            work_ms: args.work_ms,
+        };
         tokio::spawn(serve(listener, args.connections, Arc::new(runner), answer));
         let instance = Instance {
             id,
@@ -81,7 +89,10 @@
             data_centre: args.data_centre.clone(),
             rack: format!("{}-rack", args.prefix),
             state: State::Live,
-            role: Role::Runner { service: args.service.clone(), host: None },
+            role: Role::Runner {
+                service: args.service.clone(),
+                host: None,
+            },
         };
         register(&args.instances, &instance).await?;
         addresses.push(address);
@@ -96,7 +107,14 @@
             let inner = runner.lock();
             let executions = &inner.executions;
             let (busiest, refused) = (inner.busiest, inner.refused);
-            json(StatusCode::OK, &Executions { busiest, refused, executions })
+            json(
+                StatusCode::OK,
+                &Executions {
+                    busiest,
+                    refused,
+                    executions,
+                },
+            )
         }
         "/control" => match call.json::<Switches>() {
             Ok(switches) => {
@@ -122,7 +140,10 @@
     }
 
     async fn serve(&self, call: Call) -> Response<Body> {
-        let header = call.headers.get(HEADER_REQUEST_ID).and_then(|it| it.to_str().ok());
+        let header = call
+            .headers
+            .get(HEADER_REQUEST_ID)
+            .and_then(|it| it.to_str().ok());
         let request_id = header.unwrap_or_default().to_owned();
         let (execution, switches) = {
             let mut inner = self.lock();
--- a/crates/persimmonshift-standin/src/store.rs
+++ b/crates/persimmonshift-standin/src/store.rs
@@ -81,8 +81,12 @@
         writes_per_s: args.writes_per_s,
         reads_per_s: args.reads_per_s,
     });
-    let address = listener.local_addr().map_err(|err| Error::new("listen", err))?;
-    announce(&Addresses { store: address.to_string() });
+    let address = listener
+        .local_addr()
+        .map_err(|err| Error::new("listen", err))?;
+    announce(&Addresses {
+        store: address.to_string(),
+    });
     let sweeper = Arc::clone(&store);
     tokio::spawn(async move {
         loop {
@@ -138,7 +142,11 @@
     store.lock().switches = switches;
     if expire {
         let now = Instant::now();
-        store.lock().leases.values_mut().for_each(|lease| lease.until = now);
+        store
+            .lock()
+            .leases
+            .values_mut()
+            .for_each(|lease| lease.until = now);
         store.expire();
     }
     text(StatusCode::OK, "{}")
@@ -152,7 +160,9 @@
     fn admit(&self, write: bool) -> bool {
         let mut inner = self.lock();
         let now = Instant::now();
-        let fresh = inner.second.is_none_or(|start| now - start >= Duration::from_secs(1));
+        let fresh = inner
+            .second
+            .is_none_or(|start| now - start >= Duration::from_secs(1));
         if fresh {
             inner.second = Some(now);
             (inner.writes_in_second, inner.reads_in_second) = (0, 0);
@@ -183,14 +193,21 @@
         let Some(value) = inner.values.get(&key) else {
             return text(StatusCode::NOT_FOUND, "absent");
         };
-        let entry = Entry { key, value: Some(value.text.clone()), revision: value.revision };
+        let entry = Entry {
+            key,
+            value: Some(value.text.clone()),
+            revision: value.revision,
+        };
         json(StatusCode::OK, &entry)
     }
 
     fn range(&self, call: &Call) -> Response<Body> {
         let prefix = call.query.get("prefix").cloned().unwrap_or_default();
         let inner = self.lock();
-        let found = inner.values.iter().filter(|(key, _)| key.starts_with(&prefix));
+        let found = inner
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix));
         let entries = found
             .map(|(key, value)| Entry {
                 key: key.clone(),
@@ -198,7 +215,13 @@
                 revision: value.revision,
             })
             .collect();
-        json(StatusCode::OK, &Range { entries, revision: inner.revision })
+        json(
+            StatusCode::OK,
+            &Range {
+                entries,
+                revision: inner.revision,
+            },
+        )
     }
 
     fn cas(&self, call: &Call) -> Response<Body> {
@@ -206,7 +229,11 @@
             Ok(cas) => cas,
             Err(response) => return response,
         };
-        if cas.value.as_ref().is_some_and(|value| value.len() > VALUE_MAX_BYTES) {
+        if cas
+            .value
+            .as_ref()
+            .is_some_and(|value| value.len() > VALUE_MAX_BYTES)
+        {
             return text(StatusCode::PAYLOAD_TOO_LARGE, "the value is over 1 MiB");
         }
         let mut inner = self.lock();
@@ -214,7 +241,10 @@
         if current != cas.expected_revision {
             return json(StatusCode::CONFLICT, &Written { revision: current });
         }
-        if cas.lease.is_some_and(|lease| !inner.leases.contains_key(&lease)) {
+        if cas
+            .lease
+            .is_some_and(|lease| !inner.leases.contains_key(&lease))
+        {
             return text(StatusCode::PRECONDITION_FAILED, "no such lease");
         }
         let revision = inner.change(cas.key, cas.value, cas.lease);
@@ -231,7 +261,13 @@
         let mut inner = self.lock();
         inner.last_lease += 1;
         let (lease, ttl) = (inner.last_lease, Duration::from_millis(grant.ttl_ms));
-        inner.leases.insert(lease, LeaseEntry { ttl, until: Instant::now() + ttl });
+        inner.leases.insert(
+            lease,
+            LeaseEntry {
+                ttl,
+                until: Instant::now() + ttl,
+            },
+        );
         json(StatusCode::OK, &Lease { lease })
     }
 
@@ -260,7 +296,11 @@
     }
 
     async fn watch(&self, call: &Call) -> Response<Body> {
-        let number = |name: &str| call.query.get(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            call.query
+                .get(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let prefix = call.query.get("prefix").cloned().unwrap_or_default();
         let (after, wait_ms) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
         let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
@@ -277,7 +317,13 @@
                 }
                 let entries = inner.since(after, &prefix);
                 if !entries.is_empty() || tokio::time::Instant::now() >= until {
-                    return json(StatusCode::OK, &Range { entries, revision: inner.revision });
+                    return json(
+                        StatusCode::OK,
+                        &Range {
+                            entries,
+                            revision: inner.revision,
+                        },
+                    );
                 }
             }
             let poll = tokio::time::Instant::now() + Duration::from_millis(200);
@@ -308,12 +354,23 @@
     fn change(&mut self, key: String, value: Option<String>, lease: Option<u64>) -> u64 {
         self.revision += 1;
         let revision = self.revision;
-        self.history.push_back(Entry { key: key.clone(), value: value.clone(), revision });
+        self.history.push_back(Entry {
+            key: key.clone(),
+            value: value.clone(),
+            revision,
+        });
         if self.history.len() > HISTORY_MAX {
             self.history.pop_front();
         }
         match value {
-            Some(text) => drop(self.values.insert(key, Value { text, revision, lease })),
+            Some(text) => drop(self.values.insert(
+                key,
+                Value {
+                    text,
+                    revision,
+                    lease,
+                },
+            )),
             None => drop(self.values.remove(&key)),
         }
         revision
@@ -321,7 +378,10 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let bound = self.values.iter().filter(|(_, value)| value.lease == Some(lease));
+        let bound = self
+            .values
+            .iter()
+            .filter(|(_, value)| value.lease == Some(lease));
         let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
         for key in keys {
             self.change(key, None, None);
@@ -330,7 +390,10 @@
 
     /// The newest change of each key under `prefix` after `revision`.
     fn since(&self, revision: u64, prefix: &str) -> Vec<Entry> {
-        let newer = self.history.iter().filter(|entry| entry.revision > revision);
+        let newer = self
+            .history
+            .iter()
+            .filter(|entry| entry.revision > revision);
         let matching = newer.filter(|entry| entry.key.starts_with(prefix));
         let newest: BTreeMap<&str, &Entry> =
             matching.map(|entry| (entry.key.as_str(), entry)).collect();
--- a/crates/persimmonshift-standin/src/worker.rs
+++ b/crates/persimmonshift-standin/src/worker.rs
@@ -7,9 +7,7 @@
 use persimmon_types::{unix_ms, Size};
 use persimmon_wire::{
     instances::{Instance, Role, State},
-    worker::{
-        Attempt, Command, Refused, SyncRequest, SyncResponse, TaskReport, TaskState, Usage,
-    },
+    worker::{Attempt, Command, Refused, SyncRequest, SyncResponse, TaskReport, TaskState, Usage},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -36,7 +34,12 @@
 
 impl Default for Switches {
     fn default() -> Self {
-        Self { fail_all: false, silent: false, run_time_percent: 100, use_percent: 100 }
+        Self {
+            fail_all: false,
+            silent: false,
+            run_time_percent: 100,
+            use_percent: 100,
+        }
     }
 }
 
@@ -90,7 +93,10 @@
     let mut addresses = Vec::new();
     for number in 0..args.count {
         let listener = bind(0).await?;
-        let address = listener.local_addr().map_err(|err| Error::new("listen", err))?.to_string();
+        let address = listener
+            .local_addr()
+            .map_err(|err| Error::new("listen", err))?
+            .to_string();
         let worker = Arc::new(Worker {
             inner: Mutex::new(Inner::default()),
             incarnation: unix_ms(SystemTime::now()) * 1000 + u64::from(number),
@@ -190,7 +196,9 @@
         let used = inner.used();
         inner.usage.push((now, used));
         let lag = self.usage_lag * 2;
-        inner.usage.retain(|(at, _)| now.saturating_duration_since(*at) <= lag);
+        inner
+            .usage
+            .retain(|(at, _)| now.saturating_duration_since(*at) <= lag);
     }
 }
 
@@ -216,7 +224,13 @@
 
     fn carry_out(&mut self, command: Command, now: Instant) {
         match command {
-            Command::Start { attempt, class, size, run_time_ms, checkpoint } => {
+            Command::Start {
+                attempt,
+                class,
+                size,
+                run_time_ms,
+                checkpoint,
+            } => {
                 if !self.tasks.contains_key(&attempt) {
                     self.start(attempt, class, size, run_time_ms, checkpoint, now);
                 }
@@ -235,8 +249,10 @@
                 self.end(attempt, TaskState::Stopped, now);
             }
             Command::Forget { attempt } => {
-                let running =
-                    self.tasks.get(&attempt).is_some_and(|it| it.state == TaskState::Running);
+                let running = self
+                    .tasks
+                    .get(&attempt)
+                    .is_some_and(|it| it.state == TaskState::Running);
                 if !running {
                     self.tasks.remove(&attempt);
                 }
@@ -253,7 +269,10 @@
         checkpoint: Option<String>,
         now: Instant,
     ) {
-        let done_ms = checkpoint.as_deref().and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let done_ms = checkpoint
+            .as_deref()
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0);
         self.runs.push(Run {
             attempt,
             class,
@@ -279,19 +298,24 @@
 
     /// A stop that came before its start: the start must then do nothing.
     fn note_stopped(&mut self, attempt: Attempt, now: Instant) {
-        self.tasks.insert(attempt, Task {
-            state: TaskState::Stopped,
-            size: Size::ZERO,
-            run_ms: 0,
-            done_ms: 0.0,
-            since: now,
-            percent: 100,
-            run: usize::MAX,
-        });
+        self.tasks.insert(
+            attempt,
+            Task {
+                state: TaskState::Stopped,
+                size: Size::ZERO,
+                run_ms: 0,
+                done_ms: 0.0,
+                since: now,
+                percent: 100,
+                run: usize::MAX,
+            },
+        );
     }
 
     fn end(&mut self, attempt: Attempt, state: TaskState, now: Instant) {
-        let Some(task) = self.tasks.get_mut(&attempt) else { return };
+        let Some(task) = self.tasks.get_mut(&attempt) else {
+            return;
+        };
         if task.state != TaskState::Running {
             return;
         }
@@ -313,15 +337,24 @@
     }
 
     fn used(&self) -> Size {
-        let running = self.tasks.values().filter(|task| task.state == TaskState::Running);
+        let running = self
+            .tasks
+            .values()
+            .filter(|task| task.state == TaskState::Running);
         running.fold(Size::ZERO, |sum, task| {
-            let used = task.size.percent(self.switches.use_percent * task.percent / 100);
+            let used = task
+                .size
+                .percent(self.switches.use_percent * task.percent / 100);
             sum.checked_add(used).unwrap_or(sum)
         })
     }
 
     fn usage_at(&self, now: Instant, lag: Duration) -> Usage {
-        let old = self.usage.iter().rev().find(|(at, _)| now.saturating_duration_since(*at) >= lag);
+        let old = self
+            .usage
+            .iter()
+            .rev()
+            .find(|(at, _)| now.saturating_duration_since(*at) >= lag);
         old.map_or(Usage::default(), |(at, used)| Usage {
             age_ms: now.saturating_duration_since(*at).as_millis() as u64,
             used: *used,
--- /dev/null
+++ b/crates/persimmonshiftd/src/api/error.rs
@@ -0,0 +1,81 @@
+use persimmon_wire::api::{ErrorBody, Ran, HEADER_RAN};
+use rocket::{
+    catch, catchers,
+    http::{ContentType, Status},
+    response::Responder,
+    Catcher, Request, Response,
+};
+use std::io::Cursor;
+
+/// An error answer: a status and a typed JSON body.
+#[derive(Debug)]
+pub(crate) struct ApiError {
+    pub(crate) status: Status,
+    pub(crate) body: ErrorBody,
+}
+
+impl ApiError {
+    pub(crate) fn new(status: Status, step: &str, peer: &str, code: &str, message: &str) -> Self {
+        Self {
+            status,
+            body: ErrorBody {
+                code: code.to_owned(),
+                step: step.to_owned(),
+                peer: peer.to_owned(),
+                message: message.to_owned(),
+                ran: Ran::NotRun,
+                retry_after_ms: None,
+            },
+        }
+    }
+
+    pub(crate) fn unknown(mut self) -> Self {
+        self.body.ran = Ran::Unknown;
+        self
+    }
+}
+
+/// The status that goes with a body's code.
+impl From<ErrorBody> for ApiError {
+    fn from(body: ErrorBody) -> Self {
+        let status = match body.code.as_str() {
+            "unknown" | "unknown-service" | "unknown-class" => Status::NotFound,
+            "body-too-large" => Status::PayloadTooLarge,
+            "bad-key" => Status::BadRequest,
+            "can-never-run" | "key-reused" => Status::UnprocessableEntity,
+            "ended" => Status::Conflict,
+            _ => match body.ran {
+                Ran::NotRun => Status::ServiceUnavailable,
+                Ran::Unknown => Status::BadGateway,
+            },
+        };
+        Self { status, body }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for ApiError {
+    fn respond_to(self, _: &'r Request<'_>) -> rocket::response::Result<'static> {
+        let text = serde_json::to_vec(&self.body).unwrap_or_default();
+        let mut response = Response::build();
+        response
+            .status(self.status)
+            .header(ContentType::JSON)
+            .raw_header(HEADER_RAN, self.body.ran.as_str())
+            .sized_body(text.len(), Cursor::new(text));
+        if let Some(retry_after_ms) = self.body.retry_after_ms {
+            response.raw_header("retry-after", retry_after_ms.div_ceil(1_000).to_string());
+        }
+        response.ok()
+    }
+}
+
+/// Answers of the framework itself, which reached no endpoint.
+#[catch(default)]
+fn any(status: Status, request: &Request<'_>) -> ApiError {
+    let step = format!("{} {}", request.method(), request.uri().path());
+    ApiError::new(status, &step, "daemon", "http", status.reason_lossy())
+}
+
+pub(crate) fn catchers() -> Vec<Catcher> {
+    catchers![any]
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/api/jobs.rs
@@ -0,0 +1,199 @@
+use super::{error::ApiError, guard::Operator, OWNER_WAIT};
+use crate::{
+    context::Context,
+    message::{Answer, Question, ShardAnswer, ShardQuestion},
+    peers,
+};
+use futures_util::future::join_all;
+use persimmon_mesh::Reach;
+use persimmon_types::{shard_of, JobId};
+use persimmon_wire::api::{ErrorBody, JobList, JobView, Ran, SubmitRequest};
+use rocket::{
+    delete, get,
+    http::Status,
+    post, routes,
+    serde::json::{self, Json},
+    Route, State,
+};
+use std::{sync::Arc, time::Duration};
+
+/// The pause before the owner of a shard is looked for again.
+const OWNER_PAUSE: Duration = Duration::from_millis(100);
+const CALL_TIMEOUT: Duration = Duration::from_secs(7);
+const KEY_MAX_LEN: usize = 128;
+
+#[post("/v1/jobs", data = "<body>")]
+async fn submit(
+    _operator: Operator,
+    context: &State<Arc<Context>>,
+    body: Result<Json<SubmitRequest>, json::Error<'_>>,
+) -> Result<Json<JobView>, ApiError> {
+    let member = context.settings.member_id.as_str();
+    let bad = |code: &str, message: &str| {
+        ApiError::new(
+            Status::UnprocessableEntity,
+            "job.submit",
+            member,
+            code,
+            message,
+        )
+    };
+    let body = body
+        .map_err(|err| bad("malformed", &err.to_string()))?
+        .into_inner();
+    if body.key.is_empty() || body.key.len() > KEY_MAX_LEN {
+        return Err(bad("malformed", "key: must be 1 to 128 bytes"));
+    }
+    let ready = peers::readiness(context);
+    if !ready.ready {
+        let reason = ready.reason.unwrap_or_default();
+        let status = Status::ServiceUnavailable;
+        let mut error = ApiError::new(status, "job.submit", member, "not-ready", &reason);
+        error.body.retry_after_ms = Some(1_000);
+        return Err(error);
+    }
+    let shard = shard_of(&body.key, context.settings.shard_count);
+    let question = ShardQuestion::Submit {
+        shard,
+        key: body.key,
+        class: body.class,
+        deadline_unix_ms: body.deadline_unix_ms,
+    };
+    job(ask(context, question).await)
+}
+
+#[delete("/v1/jobs/<id>")]
+async fn cancel(
+    _operator: Operator,
+    context: &State<Arc<Context>>,
+    id: &str,
+) -> Result<Json<JobView>, ApiError> {
+    let JobId { shard, number } = parse_id(id)?;
+    job(ask(context, ShardQuestion::Cancel { shard, number }).await)
+}
+
+#[get("/v1/jobs/<id>")]
+async fn show(
+    _operator: Operator,
+    context: &State<Arc<Context>>,
+    id: &str,
+) -> Result<Json<JobView>, ApiError> {
+    let JobId { shard, number } = parse_id(id)?;
+    job(ask(context, ShardQuestion::Show { shard, number }).await)
+}
+
+#[get("/v1/jobs")]
+async fn list(_operator: Operator, context: &State<Arc<Context>>) -> Json<JobList> {
+    let shards = 0..context.settings.shard_count;
+    let asked = shards
+        .clone()
+        .map(|shard| ask(context, ShardQuestion::List { shard }));
+    let mut list = JobList::default();
+    for (shard, answer) in shards.zip(join_all(asked).await) {
+        match answer {
+            ShardAnswer::Jobs(jobs) => list.jobs.extend(jobs),
+            _ => list.missing_shards.push(shard),
+        }
+    }
+    Json(list)
+}
+
+fn parse_id(text: &str) -> Result<JobId, ApiError> {
+    text.parse()
+        .map_err(|err: persimmon_types::ParseJobIdError| {
+            let status = Status::UnprocessableEntity;
+            ApiError::new(status, "job.id", "caller", "malformed", &err.to_string())
+        })
+}
+
+fn job(answer: ShardAnswer) -> Result<Json<JobView>, ApiError> {
+    match answer {
+        ShardAnswer::Job(view) => Ok(Json(view)),
+        ShardAnswer::Refused(body) => Err(body.into()),
+        _ => {
+            let status = Status::InternalServerError;
+            Err(ApiError::new(status, "job", "shard", "internal", "odd answer").unknown())
+        }
+    }
+}
+
+/// Asks the owner of a shard, whichever daemon that is.
+///
+/// A call that may have reached an owner is not made again for a submission's sake: its repeat by
+/// the caller, with the same key, is the same job.
+pub(crate) async fn ask(context: &Arc<Context>, question: ShardQuestion) -> ShardAnswer {
+    let until = context.now() + OWNER_WAIT;
+    let shard = question.shard();
+    if usize::from(shard) >= usize::from(context.settings.shard_count) {
+        return ShardAnswer::Refused(no_shard(shard));
+    }
+    loop {
+        match context.shards.ask(question.clone()).await {
+            ShardAnswer::NotOwner => {}
+            answer => return answer,
+        }
+        if let Some(answer) = ask_peer(context, &question).await {
+            return answer;
+        }
+        if context.now() >= until {
+            return ShardAnswer::Refused(no_owner(shard));
+        }
+        tokio::time::sleep(OWNER_PAUSE).await;
+    }
+}
+
+async fn ask_peer(context: &Arc<Context>, question: &ShardQuestion) -> Option<ShardAnswer> {
+    let owner = context
+        .peers
+        .lock()
+        .owner_of(question.shard())
+        .map(str::to_owned)?;
+    let address = context
+        .members
+        .lock()
+        .try_find(&owner)
+        .map(|it| it.mesh_address)?;
+    let message = Question::Shard(question.clone());
+    match context.mesh.call(address, &message, CALL_TIMEOUT).await {
+        Ok(Answer::Shard(answer)) => match *answer {
+            ShardAnswer::NotOwner => None,
+            answer => Some(answer),
+        },
+        Ok(_) => None,
+        Err(err) if err.reach == Reach::NotSent => None,
+        Err(err) => Some(ShardAnswer::Refused(ErrorBody {
+            code: "unsettled".to_owned(),
+            step: err.step.to_owned(),
+            peer: owner,
+            message: format!("{}; repeat it with the same key to learn", err.reason),
+            ran: Ran::Unknown,
+            retry_after_ms: Some(1_000),
+        })),
+    }
+}
+
+fn no_shard(shard: u16) -> ErrorBody {
+    ErrorBody {
+        code: "unknown".to_owned(),
+        step: "shard.find".to_owned(),
+        peer: format!("shard-{shard}"),
+        message: "there is no such shard".to_owned(),
+        ran: Ran::NotRun,
+        retry_after_ms: None,
+    }
+}
+
+fn no_owner(shard: u16) -> ErrorBody {
+    ErrorBody {
+        code: "no-owner".to_owned(),
+        step: "shard.find".to_owned(),
+        peer: format!("shard-{shard}"),
+        message: "the shard has no owner now; it was not accepted".to_owned(),
+        ran: Ran::NotRun,
+        retry_after_ms: Some(2_000),
+    }
+}
+
+pub(crate) fn routes() -> Vec<Route> {
+    routes![submit, cancel, show, list]
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/context/mod.rs
@@ -0,0 +1,160 @@
+//! What the duties share.
+
+mod lock;
+
+pub(crate) use lock::Locked;
+
+use crate::{
+    config::ConfigBook,
+    member::{Members, Standing},
+    message::{Answer, BusiestNews, HolderWire, Question},
+    metrics::Metrics,
+    peers::Peers,
+    services::Services,
+    settings::Settings,
+    shards::ShardHandle,
+};
+use persimmon_lease::Witness;
+use persimmon_mesh::Mesh;
+use persimmon_store::HttpStore;
+use persimmon_types::{unix_ms, Clock};
+use persimmon_wire::instances::Instance;
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
+    },
+    time::Instant,
+};
+use tokio::sync::Notify;
+
+/// The state that the daemon's duties share; each part has one writer.
+pub(crate) struct Context {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) started_at: Instant,
+    pub(crate) incarnation: u64,
+    pub(crate) mesh_address: SocketAddr,
+    pub(crate) mesh: Arc<Mesh<Question, Answer>>,
+    pub(crate) store: HttpStore,
+    /// Calls to workers.
+    pub(crate) worker_client: reqwest::Client,
+    /// Written by the watch, by tickets and by peers; only ever to a higher number.
+    pub(crate) config: Locked<ConfigBook>,
+    /// Written by the watch.
+    pub(crate) members: Locked<Members>,
+    /// Written by the session duty.
+    pub(crate) standing: Locked<Standing>,
+    pub(crate) witness: Locked<Witness>,
+    /// Written by the gossip duty.
+    pub(crate) peers: Locked<Peers>,
+    /// Written by the instance duty.
+    pub(crate) instances: Locked<Arc<Vec<Instance>>>,
+    pub(crate) services: Services,
+    pub(crate) shards: ShardHandle,
+    pub(crate) busiest: Locked<BusiestNews>,
+    pub(crate) metrics: Metrics,
+    pub(crate) draining: AtomicBool,
+    /// Asks the main thread to stop the daemon.
+    pub(crate) stop: Notify,
+    /// Wakes the gossip duty early.
+    pub(crate) gossip_now: Notify,
+    store_heard_ms: AtomicU64,
+}
+
+/// The parts that exist before a [`Context`].
+pub(crate) struct Parts {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) started_at: Instant,
+    pub(crate) incarnation: u64,
+    pub(crate) mesh: Arc<Mesh<Question, Answer>>,
+    pub(crate) mesh_address: SocketAddr,
+    pub(crate) store: HttpStore,
+    pub(crate) worker_client: reqwest::Client,
+    pub(crate) services: Services,
+    pub(crate) shards: ShardHandle,
+}
+
+impl Context {
+    pub(crate) fn new(parts: Parts) -> Self {
+        let settings = parts.settings;
+        let drift = persimmon_lease::Drift::default();
+        let now = parts.started_at;
+        Self {
+            witness: Locked::new(Witness::new(settings.promise_term, drift, now)),
+            standing: Locked::new(Standing::new(&settings, drift)),
+            config: Locked::new(ConfigBook::default()),
+            members: Locked::new(Members::default()),
+            peers: Locked::new(Peers::default()),
+            instances: Locked::new(Arc::new(Vec::new())),
+            busiest: Locked::new(BusiestNews::default()),
+            metrics: Metrics::new(),
+            draining: AtomicBool::new(false),
+            stop: Notify::new(),
+            gossip_now: Notify::new(),
+            store_heard_ms: AtomicU64::new(u64::MAX),
+            clock: parts.clock,
+            started_at: now,
+            incarnation: parts.incarnation,
+            mesh: parts.mesh,
+            mesh_address: parts.mesh_address,
+            store: parts.store,
+            worker_client: parts.worker_client,
+            services: parts.services,
+            shards: parts.shards,
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn now_unix_ms(&self) -> u64 {
+        unix_ms(self.clock.wall())
+    }
+
+    /// This process as the holder of shards.
+    pub(crate) fn holder(&self) -> HolderWire {
+        let member = self.settings.member_id.clone();
+        HolderWire {
+            member,
+            incarnation: self.incarnation,
+        }
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Notes word from the store, asked for at `asked_at`.
+    pub(crate) fn hear_store(&self, asked_at: Instant) {
+        let ms = asked_at
+            .saturating_duration_since(self.started_at)
+            .as_millis() as u64;
+        let newest = |old: u64| (old == u64::MAX || ms > old).then_some(ms);
+        let _ = self
+            .store_heard_ms
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, newest);
+    }
+
+    /// How long ago the store was last heard, or `u64::MAX` for never.
+    pub(crate) fn store_age_ms(&self) -> u64 {
+        let heard = self.store_heard_ms.load(Ordering::Relaxed);
+        if heard == u64::MAX {
+            return u64::MAX;
+        }
+        let now = self
+            .now()
+            .saturating_duration_since(self.started_at)
+            .as_millis() as u64;
+        now.saturating_sub(heard)
+    }
+
+    /// Whether the store was heard within a session's renewals.
+    pub(crate) fn is_store_reachable(&self) -> bool {
+        u128::from(self.store_age_ms()) < self.settings.session_ttl.as_millis()
+    }
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/instances.rs
@@ -0,0 +1,43 @@
+//! Reads the platform's instance list.
+
+use crate::context::Context;
+use persimmon_wire::instances::List;
+use std::{sync::Arc, time::Duration};
+
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Follows the list while the process runs. While it can't be read, the newest one stays in use.
+pub(crate) async fn run(context: Arc<Context>) {
+    let url = format!("http://{}/v1/instances", context.settings.instances);
+    loop {
+        match read(&context, &url).await {
+            Ok(list) => adopt(&context, list),
+            Err(err) => log::debug!(
+                "step=instances.read peer={} reason=\"{}\"",
+                context.settings.instances,
+                err.without_url()
+            ),
+        }
+        tokio::time::sleep(context.settings.instances_interval).await;
+    }
+}
+
+async fn read(context: &Context, url: &str) -> reqwest::Result<List> {
+    let response = context
+        .worker_client
+        .get(url)
+        .timeout(TIMEOUT)
+        .send()
+        .await?;
+    response.error_for_status()?.json().await
+}
+
+fn adopt(context: &Context, list: List) {
+    let same = **context.instances.lock() == list.instances;
+    if same {
+        return;
+    }
+    *context.instances.lock() = Arc::new(list.instances);
+    context.services.refresh(context);
+    context.shards.wake();
+}
--- a/crates/persimmonshiftd/src/main.rs
+++ b/crates/persimmonshiftd/src/main.rs
@@ -1,2 +1,8 @@
-//! x
-fn main(){}
+//! `persimmonshiftd`: the daemon, the same on every entry instance.
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    persimmonshiftd::run(argh::from_env())
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/member/list.rs
@@ -0,0 +1,106 @@
+use crate::message::HolderWire;
+use persimmon_wire::store::Entry;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    time::Instant,
+};
+
+/// The prefix of the members' keys.
+pub(crate) const MEMBER_PREFIX: &str = "meta/member/";
+
+/// A member's record in the store, bound to its session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    pub(crate) id: String,
+    pub(crate) incarnation: u64,
+    pub(crate) mesh_address: SocketAddr,
+    pub(crate) data_centre: String,
+}
+
+/// The members that the store lists.
+#[derive(Debug, Default)]
+pub(crate) struct Members {
+    by_key: BTreeMap<String, Member>,
+    missing_since: HashMap<(String, u64), Instant>,
+}
+
+impl Members {
+    /// Takes over a change of one record.
+    pub(crate) fn take(&mut self, entry: &Entry, now: Instant) {
+        let parsed = entry
+            .value
+            .as_ref()
+            .map(|text| serde_json::from_str::<Member>(text));
+        let replaced = match parsed {
+            Some(Ok(member)) => {
+                self.missing_since
+                    .remove(&(member.id.clone(), member.incarnation));
+                self.by_key.insert(entry.key.clone(), member)
+            }
+            Some(Err(err)) => {
+                log::warn!("step=member.parse object={} reason={err}", entry.key);
+                None
+            }
+            None => self.by_key.remove(&entry.key),
+        };
+        if let Some(member) = replaced {
+            self.note_missing(member, now);
+        }
+    }
+
+    /// Drops members whose keys are not `present`.
+    pub(crate) fn retain<'a>(&mut self, present: impl Iterator<Item = &'a str>, now: Instant) {
+        let present: BTreeSet<&str> = present.collect();
+        let gone: Vec<String> = self
+            .by_key
+            .keys()
+            .filter(|key| !present.contains(key.as_str()))
+            .cloned()
+            .collect();
+        for key in gone {
+            if let Some(member) = self.by_key.remove(&key) {
+                self.note_missing(member, now);
+            }
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.by_key.values()
+    }
+
+    pub(crate) fn others(&self, own_id: &str) -> Vec<Member> {
+        self.iter()
+            .filter(|member| member.id != own_id)
+            .cloned()
+            .collect()
+    }
+
+    pub(crate) fn ids(&self) -> Vec<String> {
+        self.iter().map(|member| member.id.clone()).collect()
+    }
+
+    pub(crate) fn try_find(&self, id: &str) -> Option<&Member> {
+        self.iter().find(|member| member.id == id)
+    }
+
+    pub(crate) fn contains(&self, holder: &HolderWire) -> bool {
+        let listed = self.try_find(&holder.member);
+        listed.is_some_and(|member| member.incarnation == holder.incarnation)
+    }
+
+    /// Since when a process is known to be missing; `now` for one first asked about.
+    pub(crate) fn missing_since(&mut self, holder: &HolderWire, now: Instant) -> Instant {
+        let key = (holder.member.clone(), holder.incarnation);
+        *self.missing_since.entry(key).or_insert(now)
+    }
+
+    fn note_missing(&mut self, member: Member, now: Instant) {
+        let key = (member.id.clone(), member.incarnation);
+        let replaced = self.by_key.values().any(|other| *other == member);
+        if !replaced {
+            self.missing_since.entry(key).or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/report.rs
@@ -0,0 +1,53 @@
+//! The report on service-level burn: each daemon's share, merged by whoever is asked.
+
+use crate::{
+    context::Context,
+    message::{Answer, Question, ShardAnswer, ShardQuestion},
+};
+use futures_util::future::join_all;
+use persimmon_wire::api::{BurnReport, BurnShare};
+use std::{sync::Arc, time::Duration};
+
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// This daemon's share.
+pub(crate) async fn share(context: &Arc<Context>) -> BurnShare {
+    let config = context.config.lock().config();
+    let mut share = BurnShare {
+        member: context.settings.member_id.clone(),
+        services: context.services.burns(&config),
+        busiest_minute_cpu_millis: context.busiest.get().cpu_millis,
+        ..BurnShare::default()
+    };
+    for owned in context.shards.owned() {
+        let question = ShardQuestion::Summary { shard: owned.shard };
+        if let ShardAnswer::Summary(shard) = context.shards.ask(question).await {
+            share.deadlines_met += shard.deadlines_met;
+            share.deadlines_missed += shard.deadlines_missed;
+            share.evictions += shard.evictions;
+        }
+    }
+    share
+}
+
+/// The shares of all members that answer.
+pub(crate) async fn merged(context: &Arc<Context>) -> BurnReport {
+    let members = context.members.lock().others(&context.settings.member_id);
+    let calls = members.iter().map(|member| async {
+        context
+            .mesh
+            .call(member.mesh_address, &Question::Burn, TIMEOUT)
+            .await
+    });
+    let mut report = BurnReport {
+        shares: vec![share(context).await],
+        ..BurnReport::default()
+    };
+    for (member, answer) in members.iter().zip(join_all(calls).await) {
+        match answer {
+            Ok(Answer::Burn(share)) => report.shares.push(*share),
+            _ => report.missing_members.push(member.id.clone()),
+        }
+    }
+    report
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/services/burn.rs
@@ -0,0 +1,62 @@
+use persimmon_wire::api::{LatencyCount, MinuteBurn, ServiceBurn};
+use std::{collections::VecDeque, time::Duration};
+
+/// Minutes kept for the burn report: two days.
+const MINUTES_MAX: usize = 2 * 24 * 60;
+/// The bounds of latency counts double from 1 ms on.
+const LATENCY_BOUNDS: usize = 18;
+
+/// Requests of one service by minute and latency.
+#[derive(Debug, Default)]
+pub(crate) struct Burn {
+    minutes: VecDeque<MinuteBurn>,
+    latency: [u64; LATENCY_BOUNDS],
+}
+
+impl Burn {
+    /// Counts a request that ended at `unix_ms`.
+    pub(crate) fn count(&mut self, good: bool, latency: Duration, unix_ms: u64) {
+        let unix_minute = unix_ms / 60_000;
+        if self
+            .minutes
+            .back()
+            .is_none_or(|minute| minute.unix_minute < unix_minute)
+        {
+            self.minutes.push_back(MinuteBurn {
+                unix_minute,
+                good: 0,
+                bad: 0,
+            });
+            if self.minutes.len() > MINUTES_MAX {
+                self.minutes.pop_front();
+            }
+        }
+        if let Some(minute) = self.minutes.back_mut() {
+            minute.good += u64::from(good);
+            minute.bad += u64::from(!good);
+        }
+        let ms = latency.as_millis().max(1) as u64;
+        let bound = (u64::BITS - (ms - 1).leading_zeros()) as usize;
+        self.latency[bound.min(LATENCY_BOUNDS - 1)] += 1;
+    }
+
+    pub(crate) fn report(&self, service: &persimmon_ticket::Service) -> ServiceBurn {
+        let counts = self
+            .latency
+            .iter()
+            .enumerate()
+            .filter(|(_, count)| **count > 0);
+        ServiceBurn {
+            service: service.name.clone(),
+            objective_latency_ms: service.objective_latency.as_millis() as u64,
+            objective_millipercent: service.objective_millipercent,
+            minutes: self.minutes.iter().copied().collect(),
+            latency: counts
+                .map(|(bound, count)| LatencyCount {
+                    up_to_ms: 1 << bound,
+                    count: *count,
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/services/send.rs
@@ -0,0 +1,123 @@
+//! One sending of a request to an endpoint.
+
+use super::Services;
+use crate::message::{Header, ServiceAnswer, ServiceRequest};
+use persimmon_route::Outcome;
+use persimmon_wire::api::HEADER_REQUEST_ID;
+use reqwest::{
+    header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING},
+    Method, Response,
+};
+use std::time::Duration;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+];
+
+/// Header by which a runner says that it refuses: `busy` or `leaving`.
+const HEADER_RUNNER_REFUSED: &str = "x-runner-refused";
+
+/// Whether a header is passed on.
+pub(crate) fn is_end_to_end(name: &str) -> bool {
+    !HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+        && !name.eq_ignore_ascii_case("content-length")
+}
+
+/// Sends `request` to `address` and reads the whole answer, within `timeout`.
+pub(super) async fn send(
+    services: &Services,
+    address: &str,
+    request: &ServiceRequest,
+    idempotent: bool,
+    body_max_bytes: u64,
+    timeout: Duration,
+) -> Result<ServiceAnswer, Outcome> {
+    let client = if idempotent {
+        &services.client_pooled
+    } else {
+        &services.client_fresh
+    };
+    let method = Method::from_bytes(request.method.as_bytes()).unwrap_or(Method::GET);
+    let url = format!("http://{address}{}", request.path);
+    let sending = client
+        .request(method, url)
+        .headers(headers(request))
+        .body(request.body.clone())
+        .timeout(timeout)
+        .send();
+    let response = sending.await.map_err(|err| failure(&err))?;
+    if let Some(word) = response.headers().get(HEADER_RUNNER_REFUSED) {
+        return Err(Outcome::Refused {
+            leaving: word.as_bytes() == b"leaving",
+        });
+    }
+    read(response, body_max_bytes).await
+}
+
+fn headers(request: &ServiceRequest) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for header in &request.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    if let Ok(id) = HeaderValue::from_str(&request.request_id) {
+        headers.insert(HEADER_REQUEST_ID, id);
+    }
+    headers
+}
+
+fn failure(err: &reqwest::Error) -> Outcome {
+    if err.is_connect() {
+        return Outcome::NotConnected;
+    }
+    if err.is_timeout() {
+        return Outcome::TimedOut;
+    }
+    Outcome::Broken
+}
+
+/// Reads an answer; one that is cut, too long, or can't be told from a cut one is broken.
+async fn read(mut response: Response, body_max_bytes: u64) -> Result<ServiceAnswer, Outcome> {
+    let length = response.headers().get(CONTENT_LENGTH).is_some();
+    let chunked = response.headers().get(TRANSFER_ENCODING).is_some();
+    let bodyless = response.status() == reqwest::StatusCode::NO_CONTENT
+        || response.status() == reqwest::StatusCode::NOT_MODIFIED;
+    if !length && !chunked && !bodyless {
+        return Err(Outcome::Broken);
+    }
+    let status = response.status().as_u16();
+    let passed = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| is_end_to_end(name.as_str()));
+    let headers = passed
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect();
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.map_err(|err| failure(&err))? {
+        body.extend_from_slice(&chunk);
+        if body.len() as u64 > body_max_bytes {
+            return Err(Outcome::Broken);
+        }
+    }
+    Ok(ServiceAnswer {
+        status,
+        headers,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/shards/handle.rs
@@ -0,0 +1,106 @@
+use super::{commit, take, worker};
+use crate::{
+    context::Locked,
+    message::{OwnedNews, ShardAnswer, ShardQuestion},
+};
+use persimmon_wire::api::{ErrorBody, Ran};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::{
+    mpsc::{self, error::TrySendError},
+    oneshot,
+};
+
+/// Messages that wait for the duty.
+const RING_LEN: usize = 4096;
+/// How long an answer is waited for; commits may be in doubt for a while.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// What the duty is told.
+pub(crate) enum ShardMessage {
+    /// A question and where its answer goes.
+    Ask(ShardQuestion, oneshot::Sender<ShardAnswer>),
+    /// Members, configuration or instances may have changed.
+    Wake,
+    /// Hand all shards over, for a planned stop.
+    HandOver(oneshot::Sender<()>),
+    Taken(take::Done),
+    Committed(commit::Done),
+    Synced(worker::Done),
+}
+
+/// The other duties' end of the shard duty's ring.
+#[derive(Debug, Clone)]
+pub(crate) struct ShardHandle {
+    ring: mpsc::Sender<ShardMessage>,
+    owned: Arc<Locked<Vec<OwnedNews>>>,
+}
+
+/// The ring and its receiving end.
+pub(crate) fn ring() -> (ShardHandle, mpsc::Receiver<ShardMessage>) {
+    let (sender, receiver) = mpsc::channel(RING_LEN);
+    (
+        ShardHandle {
+            ring: sender,
+            owned: Arc::default(),
+        },
+        receiver,
+    )
+}
+
+impl ShardHandle {
+    /// Asks and waits for the answer.
+    pub(crate) async fn ask(&self, question: ShardQuestion) -> ShardAnswer {
+        let (sender, receiver) = oneshot::channel();
+        match self.ring.try_send(ShardMessage::Ask(question, sender)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => return refused("overloaded", Ran::NotRun),
+            Err(TrySendError::Closed(_)) => return refused("stopping", Ran::NotRun),
+        }
+        match tokio::time::timeout(ANSWER_TIMEOUT, receiver).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => refused("unsettled", Ran::Unknown),
+        }
+    }
+
+    /// Makes the duty look at everything soon. A full ring will do so anyway.
+    pub(crate) fn wake(&self) {
+        let _ = self.ring.try_send(ShardMessage::Wake);
+    }
+
+    /// Hands all shards over; returns once that is done or has failed.
+    pub(crate) async fn hand_over(&self) {
+        let (sender, receiver) = oneshot::channel();
+        if self.ring.send(ShardMessage::HandOver(sender)).await.is_ok() {
+            let _ = receiver.await;
+        }
+    }
+
+    /// News of the shards that are owned.
+    pub(crate) fn owned(&self) -> Vec<OwnedNews> {
+        self.owned.get()
+    }
+
+    pub(crate) fn set_owned(&self, owned: Vec<OwnedNews>) {
+        *self.owned.lock() = owned;
+    }
+
+    /// The end by which calls report what became of them.
+    pub(crate) fn reporter(&self) -> mpsc::Sender<ShardMessage> {
+        self.ring.clone()
+    }
+}
+
+fn refused(code: &str, ran: Ran) -> ShardAnswer {
+    let message = match ran {
+        Ran::NotRun => "the daemon does not take it now; it was not accepted",
+        Ran::Unknown => "the store has not confirmed it; repeat it with the same key to learn",
+    };
+    ShardAnswer::Refused(ErrorBody {
+        code: code.to_owned(),
+        step: "shard.ask".to_owned(),
+        peer: "shard".to_owned(),
+        message: message.to_owned(),
+        ran,
+        retry_after_ms: Some(1_000),
+    })
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/shards/mod.rs
@@ -0,0 +1,13 @@
+//! The shards that this daemon owns: one duty feeds their decisions and carries them out.
+
+mod budget;
+mod commit;
+mod duty;
+mod handle;
+mod owned;
+mod take;
+mod view;
+mod worker;
+
+pub(crate) use duty::run;
+pub(crate) use handle::{ring, ShardHandle, ShardMessage};
--- /dev/null
+++ b/crates/persimmonshiftd/src/shards/view.rs
@@ -0,0 +1,80 @@
+//! What is told of shards and jobs.
+
+use super::owned::Owned;
+use crate::message::{OwnedNews, TeamUsed};
+use persimmon_chart::Label;
+use persimmon_shard::{Job, JobState, WaitReason};
+use persimmon_types::JobId;
+use persimmon_wire::api::{JobCount, JobView, ShardView, WorkerView};
+
+pub(crate) fn job(owned: &Owned, job: &Job, repeated: bool) -> JobView {
+    let mut reasons = job.reasons.clone();
+    let waits = owned.core.wait_reason(job.number);
+    reasons.extend(waits.map(|reason| format!("now {}", wait_text(reason))));
+    JobView {
+        id: JobId {
+            shard: owned.shard,
+            number: job.number,
+        },
+        key: job.key.clone(),
+        class: job.class.clone(),
+        state: job.state.label().to_owned(),
+        attempt: job.attempt,
+        worker: job.worker.as_ref().map(|(id, _)| id.clone()),
+        deadline_unix_ms: job.deadline_unix_ms,
+        ended_unix_ms: job.ended_unix_ms,
+        evictions: job.evictions,
+        repeated,
+        reasons,
+    }
+}
+
+fn wait_text(reason: WaitReason) -> &'static str {
+    match reason {
+        WaitReason::Quota => "waits: its team's quota is used up",
+        WaitReason::NoRoom => "waits: no worker has room",
+        WaitReason::BusiestMinute => {
+            "waits: it would raise the month's busiest minute and has time left"
+        }
+    }
+}
+
+pub(crate) fn shard(owned: &Owned, member: &str) -> ShardView {
+    let book = owned.core.book();
+    let jobs = JobState::ALL.iter().map(|state| JobCount {
+        state: state.label().to_owned(),
+        count: book.iter().filter(|job| job.state == *state).count() as u64,
+    });
+    let workers = owned.core.iter_workers().map(|worker| WorkerView {
+        id: worker.id,
+        rack: worker.rack,
+        state: worker.state.label().to_owned(),
+        capacity: worker.capacity,
+        claimed: worker.claimed,
+        tasks: worker.tasks,
+    });
+    ShardView {
+        shard: owned.shard,
+        owner: member.to_owned(),
+        epoch: owned.record.epoch,
+        workers: workers.collect(),
+        jobs: jobs.filter(|count| count.count > 0).collect(),
+        commits: owned.commits,
+        evictions: book.evictions(),
+        deadlines_met: book.deadlines_met(),
+        deadlines_missed: book.deadlines_missed(),
+    }
+}
+
+pub(crate) fn news(owned: &Owned, now_unix_ms: u64) -> OwnedNews {
+    let demand = owned.core.demand(now_unix_ms);
+    let teams = owned.core.team_used().into_iter();
+    OwnedNews {
+        shard: owned.shard,
+        epoch: owned.record.epoch,
+        claimed_cpu_millis: demand.claimed_cpu_millis,
+        required_cpu_millis: demand.required_cpu_millis,
+        queued_cpu_millis: demand.queued_cpu_millis,
+        team_used: teams.map(|(team, used)| TeamUsed { team, used }).collect(),
+    }
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/shards/worker.rs
@@ -0,0 +1,146 @@
+//! Calls to workers.
+
+use super::handle::ShardMessage;
+use crate::context::Context;
+use persimmon_shard::{SyncAnswer, SyncCall, SyncFailure, TaskCommand, TaskStatus, TaskView};
+use persimmon_types::JobId;
+use persimmon_wire::worker::{Attempt, Command, SyncRequest, SyncResponse, TaskReport, TaskState};
+use std::{sync::Arc, time::Duration};
+
+/// How long a worker's answer is waited for.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A finished call.
+#[derive(Debug)]
+pub(crate) struct Done {
+    pub(crate) shard: u16,
+    pub(crate) epoch: u64,
+    pub(crate) worker: usize,
+    pub(crate) result: Result<SyncAnswer, SyncFailure>,
+}
+
+/// Starts a call whose outcome comes back over the ring.
+pub(crate) fn spawn(context: Arc<Context>, shard: u16, epoch: u64, call: SyncCall) {
+    let ring = context.shards.reporter();
+    tokio::spawn(async move {
+        let worker = call.worker;
+        let result = send(&context, shard, epoch, call).await;
+        let _ = ring
+            .send(ShardMessage::Synced(Done {
+                shard,
+                epoch,
+                worker,
+                result,
+            }))
+            .await;
+    });
+}
+
+async fn send(
+    context: &Context,
+    shard: u16,
+    epoch: u64,
+    call: SyncCall,
+) -> Result<SyncAnswer, SyncFailure> {
+    let url = format!("http://{}/v1/sync", call.address);
+    let request = SyncRequest {
+        shard,
+        epoch,
+        owner: context.settings.member_id.clone(),
+        echo_nonce: call.echo_nonce,
+        lease_term_ms: context.settings.lease_term.as_millis() as u64,
+        commands: call
+            .commands
+            .into_iter()
+            .map(|it| command(shard, it))
+            .collect(),
+    };
+    let answer = context
+        .worker_client
+        .post(url)
+        .json(&request)
+        .timeout(TIMEOUT)
+        .send()
+        .await;
+    let response = answer.map_err(|err| {
+        log::debug!(
+            "step=worker.sync peer={} epoch={epoch} reason=\"{err}\"",
+            call.address
+        );
+        SyncFailure::Silent
+    })?;
+    if response.status() == reqwest::StatusCode::CONFLICT {
+        log::warn!(
+            "step=worker.sync peer={} object=shard-{shard} epoch={epoch} reason=\"the worker has \
+             seen a higher epoch\"",
+            call.address
+        );
+        return Err(SyncFailure::Fenced);
+    }
+    let response: SyncResponse = response.json().await.map_err(|_| SyncFailure::Silent)?;
+    let own = response
+        .tasks
+        .into_iter()
+        .filter(|task| task.attempt.job.shard == shard);
+    Ok(SyncAnswer {
+        incarnation: response.incarnation,
+        nonce: response.nonce,
+        tasks: own.map(view).collect(),
+        used: response.usage.used,
+    })
+}
+
+fn command(shard: u16, command: TaskCommand) -> Command {
+    let of = |number, attempt| Attempt {
+        job: JobId { shard, number },
+        attempt,
+    };
+    match command {
+        TaskCommand::Start {
+            number,
+            attempt,
+            class,
+            size,
+            run_time,
+            checkpoint,
+        } => Command::Start {
+            attempt: of(number, attempt),
+            class,
+            size,
+            run_time_ms: run_time.as_millis() as u64,
+            checkpoint,
+        },
+        TaskCommand::Throttle {
+            number,
+            attempt,
+            percent,
+        } => Command::Throttle {
+            attempt: of(number, attempt),
+            percent,
+        },
+        TaskCommand::Evict { number, attempt } => Command::Evict {
+            attempt: of(number, attempt),
+        },
+        TaskCommand::Stop { number, attempt } => Command::Stop {
+            attempt: of(number, attempt),
+        },
+        TaskCommand::Forget { number, attempt } => Command::Forget {
+            attempt: of(number, attempt),
+        },
+    }
+}
+
+fn view(task: TaskReport) -> TaskView {
+    TaskView {
+        number: task.attempt.job.number,
+        attempt: task.attempt.attempt,
+        status: match task.state {
+            TaskState::Running => TaskStatus::Running,
+            TaskState::Done => TaskStatus::Done,
+            TaskState::Failed => TaskStatus::Failed,
+            TaskState::Stopped => TaskStatus::Stopped,
+            TaskState::Lapsed => TaskStatus::Lapsed,
+        },
+        checkpoint: task.checkpoint,
+    }
+}
--- /dev/null
+++ b/crates/persimmonshiftd/src/start.rs
@@ -0,0 +1,257 @@
+//! The life of the process: checks, duties, and a planned stop.
+
+use crate::{
+    api,
+    args::Args,
+    config,
+    context::{Context, Parts},
+    instances, member,
+    peers::{self, MeshHandler},
+    services::{Clients, Keys, Services},
+    settings::Settings,
+    shards,
+};
+use persimmon_mesh::{Mesh, Options};
+use persimmon_shard::Charts;
+use persimmon_store::{HttpStore, Store};
+use persimmon_types::{unix_ms, Clock, SystemClock};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    process::ExitCode,
+    sync::{atomic::Ordering, Arc, OnceLock},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// What is logged unless `RUST_LOG` says otherwise; rocket tells of every request.
+const LOG_FILTER: &str = "info,rocket=warn";
+/// Exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+/// How often a stopping daemon looks whether requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// The longest wait for shards to be handed over at a stop.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The process could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("{step}: {reason}")]
+struct StartError {
+    step: &'static str,
+    reason: String,
+}
+
+impl StartError {
+    fn of<E: std::fmt::Display>(step: &'static str) -> impl Fn(E) -> Self {
+        move |err| Self {
+            step,
+            reason: err.to_string(),
+        }
+    }
+}
+
+/// Runs the daemon until it is told to stop.
+pub fn run(args: Args) -> ExitCode {
+    // Rocket would set up logging of its own if none were there.
+    let filter = env_logger::Env::default().default_filter_or(LOG_FILTER);
+    env_logger::Builder::from_env(filter).init();
+    let settings = match Settings::check(&args, |name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(err) => {
+            for fault in &err.faults {
+                eprintln!("persimmonshiftd: settings: {fault}");
+            }
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check_settings {
+        println!("settings are sound");
+        return ExitCode::SUCCESS;
+    }
+    match start(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("persimmonshiftd: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(settings: Settings) -> Result<(), StartError> {
+    let charts = Arc::new(Charts::load().map_err(StartError::of("charts"))?);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("main")
+        .enable_all()
+        .build()
+        .map_err(StartError::of("runtime"))?;
+    runtime.block_on(serve(settings, charts))
+}
+
+async fn serve(settings: Settings, charts: Arc<Charts>) -> Result<(), StartError> {
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+        .map_err(StartError::of("signals"))?;
+    let (shard_handle, shard_ring) = shards::ring();
+    let (context, mesh) = build(settings, shard_handle)?;
+    check_store(&context).await?;
+    let handler = Arc::new(MeshHandler {
+        context: OnceLock::from(Arc::clone(&context)),
+    });
+    tokio::spawn(mesh.serve(handler));
+    spawn_duties(&context, charts, shard_ring)?;
+    let bound = api::Bound::default();
+    let server = api::build(Arc::clone(&context), Arc::clone(&bound));
+    let server = server.ignite().await.map_err(StartError::of("api"))?;
+    let shutdown = server.shutdown();
+    let served = tokio::spawn(server.launch());
+    announce(&context, &bound, &served).await;
+    let failed = wait_for_stop(&context, &mut terminate, served, shutdown).await;
+    context.mesh.close();
+    failed
+}
+
+/// Waits for the signal or an operator's drain, then stops gracefully.
+async fn wait_for_stop(
+    context: &Arc<Context>,
+    terminate: &mut tokio::signal::unix::Signal,
+    mut served: tokio::task::JoinHandle<Result<rocket::Rocket<rocket::Ignite>, rocket::Error>>,
+    shutdown: rocket::Shutdown,
+) -> Result<(), StartError> {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        () = context.stop.notified() => {}
+        ended = &mut served => {
+            let reason = match ended {
+                Ok(Ok(_)) => "ended by itself".to_owned(),
+                Ok(Err(err)) => format!("{}: {err}", context.settings.api_listen),
+                Err(err) => err.to_string(),
+            };
+            return Err(StartError { step: "api.listen", reason });
+        }
+    }
+    drain(context).await;
+    shutdown.notify();
+    let _ = served.await;
+    Ok(())
+}
+
+fn build(
+    settings: Settings,
+    shard_handle: shards::ShardHandle,
+) -> Result<
+    (
+        Arc<Context>,
+        Arc<Mesh<crate::message::Question, crate::message::Answer>>,
+    ),
+    StartError,
+> {
+    let clock = Arc::new(SystemClock);
+    let started_at = clock.now();
+    // Two starts of one member within a millisecond can't both own its address.
+    let incarnation = unix_ms(clock.wall());
+    let mesh = Mesh::open(settings.mesh_listen, &settings.keys, Options::default())
+        .map_err(StartError::of("mesh"))?;
+    let mesh = Arc::new(mesh);
+    let local = mesh.local_address().map_err(StartError::of("mesh"))?;
+    let client = || reqwest::Client::builder().no_proxy().build();
+    let store_client = client().map_err(StartError::of("store.client"))?;
+    let store = HttpStore::new(
+        store_client,
+        settings.store.to_string(),
+        settings.store_timeout,
+    );
+    let ttl = settings.request_key_ttl;
+    let keys = Keys::new(&settings.member_id, incarnation, started_at, ttl);
+    let clients = Clients::build().map_err(StartError::of("endpoint.client"))?;
+    let context = Context::new(Parts {
+        mesh_address: settings.mesh_advertise.unwrap_or(local),
+        worker_client: client().map_err(StartError::of("worker.client"))?,
+        services: Services::new(keys, clients),
+        shards: shard_handle,
+        mesh: Arc::clone(&mesh),
+        settings,
+        clock,
+        started_at,
+        incarnation,
+        store,
+    });
+    Ok((Arc::new(context), mesh))
+}
+
+/// Tells of an unreachable store at once; the daemon starts all the same, since peers may know the
+/// configuration.
+async fn check_store(context: &Context) -> Result<(), StartError> {
+    if let Err(err) = context.store.get(config::HEAD_KEY).await {
+        log::error!(
+            "step=start.store peer={} reason=\"{err}\"",
+            context.settings.store
+        );
+        eprintln!("persimmonshiftd: {err}; it starts all the same and is not ready");
+    }
+    Ok(())
+}
+
+fn spawn_duties(
+    context: &Arc<Context>,
+    charts: Arc<Charts>,
+    ring: tokio::sync::mpsc::Receiver<shards::ShardMessage>,
+) -> Result<(), StartError> {
+    let of = || Arc::clone(context);
+    duty("session", member::run_session(of()))?;
+    duty("config-watch", config::run_watch(of()))?;
+    duty("instances", instances::run(of()))?;
+    duty("gossip", peers::run_gossip(of()))?;
+    duty("services", Services::run(of()))?;
+    duty("shards", shards::run(of(), charts, ring))
+}
+
+/// Runs a duty on a thread of its own.
+fn duty(
+    name: &'static str,
+    work: impl Future<Output = ()> + Send + 'static,
+) -> Result<(), StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartError::of("runtime"))?;
+    let body = move || runtime.block_on(work);
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(body);
+    spawned.map(drop).map_err(StartError::of("thread"))
+}
+
+/// Prints where this daemon listens, once it does.
+async fn announce<T>(context: &Context, bound: &api::Bound, served: &tokio::task::JoinHandle<T>) {
+    let address: SocketAddr = loop {
+        match bound.get() {
+            Some(address) => break *address,
+            None if served.is_finished() => return,
+            None => tokio::time::sleep(DRAIN_POLL).await,
+        }
+    };
+    let member = &context.settings.member_id;
+    let mesh = context.mesh_address;
+    println!("{{\"member\":\"{member}\",\"api\":\"{address}\",\"mesh\":\"{mesh}\"}}");
+}
+
+/// A planned stop: new work goes elsewhere, what is in progress ends, shards are handed over.
+async fn drain(context: &Arc<Context>) {
+    log::info!("step=drain.begin object={}", context.settings.member_id);
+    context.draining.store(true, Ordering::SeqCst);
+    context.gossip_now.notify_one();
+    let handing_over = tokio::time::timeout(HAND_OVER_TIMEOUT, context.shards.hand_over());
+    if handing_over.await.is_err() {
+        log::warn!("step=drain.hand-over reason=\"not done in time; leases will lapse instead\"");
+    }
+    context.gossip_now.notify_one();
+    tokio::time::sleep(context.settings.drain_notice).await;
+    let until = Instant::now() + context.settings.drain_timeout;
+    while context.services.in_progress() > 0 && Instant::now() < until {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    member::leave(context).await;
+    log::info!(
+        "step=drain.end object={} attempt={}",
+        context.settings.member_id,
+        context.services.in_progress()
+    );
+}
