--- /dev/null
+++ b/crates/persimmon-e2e/tests/e2e/demo.rs
@@ -0,0 +1,17 @@
+use crate::harness::turn;
+use std::{path::Path, process::Command};
+
+#[test]
+fn demo_whole_path() {
+    let _turn = turn();
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let output = Command::new("bash")
+        .arg("scripts/demo.sh")
+        .current_dir(root)
+        .output();
+    let output = output.expect("bash runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "{text}\n{errors}");
+    assert!(text.contains("DONE:"), "{text}");
+}
--- /dev/null
+++ b/crates/persimmon-e2e/tests/e2e/jobs.rs
@@ -0,0 +1,143 @@
+use crate::harness::{client, control, wait_for, Cluster, Options};
+use serde_json::json;
+
+#[test]
+fn job_evicted_resumes_once() {
+    let cluster = Cluster::ready(&Options {
+        runners: 0,
+        ..Options::default()
+    });
+    let daemon = &cluster.daemons[0];
+    let id = daemon.submit("long", "evicted");
+    let placed = wait_for("a running task", || {
+        let running = cluster.runs().iter().any(|run| run.job == id);
+        running.then(|| daemon.job(&id))
+    });
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    // A worker that leaves gives its tasks up with a checkpoint.
+    let worker = placed["worker"].as_str().expect("a worker").to_owned();
+    let shard_has_two = daemon.json(&["status"])["shards"]
+        .as_array()
+        .expect("shards")
+        .iter()
+        .any(|shard| shard["workers"].as_array().expect("workers").len() == 2);
+    let url = format!("http://{}/control/state", cluster.instances);
+    let post = |state: &str| {
+        let body = json!({ "id": worker, "state": state }).to_string();
+        client().post(&url).body(body).send().expect("the list");
+    };
+    post("leaving");
+    wait_for("an eviction", || {
+        (daemon.job(&id)["evictions"] == 1).then_some(())
+    });
+    if !shard_has_two {
+        // The only worker of its shard: it must come back for the job to go on.
+        post("live");
+    }
+    daemon.wait_job(&id, "done");
+    let runs: Vec<_> = cluster
+        .runs()
+        .into_iter()
+        .filter(|run| run.job == id)
+        .collect();
+    assert_eq!(runs.len(), 2, "{runs:?}");
+    let second = runs
+        .iter()
+        .find(|run| run.attempt == 2)
+        .expect("a second attempt");
+    assert!(
+        second.from_ms >= 500,
+        "it did not resume at its checkpoint: {runs:?}"
+    );
+}
+
+#[test]
+fn job_cancelled_never_started() {
+    let cluster = Cluster::ready(&Options {
+        runners: 0,
+        workers: 1,
+        ..Options::default()
+    });
+    let daemon = &cluster.daemons[0];
+    // Workers that are leaving take nothing, so the job stays queued.
+    let url = format!("http://{}/control/state", cluster.instances);
+    let body = json!({ "id": "w0", "state": "leaving" }).to_string();
+    client().post(url).body(body).send().expect("the list");
+    wait_for("the worker to leave", || {
+        let status = daemon.json(&["status"]).to_string();
+        status.contains("\"state\":\"leaving\"").then_some(())
+    });
+    let worker_shard = daemon.json(&["status"])["shards"]
+        .as_array()
+        .expect("shards")
+        .iter()
+        .find(|shard| !shard["workers"].as_array().expect("workers").is_empty())
+        .expect("a shard with a worker")["shard"]
+        .clone();
+    let id = (0..20)
+        .map(|number| format!("cancel-{number}"))
+        .find_map(|key| {
+            let args = [
+                "job",
+                "submit",
+                "--class",
+                "short",
+                "--key",
+                &key,
+                "--due-in-s",
+                "600",
+            ];
+            let (code, out, _) = daemon.tool(&[&["--json"], &args[..]].concat());
+            let view: serde_json::Value = serde_json::from_str(&out).unwrap_or_default();
+            let here = code == 0 && view["id"]["shard"] == worker_shard;
+            here.then(|| format!("{}-{}", view["id"]["shard"], view["id"]["number"]))
+        })
+        .expect("a job in the worker's shard");
+    let (code, out, _) = daemon.tool(&["job", "cancel", &id]);
+    assert_eq!(code, 0);
+    assert!(out.contains("it did not run"), "{out}");
+    assert!(cluster.runs().is_empty());
+}
+
+#[test]
+fn job_bad_worker_quarantined() {
+    let options = Options {
+        daemons: 1,
+        runners: 0,
+        workers: 2,
+        settings: vec![("shard-count", "1")],
+        ..Options::default()
+    };
+    let cluster = Cluster::ready(&options);
+    let daemon = &cluster.daemons[0];
+    control(&cluster.workers[0], &json!({ "fail_all": true }));
+    let ids: Vec<String> = (0..12)
+        .map(|number| daemon.submit("short", &format!("bad-{number}")))
+        .collect();
+    for id in &ids {
+        daemon.wait_job(id, "done");
+    }
+    let failed = cluster
+        .runs()
+        .iter()
+        .filter(|it| it.ended_as.as_deref() == Some("failed"))
+        .count();
+    assert!(
+        failed <= 12,
+        "{failed} failures, the worker is never left alone"
+    );
+}
+
+#[test]
+fn job_repeat_is_the_same() {
+    let cluster = Cluster::ready(&Options {
+        runners: 0,
+        ..Options::default()
+    });
+    let ids: Vec<String> = (0..6)
+        .map(|number| cluster.daemons[number % 3].submit("short", "same"))
+        .collect();
+    assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+    cluster.daemons[0].wait_job(&ids[0], "done");
+    assert_eq!(cluster.runs().len(), 1);
+}
--- /dev/null
+++ b/crates/persimmon-e2e/tests/e2e/ownership.rs
@@ -0,0 +1,171 @@
+use crate::harness::{client, control, wait_for, Cluster, Options};
+use serde_json::json;
+use std::{thread::sleep, time::Duration};
+
+/// No two stretches in which a job ran may overlap.
+fn assert_never_twice(cluster: &Cluster, id: &str) {
+    let mut runs: Vec<_> = cluster
+        .runs()
+        .into_iter()
+        .filter(|run| run.job == id)
+        .collect();
+    runs.sort_by_key(|run| run.started_unix_ms);
+    for pair in runs.windows(2) {
+        let ended = pair[0].ended_unix_ms.unwrap_or(u64::MAX);
+        assert!(ended <= pair[1].started_unix_ms, "two at once: {runs:?}");
+    }
+}
+
+#[test]
+fn owner_killed_task_goes_on() {
+    let mut cluster = Cluster::ready(&Options {
+        runners: 0,
+        ..Options::default()
+    });
+    let id = cluster.daemons[0].submit("long", "killed");
+    wait_for("a running task", || {
+        (!cluster.runs().is_empty()).then_some(())
+    });
+    let owner = cluster.owner_of(&id, 0);
+    cluster.daemons[owner].process.signal("KILL");
+    cluster.daemons[owner].process.wait();
+    let other = (owner + 1) % 3;
+    cluster.daemons[other].wait_job(&id, "done");
+    let runs = cluster.runs();
+    assert_eq!(runs.len(), 1, "the task was not kept: {runs:?}");
+}
+
+/// The owner is frozen for longer than its lease; the new owner can't reach the worker; the old one
+/// wakes and can.
+#[test]
+fn owner_frozen_worker_cut() {
+    let options = Options {
+        daemons: 3,
+        workers: 0,
+        runners: 0,
+        own_list: Some(0),
+        settings: vec![("shard-count", "1")],
+        ..Options::default()
+    };
+    let mut cluster = Cluster::start(&options);
+    let own_list = cluster.own_list();
+    let (near, near_relay) = cluster.add_relayed_worker("near");
+    let (spare, _spare_relay) = cluster.add_relayed_worker("spare");
+    let add = |list: &str, id: &str, address: &str| {
+        let instance = json!({
+            "id": id, "address": address, "data_centre": "dc1", "rack": id, "state": "live",
+            "role": "worker",
+            "capacity": { "cpu_millis": 32000, "memory_mib": 64000, "accelerators": 0 },
+        });
+        let url = format!("http://{list}/control/instance");
+        client()
+            .post(url)
+            .body(instance.to_string())
+            .send()
+            .expect("the list");
+    };
+    // Daemon d0 reaches the worker itself; the others reach it through a relay.
+    let shared_list = cluster.instances.clone();
+    add(&own_list, "near0", &near);
+    add(&shared_list, "near0", &near_relay.address("tcp"));
+    cluster.apply(1);
+    cluster.wait_live(1);
+    let owner = cluster.owner_of("0-1", 1);
+    if owner != 0 {
+        // Only d0 has the list that this test is about; the shard moves there.
+        for other in [1, 2] {
+            cluster.daemons[other].process.signal("STOP");
+        }
+        wait_for("d0 to own the shard", || {
+            (cluster.owner_of("0-1", 0) == 0).then_some(())
+        });
+    }
+    let id = cluster.daemons[0].submit("long", "frozen");
+    wait_for("a running task", || {
+        (!cluster.runs().is_empty()).then_some(())
+    });
+    cluster.daemons[0].process.signal("STOP");
+    control(&near_relay.address("control"), &json!({ "cut": true }));
+    for other in [1, 2] {
+        cluster.daemons[other].process.signal("CONT");
+    }
+    add(&shared_list, "spare0", &spare);
+    sleep(Duration::from_millis(2_500));
+    cluster.daemons[0].process.signal("CONT");
+    wait_for("a new owner", || {
+        (cluster.owner_of(&id, 1) != 0).then_some(())
+    });
+    cluster.daemons[1].wait_job(&id, "done");
+    assert_never_twice(&cluster, &id);
+    let done = cluster
+        .runs()
+        .iter()
+        .filter(|it| it.ended_as.as_deref() == Some("done"))
+        .count();
+    assert_eq!(done, 1, "{:?}", cluster.runs());
+}
+
+/// An owner cut from the store alone, while its peers reach it, must lose its shards once.
+#[test]
+fn owner_cut_from_store() {
+    let options = Options {
+        runners: 0,
+        relays: true,
+        ..Options::default()
+    };
+    let cluster = Cluster::ready(&options);
+    let id = cluster.daemons[0].submit("long", "cut");
+    wait_for("a running task", || {
+        (!cluster.runs().is_empty()).then_some(())
+    });
+    let owner = cluster.owner_of(&id, 0);
+    let other = (owner + 1) % 3;
+    cluster.daemons[owner].set_store_cut(true);
+    wait_for("a new owner", || {
+        (cluster.owner_of(&id, other) != owner).then_some(())
+    });
+    cluster.daemons[other].wait_job(&id, "done");
+    assert_never_twice(&cluster, &id);
+    assert_eq!(cluster.runs().len(), 1, "{:?}", cluster.runs());
+    cluster.daemons[owner].set_store_cut(false);
+    let again = cluster.daemons[owner].submit("short", "cut-after");
+    cluster.daemons[other].wait_job(&again, "done");
+}
+
+/// Work that must not be doubled is not run again when its worker vanishes with it.
+#[test]
+fn worker_lost_nothing_doubled() {
+    let options = Options {
+        runners: 0,
+        workers: 2,
+        ..Options::default()
+    };
+    let cluster = Cluster::ready(&options);
+    let daemon = &cluster.daemons[0];
+    let id = daemon.submit("print", "lost-print");
+    wait_for("a running task", || {
+        (!cluster.runs().is_empty()).then_some(())
+    });
+    let worker = daemon.job(&id)["worker"]
+        .as_str()
+        .expect("a worker")
+        .to_owned();
+    let at: usize = worker
+        .strip_prefix('w')
+        .expect("a name")
+        .parse()
+        .expect("a number");
+    control(&cluster.workers[at], &json!({ "silent": true }));
+    daemon.wait_job(&id, "unknown");
+    assert_eq!(cluster.runs().len(), 1, "run again: {:?}", cluster.runs());
+    // It answers again and tells of its checkpoint, so the job resumes, once.
+    control(&cluster.workers[at], &json!({}));
+    daemon.wait_job(&id, "done");
+    assert_never_twice(&cluster, &id);
+    let done = cluster
+        .runs()
+        .iter()
+        .filter(|it| it.ended_as.as_deref() == Some("done"))
+        .count();
+    assert_eq!(done, 1, "{:?}", cluster.runs());
+}
--- /dev/null
+++ b/crates/persimmon-e2e/tests/e2e/tickets.rs
@@ -0,0 +1,126 @@
+use crate::harness::{control, wait_for, Cluster, Options};
+use serde_json::json;
+
+#[test]
+fn ticket_race_one_wins() {
+    let cluster = Cluster::ready(&Options {
+        workers: 0,
+        runners: 0,
+        ..Options::default()
+    });
+    for number in 2..8 {
+        let files = [
+            cluster.write_ticket(number, 101),
+            cluster.write_ticket(number, 102),
+        ];
+        let outcomes: Vec<(i32, String)> = std::thread::scope(|scope| {
+            let cluster = &cluster;
+            let tasks = files.iter().enumerate().map(|(at, file)| {
+                scope.spawn(move || {
+                    let (code, _, err) = cluster.daemons[at].tool(&["ticket", "apply", file]);
+                    (code, err)
+                })
+            });
+            let tasks: Vec<_> = tasks.collect();
+            tasks
+                .into_iter()
+                .map(|task| task.join().expect("an operator"))
+                .collect()
+        });
+        let won = outcomes.iter().filter(|(code, _)| *code == 0).count();
+        assert_eq!(won, 1, "ticket {number}: {outcomes:?}");
+        let (_, error) = outcomes
+            .iter()
+            .find(|(code, _)| *code != 0)
+            .expect("a loser");
+        assert!(error.contains("another ticket has this number"), "{error}");
+    }
+    let numbers: Vec<_> = cluster
+        .daemons
+        .iter()
+        .map(|it| it.json(&["ticket", "list"])["in_force"].clone())
+        .collect();
+    assert!(
+        numbers.iter().all(|it| *it == numbers[0]),
+        "the daemons disagree: {numbers:?}"
+    );
+}
+
+#[test]
+fn ticket_lost_answer() {
+    let cluster = Cluster::ready(&Options {
+        workers: 0,
+        runners: 0,
+        ..Options::default()
+    });
+    let file = cluster.write_ticket(2, 7);
+    control(&cluster.store, &json!({ "lose_answers": 3 }));
+    wait_for("the ticket", || {
+        let (code, out, _) = cluster.daemons[1].tool(&["ticket", "apply", &file]);
+        (code == 0 && out.contains("in force everywhere")).then_some(())
+    });
+    let (code, out, _) = cluster.daemons[2].tool(&["ticket", "apply", &file]);
+    assert_eq!(code, 0);
+    assert!(out.contains("it was before"), "{out}");
+    let list = cluster.daemons[0].json(&["ticket", "list"]);
+    let with_number = |list: &serde_json::Value| {
+        let recent = list["recent"].as_array().expect("tickets").clone();
+        recent
+            .iter()
+            .filter(|it| it["ticket"]["number"] == 2)
+            .count()
+    };
+    assert_eq!(with_number(&list), 1, "{list}");
+}
+
+#[test]
+fn ticket_stale_never_reverts() {
+    let cluster = Cluster::ready(&Options {
+        workers: 0,
+        runners: 0,
+        ..Options::default()
+    });
+    cluster.apply(5);
+    let file = cluster.write_ticket(3, 9);
+    let (code, _, err) = cluster.daemons[0].tool(&["ticket", "apply", &file]);
+    assert_eq!(code, 1);
+    assert!(err.contains("stale, the newest number is 5"), "{err}");
+    for daemon in &cluster.daemons {
+        assert_eq!(daemon.json(&["status"])["config_number"], 5);
+    }
+}
+
+/// A daemon that is cut off from the store and from its peers must not serve what may be old.
+#[test]
+fn ticket_cut_daemon_says_not_run() {
+    let options = Options {
+        daemons: 2,
+        workers: 0,
+        relays: true,
+        ..Options::default()
+    };
+    let cluster = Cluster::ready(&options);
+    let (first, second) = (&cluster.daemons[0], &cluster.daemons[1]);
+    wait_for("an answer", || {
+        (second.request("GET", &[]).status == 200).then_some(())
+    });
+    second.set_store_cut(true);
+    second.set_mesh_cut(true);
+    first.set_mesh_cut(true);
+    let seen = wait_for("a refusal", || {
+        let seen = second.request("GET", &[]);
+        (seen.status != 200).then_some(seen)
+    });
+    assert_eq!(seen.status, 503, "{seen:?}");
+    assert_eq!(seen.ran.as_deref(), Some("not-run"), "{seen:?}");
+    // In force everywhere means: once the member that can't confirm has lapsed.
+    cluster.apply(2);
+    assert_eq!(second.request("GET", &[]).status, 503);
+    second.set_store_cut(false);
+    second.set_mesh_cut(false);
+    first.set_mesh_cut(false);
+    wait_for("an answer", || {
+        (second.request("GET", &[]).status == 200).then_some(())
+    });
+    assert_eq!(second.json(&["status"])["config_number"], 2);
+}
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -176,7 +176,7 @@
             .map(|task| (task.number, task.attempt))
             .collect();
         worker.strays.clear();
-        for task in answer.tasks {
+        for task in &answer.tasks {
             self.take_report(position, task, now, now_unix_ms);
         }
         if !self.commands(position).is_empty() {
@@ -197,7 +197,7 @@
         );
     }
 
-    fn take_report(&mut self, position: usize, task: TaskView, now: Instant, now_unix_ms: u64) {
+    fn take_report(&mut self, position: usize, task: &TaskView, now: Instant, now_unix_ms: u64) {
         let number = task.number;
         let worker = &self.workers[position];
         let current = self.book.try_find(number).is_some_and(|job| {
@@ -212,9 +212,9 @@
             job.attempt == task.attempt && placed == Some(here) && !job.is_ended()
         });
         if current {
-            self.take_current(position, &task, now, now_unix_ms);
+            self.take_current(position, task, now, now_unix_ms);
         }
-        self.note_stray(position, &task);
+        self.note_stray(position, task);
     }
 
     fn take_current(&mut self, position: usize, task: &TaskView, now: Instant, now_unix_ms: u64) {
--- a/crates/persimmon-ticket/src/model.rs
+++ b/crates/persimmon-ticket/src/model.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 /// The part of each instance that either kind of work may claim, in hundredths.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Shares {
     /// For replicas of latency-critical services.
     pub latency_critical_percent: u32,
@@ -10,15 +10,6 @@
     pub batch_percent: u32,
 }
 
-impl Default for Shares {
-    fn default() -> Self {
-        Self {
-            latency_critical_percent: 0,
-            batch_percent: 0,
-        }
-    }
-}
-
 /// A latency-critical service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
