test(shard,route): hold a shard's owners and a router against what really happened

Cause: the ledger of jobs and the routing of requests need stateful proof. The shard test plays owners, taken over and woken, against workers that follow their protocol; the routing test keeps its own account of which request left a byte where.

--- a/crates/persimmon-lease/tests/all/ownership.rs
+++ b/crates/persimmon-lease/tests/all/ownership.rs
@@ -205,8 +205,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 4096, ..ProptestConfig::default() })]
-
     #[test]
     fn ownership_never_both(
         witnesses in 1..8usize,
--- a/crates/persimmon-lease/tests/all/task.rs
+++ b/crates/persimmon-lease/tests/all/task.rs
@@ -51,8 +51,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1024, ..ProptestConfig::default() })]
-
     #[test]
     fn task_bound_never_early(
         calls in prop::collection::vec(call(), 1..30),
--- a/crates/persimmon-place/tests/all/ledger.rs
+++ b/crates/persimmon-place/tests/all/ledger.rs
@@ -212,8 +212,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 512, ..ProptestConfig::default() })]
-
     #[test]
     fn ledger_any_order(steps in prop::collection::vec(step(), 1..120)) {
         let mut oracle = Oracle {
--- /dev/null
+++ b/crates/persimmon-route/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of request routing.
+
+mod budget;
+mod router;
+mod share;
+mod truth;
--- /dev/null
+++ b/crates/persimmon-shard/tests/all/core.rs
@@ -0,0 +1,222 @@
+use persimmon_place::Shares;
+use persimmon_shard::{
+    Book, Charts, Core, JobState, Options, Submission, SubmitError, SyncAnswer, TaskCommand,
+    WaitReason, WorkerSpec,
+};
+use persimmon_ticket::{BatchClass, Rerun};
+use persimmon_types::Size;
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const NOW_UNIX_MS: u64 = 1_000_000;
+
+fn core(now: Instant) -> Core {
+    let charts = Arc::new(Charts::load().expect("sound charts"));
+    let shares = Shares {
+        latency_critical_percent: 50,
+        batch_percent: 50,
+    };
+    let mut core = Core::new(Options::default(), charts, shares, Book::default(), now);
+    let spec = WorkerSpec {
+        id: "w0".to_owned(),
+        address: "w0".to_owned(),
+        rack: "rack".to_owned(),
+        capacity: Size {
+            cpu_millis: 8_000,
+            memory_mib: 8_000,
+            accelerators: 0,
+        },
+        runners: Size::ZERO,
+        leaving: false,
+    };
+    core.set_workers(&[spec], now);
+    core
+}
+
+fn answer(core: &mut Core, now: Instant) -> Vec<TaskCommand> {
+    let call = core.begin_sync(0, true);
+    let used = Size::ZERO;
+    let answer = SyncAnswer {
+        incarnation: 1,
+        nonce: 1,
+        tasks: Vec::new(),
+        used,
+    };
+    core.end_sync(0, Ok(answer), now, NOW_UNIX_MS);
+    call.commands
+}
+
+fn submission(key: &str, cpu_millis: u32) -> Submission {
+    Submission {
+        key: key.to_owned(),
+        class: BatchClass {
+            name: "class".to_owned(),
+            team: "team".to_owned(),
+            size: Size {
+                cpu_millis,
+                memory_mib: 100,
+                accelerators: 0,
+            },
+            run_time: Duration::from_secs(10),
+            rerun: Rerun::Safe,
+            attempts_max: 2,
+            urgent: false,
+        },
+        deadline_unix_ms: NOW_UNIX_MS + 600_000,
+    }
+}
+
+#[test]
+fn core_start_only_after_commit() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    core.submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    assert_eq!(core.decide(now, NOW_UNIX_MS), 1);
+    assert!(
+        answer(&mut core, now).is_empty(),
+        "a start left before its entry was in the store"
+    );
+    let (seq, entries) = core.take_batch().expect("entries");
+    assert_eq!(entries.len(), 2);
+    assert!(
+        answer(&mut core, now).is_empty(),
+        "a start left while its commit was in doubt"
+    );
+    core.commit(seq);
+    let commands = answer(&mut core, now);
+    assert!(matches!(
+        commands[..],
+        [TaskCommand::Start {
+            number: 1,
+            attempt: 1,
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn core_not_valid_says_nothing() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    core.submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    core.decide(now, NOW_UNIX_MS);
+    let (seq, _) = core.take_batch().expect("entries");
+    core.commit(seq);
+    let call = core.begin_sync(0, false);
+    assert_eq!(call.echo_nonce, None);
+    assert!(call.commands.is_empty());
+}
+
+#[test]
+fn core_told_at_submission() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let never = core.submit(submission("big", 4_001), NOW_UNIX_MS);
+    assert!(
+        matches!(never, Err(SubmitError::NeverFits { .. })),
+        "{never:?}"
+    );
+    let late = Submission {
+        deadline_unix_ms: NOW_UNIX_MS + 9_999,
+        ..submission("late", 1)
+    };
+    let late = core.submit(late, NOW_UNIX_MS);
+    assert!(matches!(late, Err(SubmitError::TooLate { .. })), "{late:?}");
+    let quota = Size {
+        cpu_millis: 500,
+        memory_mib: 500,
+        accelerators: 0,
+    };
+    let shares = Shares {
+        latency_critical_percent: 50,
+        batch_percent: 50,
+    };
+    core.configure(shares, BTreeMap::from([("team".to_owned(), quota)]));
+    let over = core.submit(submission("over", 501), NOW_UNIX_MS);
+    assert!(
+        matches!(over, Err(SubmitError::OverQuota { .. })),
+        "{over:?}"
+    );
+    assert!(core.take_batch().is_none(), "a refusal left an entry");
+}
+
+#[test]
+fn core_quota_over_all_shards() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    let quota = Size {
+        cpu_millis: 2_000,
+        memory_mib: 9_000,
+        accelerators: 0,
+    };
+    let shares = Shares {
+        latency_critical_percent: 50,
+        batch_percent: 50,
+    };
+    core.configure(shares, BTreeMap::from([("team".to_owned(), quota)]));
+    let used = Size {
+        cpu_millis: 1_000,
+        memory_mib: 100,
+        accelerators: 0,
+    };
+    core.set_team_used_elsewhere(BTreeMap::from([("team".to_owned(), used)]));
+    for key in ["a", "b"] {
+        core.submit(submission(key, 1_000), NOW_UNIX_MS)
+            .expect("accepted");
+    }
+    assert_eq!(core.decide(now, NOW_UNIX_MS), 1);
+    assert_eq!(core.wait_reason(2), Some(WaitReason::Quota));
+}
+
+#[test]
+fn core_busiest_minute_waits_and_then_must() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    core.set_batch_budget(500);
+    core.submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    assert_eq!(core.decide(now, NOW_UNIX_MS), 0);
+    assert_eq!(core.wait_reason(1), Some(WaitReason::BusiestMinute));
+    // 12.5 s before the deadline the padded run time leaves no slack.
+    assert_eq!(core.decide(now, NOW_UNIX_MS + 587_499), 0);
+    assert_eq!(core.decide(now, NOW_UNIX_MS + 587_500), 1);
+}
+
+#[test]
+fn core_silent_worker_gets_nothing() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    let later = now + Options::default().silence_after;
+    core.tick(later, NOW_UNIX_MS);
+    core.submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    assert_eq!(core.decide(later, NOW_UNIX_MS), 0);
+    assert_eq!(core.wait_reason(1), Some(WaitReason::NoRoom));
+}
+
+#[test]
+fn core_repeat_of_an_ended_job() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let first = core
+        .submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    core.cancel(first.number, NOW_UNIX_MS).expect("cancelled");
+    let again = core
+        .submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("the same job");
+    assert!(again.repeated);
+    assert_eq!(again.number, first.number);
+    let job = core.book().try_find(again.number).expect("the job");
+    assert_eq!(job.state, JobState::Cancelled);
+}
--- a/crates/persimmon-ticket/tests/all/accept.rs
+++ b/crates/persimmon-ticket/tests/all/accept.rs
@@ -6,7 +6,7 @@
     Config, Team, Ticket,
 };
 use persimmon_types::Size;
-use proptest::{prelude::*, test_runner::Config as RunnerConfig};
+use proptest::prelude::*;
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 use std::collections::BTreeMap;
 
@@ -116,9 +116,14 @@
                 number,
                 team,
                 value,
-                ..
+                lost,
             } => {
                 state.write(operator, (number, team, value));
+                if lost {
+                    // The operator reads back and tries again what had no effect.
+                    state.read[operator] = state.accepted.len();
+                    state.write(operator, (number, team, value));
+                }
             }
             Step::Repeat(operator) => {
                 state.read[operator] = state.accepted.len();
@@ -213,8 +218,6 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(RunnerConfig { cases: 256, ..RunnerConfig::default() })]
-
     #[test]
     fn accept_race(sequential 1..60 => Race);
 }
