--- a/crates/persimmon-ticket/tests/all/accept.rs
+++ b/crates/persimmon-ticket/tests/all/accept.rs
@@ -187,7 +187,10 @@
                 let outcome = record.write(operator, ticket(number, team, value));
                 if lost {
                     // The operator reads back; a ticket that took effect is then its own.
-                    let landed = oracle.accepted.last() == Some(&(number, team, value));
+                    let landed = record.numbers.last() == Some(&number)
+                        && outcome == Ok(Outcome::Accepted)
+                        && oracle.accepted.last() == Some(&(number, team, value))
+                        && record.config.digest() == accept::digest(&ticket(number, team, value));
                     record.read(operator);
                     let again = record.write(operator, ticket(number, team, value));
                     let repeated = again == Ok(Outcome::Repeated);
