--- a/crates/persimmon-e2e/tests/e2e/harness/mod.rs
+++ b/crates/persimmon-e2e/tests/e2e/harness/mod.rs
@@ -4,7 +4,7 @@
 mod process;
 
 pub(crate) use cluster::{Cluster, Daemon, Options, TOKEN};
-pub(crate) use process::{program, run, Process};
+pub(crate) use process::{run, Process};
 
 use serde_json::Value;
 use std::{
--- a/crates/persimmon-peak/src/required.rs
+++ b/crates/persimmon-peak/src/required.rs
@@ -3,8 +3,11 @@
 pub struct Work {
     /// The processors that it takes while it runs.
     pub cpu_millis: u64,
-    /// How long it still runs.
+    /// How long it still runs, in the mean.
     pub run_ms: u64,
+    /// How long before its deadline it must have been started to be surely in time; 0 when it has
+    /// been.
+    pub safe_ms: u64,
     /// When it must be done.
     pub deadline_unix_ms: u64,
 }
--- a/crates/persimmon-place/tests/all/ledger.rs
+++ b/crates/persimmon-place/tests/all/ledger.rs
@@ -9,7 +9,7 @@
     batch_percent: 50,
 };
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Step {
     Add(Size),
     Claim {
--- a/crates/persimmon-route/src/endpoint.rs
+++ b/crates/persimmon-route/src/endpoint.rs
@@ -72,6 +72,8 @@
     pub(crate) in_flight: u32,
     /// Smoothed time to a whole answer.
     pub(crate) latency: Duration,
+    /// Smoothed part of the sendings without a whole answer, in thousandths.
+    pub(crate) failing_per_mille: u32,
     pub(crate) failures_in_a_row: u32,
     pub(crate) ejections: u32,
     pub(crate) ejected_until: Option<Instant>,
@@ -92,6 +94,7 @@
             state,
             in_flight: 0,
             latency: Duration::ZERO,
+            failing_per_mille: 0,
             failures_in_a_row: 0,
             ejections: 0,
             ejected_until: None,
@@ -110,6 +113,13 @@
         self.latency = kept + latency / Self::SMOOTHING;
     }
 
+    /// Notes whether a sending had a whole answer.
+    pub(crate) fn count(&mut self, failed: bool) {
+        let newest = if failed { 1_000 } else { 0 };
+        self.failing_per_mille =
+            (self.failing_per_mille * (Self::SMOOTHING - 1) + newest) / Self::SMOOTHING;
+    }
+
     /// The requests that it may be given now, in flight ones included.
     pub(crate) fn limit(&self) -> u32 {
         match self.state {
--- a/crates/persimmon-route/src/router.rs
+++ b/crates/persimmon-route/src/router.rs
@@ -52,6 +52,9 @@
 
 const EJECTION_MAX: Duration = Duration::from_secs(30);
 
+/// How many times dearer an endpoint is that always fails.
+const FAILURE_COST: u32 = 100;
+
 /// One request that waits; those with the earliest deadline go first.
 type WaitKey = (Instant, RequestId);
 
@@ -333,7 +336,9 @@
         } else {
             endpoint.latency
         };
-        (latency + hop) * (endpoint.in_flight + 1)
+        // One that fails fast is always free, and would draw all the more requests.
+        let failing = FAILURE_COST * endpoint.failing_per_mille / 1_000;
+        (latency + hop) * (endpoint.in_flight + 1) * (1 + failing)
     }
 
     /// How long a request would wait behind `ahead` others.
@@ -348,6 +353,7 @@
                 self.observe(latency);
                 if let Some(endpoint) = self.endpoints.get_mut(&key) {
                     endpoint.observe(latency);
+                    endpoint.count(false);
                     endpoint.failures_in_a_row = 0;
                     endpoint.ejections = 0;
                     endpoint.crashed = false;
@@ -392,6 +398,7 @@
         let Some(endpoint) = self.endpoints.get_mut(&key) else {
             return;
         };
+        endpoint.count(true);
         endpoint.failures_in_a_row += 1;
         endpoint.crashed = crashed;
         let often = endpoint.failures_in_a_row >= options.failures_max
--- a/crates/persimmon-route/tests/all/truth.rs
+++ b/crates/persimmon-route/tests/all/truth.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Step {
     Pass(u64),
     Request {
--- a/crates/persimmon-shard/src/core/decide.rs
+++ b/crates/persimmon-shard/src/core/decide.rs
@@ -185,6 +185,7 @@
         Work {
             cpu_millis: u64::from(job.size.cpu_millis),
             run_ms: run_ms.saturating_sub(ran_ms),
+            safe_ms: if job.is_held() { 0 } else { run_ms },
             deadline_unix_ms: job.deadline_unix_ms,
         }
     }
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -56,7 +56,7 @@
             Ok(answer) => {
                 worker.answered_at = now;
                 worker.lease.receive(answer.nonce, now);
-                self.take_answer(position, answer, now, now_unix_ms);
+                self.take_answer(position, &answer, now, now_unix_ms);
             }
             Err(_) => worker.lease.forget_nonce(),
         }
@@ -161,14 +161,20 @@
         }
     }
 
-    fn take_answer(&mut self, position: usize, answer: SyncAnswer, now: Instant, now_unix_ms: u64) {
+    fn take_answer(
+        &mut self,
+        position: usize,
+        answer: &SyncAnswer,
+        now: Instant,
+        now_unix_ms: u64,
+    ) {
         let restarted = self.workers[position].incarnation != Some(answer.incarnation);
         self.workers[position].incarnation = Some(answer.incarnation);
         self.step_worker(position, WorkerEvent::Answer);
         if restarted {
             self.lose_earlier_incarnations(position, answer.incarnation, now_unix_ms);
         }
-        self.reserve_overuse(position, &answer);
+        self.reserve_overuse(position, answer);
         let worker = &mut self.workers[position];
         worker.reported = answer
             .tasks
--- a/crates/persimmon-shard/tests/all/world/model.rs
+++ b/crates/persimmon-shard/tests/all/world/model.rs
@@ -28,7 +28,7 @@
 /// Far enough for every job to be done in time.
 const DEADLINE_MS: u64 = 1_000_000_000;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub(super) enum Step {
     Pass(u64),
     Submit {
--- a/crates/persimmon-ticket/tests/all/accept.rs
+++ b/crates/persimmon-ticket/tests/all/accept.rs
@@ -151,10 +151,10 @@
         self.read[operator] = (self.revision, self.config.clone());
     }
 
-    fn write(&mut self, operator: usize, ticket: Ticket) -> Result<Outcome, accept::Error> {
+    fn write(&mut self, operator: usize, ticket: &Ticket) -> Result<Outcome, accept::Error> {
         let (revision, mut config) = self.read[operator].clone();
         self.last[operator] = Some(ticket.clone());
-        let outcome = config.accept(&ticket)?;
+        let outcome = config.accept(ticket)?;
         if outcome == Outcome::Accepted && revision == self.revision {
             self.revision += 1;
             self.config = config;
@@ -184,7 +184,7 @@
                 value,
                 lost,
             } => {
-                let outcome = record.write(operator, ticket(number, team, value));
+                let outcome = record.write(operator, &ticket(number, team, value));
                 if lost {
                     // The operator reads back; a ticket that took effect is then its own.
                     let landed = record.numbers.last() == Some(&number)
@@ -192,7 +192,7 @@
                         && oracle.accepted.last() == Some(&(number, team, value))
                         && record.config.digest() == accept::digest(&ticket(number, team, value));
                     record.read(operator);
-                    let again = record.write(operator, ticket(number, team, value));
+                    let again = record.write(operator, &ticket(number, team, value));
                     let repeated = again == Ok(Outcome::Repeated);
                     assert!(!landed || repeated, "{outcome:?} then {again:?}");
                 }
@@ -200,7 +200,7 @@
             Step::Repeat(operator) => {
                 record.read(operator);
                 if let Some(last) = record.last[operator].clone() {
-                    let _ = record.write(operator, last);
+                    let _ = record.write(operator, &last);
                 }
             }
         }
--- a/crates/persimmonshift-load/src/experiment/route.rs
+++ b/crates/persimmonshift-load/src/experiment/route.rs
@@ -1,1 +1,401 @@
+//! Requests against endpoints with slots: the measured choice against round robin and random.
+//!
+//! The trace is the arrivals, the service times and the faults, all seeded; the router is fed what
+//! the trace makes of its own decisions. Times are virtual.
 
+use crate::Error;
+use hdrhistogram::Histogram;
+use persimmon_route::{
+    naive::Choice, Decision, EndpointKey, EndpointSpec, EndpointState, Options, Outcome, Request,
+    RequestId, Router, Verdict,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    time::{Duration, Instant},
+};
+
+const RUNNERS: usize = 65;
+const SLOTS: u32 = 8;
+const DATA_CENTRES: usize = 4;
+const SERVICE_MEAN: Duration = Duration::from_millis(20);
+const DEADLINE: Duration = Duration::from_millis(400);
+const LENGTH: Duration = Duration::from_secs(12);
+/// When the fault of a case begins.
+const FAULT_AT: Duration = Duration::from_secs(3);
+/// How long the instance list goes on naming lost runners.
+const LIST_LAG: Duration = Duration::from_secs(5);
+const HOP_FAR: Duration = Duration::from_micros(1_000);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    OneSlow,
+    DataCentreLost,
+    Flapping,
+}
+
+struct Case {
+    name: &'static str,
+    load_percent: u32,
+    fault: Fault,
+}
+
+const CASES: [Case; 6] = [
+    Case {
+        name: "even load, 70 %",
+        load_percent: 70,
+        fault: Fault::None,
+    },
+    Case {
+        name: "one runner 5x slower, 25 %",
+        load_percent: 25,
+        fault: Fault::OneSlow,
+    },
+    Case {
+        name: "one runner 5x slower, 70 %",
+        load_percent: 70,
+        fault: Fault::OneSlow,
+    },
+    Case {
+        name: "a data centre's runners gone, 60 %",
+        load_percent: 60,
+        fault: Fault::DataCentreLost,
+    },
+    Case {
+        name: "overload, 200 %",
+        load_percent: 200,
+        fault: Fault::None,
+    },
+    Case {
+        name: "40 % of runners flapping, 40 %",
+        load_percent: 40,
+        fault: Fault::Flapping,
+    },
+];
+
+pub(super) fn run(seed: u64) -> Result<String, Error> {
+    let mut text = format!(
+        "seed {seed}, {RUNNERS} runners of {SLOTS} slots, service {} ms give or take a fifth, \
+         deadline {} ms, {} s a case\n",
+        SERVICE_MEAN.as_millis(),
+        DEADLINE.as_millis(),
+        LENGTH.as_secs()
+    );
+    for case in &CASES {
+        text += &format!("\n{}\n", case.name);
+        text += "choice       p50 ms  p99 ms  p99.9 ms  in time %  of capacity %  not run %  unknown %  \
+                 retries %  refused after ms  least usable\n";
+        for choice in [Choice::RoundRobin, Choice::Random, Choice::Measured] {
+            let world = World::new(case, choice, seed)?;
+            text += &world.run().line(choice);
+        }
+    }
+    Ok(text)
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Finish {
+        id: u64,
+        key: EndpointKey,
+        outcome: u8,
+        sent_at: Instant,
+    },
+    Poll,
+    /// The list leaves out the lost runners.
+    List,
+}
+
+const OUTCOMES: [Outcome; 3] = [Outcome::Answered, Outcome::NotConnected, Outcome::Broken];
+
+struct Tally {
+    latency_us: Histogram<u64>,
+    refused_us: Histogram<u64>,
+    sent: u64,
+    in_time: u64,
+    not_run: u64,
+    unknown: u64,
+    retries: u64,
+    capacity: f64,
+    least_usable: usize,
+}
+
+struct World<'a> {
+    case: &'a Case,
+    router: Router,
+    rng: ChaCha8Rng,
+    base: Instant,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    order: u64,
+    next_id: u64,
+    open: HashMap<u64, (Request, Instant)>,
+    by_key: HashMap<EndpointKey, usize>,
+    tally: Tally,
+}
+
+impl<'a> World<'a> {
+    fn new(case: &'a Case, choice: Choice, seed: u64) -> Result<Self, Error> {
+        let options = Options {
+            choice,
+            seed,
+            ..Options::default()
+        };
+        let mut router = Router::new(options).map_err(|err| Error::new("chart", err))?;
+        router.set_endpoints((0..RUNNERS).map(spec).collect());
+        let base = Instant::now();
+        let histogram = || {
+            const MINUTE_US: u64 = 60_000_000;
+            let histogram = Histogram::new_with_bounds(1, MINUTE_US, 3);
+            histogram.map_err(|err| Error::new("histogram", err))
+        };
+        let capacity = RUNNERS as f64 * f64::from(SLOTS) / SERVICE_MEAN.as_secs_f64();
+        let mut world = Self {
+            case,
+            router,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            base,
+            events: BinaryHeap::new(),
+            order: 0,
+            next_id: 0,
+            open: HashMap::new(),
+            by_key: HashMap::new(),
+            tally: Tally {
+                latency_us: histogram()?,
+                refused_us: histogram()?,
+                sent: 0,
+                in_time: 0,
+                not_run: 0,
+                unknown: 0,
+                retries: 0,
+                capacity: capacity * LENGTH.as_secs_f64(),
+                least_usable: RUNNERS,
+            },
+        };
+        world.push(base, Event::Arrive);
+        world.push(base, Event::Poll);
+        if case.fault == Fault::DataCentreLost {
+            world.push(base + FAULT_AT + LIST_LAG, Event::List);
+        }
+        Ok(world)
+    }
+
+    fn run(mut self) -> Tally {
+        let end = self.base + LENGTH;
+        while let Some(Reverse((now, _, event))) = self.events.pop() {
+            match event {
+                Event::Arrive if now < end => self.arrive(now),
+                Event::Arrive => {}
+                Event::Finish {
+                    id,
+                    key,
+                    outcome,
+                    sent_at,
+                } => {
+                    self.finish(id, key, OUTCOMES[usize::from(outcome)], sent_at, now);
+                }
+                Event::Poll => {
+                    self.poll(now);
+                    let usable = self.router.iter().filter(|endpoint| {
+                        matches!(
+                            endpoint.state,
+                            EndpointState::Serving | EndpointState::Listed
+                        )
+                    });
+                    self.tally.least_usable = self.tally.least_usable.min(usable.count());
+                    if now < end + DEADLINE {
+                        self.push(now + Duration::from_millis(5), Event::Poll);
+                    }
+                }
+                Event::List => {
+                    let kept = (0..RUNNERS).filter(|runner| !is_lost(*runner));
+                    self.router.set_endpoints(kept.map(spec).collect());
+                }
+            }
+        }
+        self.tally
+    }
+
+    fn push(&mut self, at: Instant, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((at, self.order, event)));
+    }
+
+    fn exponential(&mut self, mean: Duration) -> Duration {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        mean.mul_f64(-uniform.ln())
+    }
+
+    /// The time to serve a request: the mean, give or take a fifth.
+    fn service(&mut self) -> Duration {
+        SERVICE_MEAN.mul_f64(self.rng.random_range(0.8..1.2))
+    }
+
+    fn arrive(&mut self, now: Instant) {
+        let per_s = RUNNERS as f64 * f64::from(SLOTS) / SERVICE_MEAN.as_secs_f64();
+        let rate = per_s * f64::from(self.case.load_percent) / 100.0;
+        let pause = self.exponential(Duration::from_secs_f64(1.0 / rate));
+        self.push(now + pause, Event::Arrive);
+        self.next_id += 1;
+        let idempotent = self.rng.random_bool(0.5);
+        let request = Request {
+            id: RequestId(self.next_id),
+            deadline: now + DEADLINE,
+            idempotent,
+        };
+        self.tally.sent += 1;
+        self.open.insert(self.next_id, (request, now));
+        let decision = self.router.request(request, now);
+        self.decided(self.next_id, decision, now);
+    }
+
+    fn poll(&mut self, now: Instant) {
+        for (id, decision) in self.router.poll(now) {
+            self.decided(id.0, decision, now);
+        }
+    }
+
+    fn decided(&mut self, id: u64, decision: Decision, now: Instant) {
+        match decision {
+            Decision::Wait => {}
+            Decision::Send(key) => self.send(id, key, now),
+            Decision::Refuse(_) => {
+                if let Some((_, arrived_at)) = self.open.remove(&id) {
+                    self.tally.not_run += 1;
+                    self.tally
+                        .refused_us
+                        .saturating_record((now - arrived_at).as_micros() as u64);
+                }
+            }
+            Decision::GiveUp(_) => {
+                self.open.remove(&id);
+                self.tally.unknown += 1;
+            }
+        }
+    }
+
+    fn send(&mut self, id: u64, key: EndpointKey, now: Instant) {
+        let runner = self.runner(key);
+        let hop = if runner % DATA_CENTRES == 0 {
+            Duration::ZERO
+        } else {
+            HOP_FAR
+        };
+        let since = now - self.base;
+        let mut took = self.service() + hop;
+        let mut outcome = 0;
+        match self.case.fault {
+            Fault::OneSlow if runner == 7 => took = self.service() * 5 + hop,
+            Fault::DataCentreLost if is_lost(runner) && since >= FAULT_AT => {
+                (took, outcome) = (Duration::from_millis(1), 1);
+            }
+            Fault::Flapping if is_down(runner, since) => {
+                (took, outcome) = (Duration::from_millis(5), 2);
+            }
+            _ => {}
+        }
+        self.push(
+            now + took,
+            Event::Finish {
+                id,
+                key,
+                outcome,
+                sent_at: now,
+            },
+        );
+    }
+
+    fn runner(&mut self, key: EndpointKey) -> usize {
+        if let Some(runner) = self.by_key.get(&key) {
+            return *runner;
+        }
+        let id = self.router.endpoint_id(key).unwrap_or_default();
+        let runner = id.trim_start_matches('r').parse().unwrap_or(0);
+        self.by_key.insert(key, runner);
+        runner
+    }
+
+    fn finish(
+        &mut self,
+        id: u64,
+        key: EndpointKey,
+        outcome: Outcome,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let Some((request, arrived_at)) = self.open.get(&id).copied() else {
+            return;
+        };
+        let verdict = self
+            .router
+            .finish(&request, key, outcome, now - sent_at, now);
+        if outcome == Outcome::Answered {
+            self.open.remove(&id);
+            self.tally
+                .latency_us
+                .saturating_record((now - arrived_at).as_micros() as u64);
+            self.tally.in_time += u64::from(now <= request.deadline);
+        } else {
+            match verdict {
+                Verdict::Retry => {
+                    self.tally.retries += 1;
+                    let decision = self.router.request(request, now);
+                    self.decided(id, decision, now);
+                }
+                Verdict::NotRun => {
+                    self.open.remove(&id);
+                    self.tally.not_run += 1;
+                }
+                Verdict::Unknown => {
+                    self.open.remove(&id);
+                    self.tally.unknown += 1;
+                }
+            }
+        }
+        self.poll(now);
+    }
+}
+
+fn spec(runner: usize) -> EndpointSpec {
+    EndpointSpec {
+        id: format!("r{runner}"),
+        address: format!("r{runner}"),
+        near: runner % DATA_CENTRES == 0,
+        share: SLOTS,
+        leaving: false,
+    }
+}
+
+fn is_lost(runner: usize) -> bool {
+    runner % DATA_CENTRES == 3
+}
+
+/// 40 % of the runners are down every other second, each in a phase of its own.
+fn is_down(runner: usize, since: Duration) -> bool {
+    let phase = since.as_millis() as usize + runner * 137;
+    runner % 5 < 2 && phase % 2_000 < 1_000
+}
+
+impl Tally {
+    fn line(&self, choice: Choice) -> String {
+        let ms = |percent: f64| self.latency_us.value_at_percentile(percent) as f64 / 1000.0;
+        let of_sent = |count: u64| count as f64 / self.sent as f64 * 100.0;
+        format!(
+            "{:<11} {:>7.1} {:>7.1} {:>9.1} {:>10.2} {:>14.2} {:>10.2} {:>10.3} {:>10.2} {:>17.1} {:>13}\n",
+            format!("{choice:?}"),
+            ms(50.0),
+            ms(99.0),
+            ms(99.9),
+            of_sent(self.in_time),
+            self.in_time as f64 / self.capacity * 100.0,
+            of_sent(self.not_run),
+            of_sent(self.unknown),
+            of_sent(self.retries),
+            self.refused_us.value_at_percentile(50.0) as f64 / 1000.0,
+            self.least_usable,
+        )
+    }
+}
--- a/crates/persimmonshift-standin/src/http.rs
+++ b/crates/persimmonshift-standin/src/http.rs
@@ -28,9 +28,9 @@
 }
 
 impl Call {
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Response<Body>> {
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Box<Response<Body>>> {
         serde_json::from_slice(&self.body)
-            .map_err(|err| text(StatusCode::BAD_REQUEST, &err.to_string()))
+            .map_err(|err| Box::new(text(StatusCode::BAD_REQUEST, &err.to_string())))
     }
 }
 
--- a/crates/persimmonshift-standin/src/instances.rs
+++ b/crates/persimmonshift-standin/src/instances.rs
@@ -79,7 +79,7 @@
                 inner.hidden.push_back((now, Change::Add(instance)));
                 text(StatusCode::OK, "{}")
             }
-            Err(response) => response,
+            Err(response) => *response,
         },
         "/control/state" => match call.json::<SetState>() {
             Ok(SetState { id, state }) => {
@@ -90,7 +90,7 @@
                 inner.hidden.push_back((now, change));
                 text(StatusCode::OK, "{}")
             }
-            Err(response) => response,
+            Err(response) => *response,
         },
         _ => text(StatusCode::NOT_FOUND, "no such call"),
     }
--- a/crates/persimmonshift-standin/src/relay.rs
+++ b/crates/persimmonshift-standin/src/relay.rs
@@ -88,7 +88,7 @@
                 .unwrap_or_else(PoisonError::into_inner) = switches;
             text(StatusCode::OK, "{}")
         }
-        Err(response) => response,
+        Err(response) => *response,
     }
 }
 
--- a/crates/persimmonshift-standin/src/runner.rs
+++ b/crates/persimmonshift-standin/src/runner.rs
@@ -121,7 +121,7 @@
                 runner.lock().switches = switches;
                 text(StatusCode::OK, "{}")
             }
-            Err(response) => response,
+            Err(response) => *response,
         },
         _ => runner.serve(call).await,
     }
@@ -174,14 +174,14 @@
         };
         let bytes = Bytes::from(serde_json::to_vec(&answer).unwrap_or_default());
         if switches.truncate {
-            return Response::new(truncated(bytes));
+            return Response::new(truncated(&bytes));
         }
         Response::new(whole(bytes))
     }
 }
 
 /// The first half of a body, then a broken connection.
-fn truncated(bytes: Bytes) -> Body {
+fn truncated(bytes: &Bytes) -> Body {
     let half = bytes.slice(..bytes.len() / 2);
     let frames = [Ok(Frame::data(half)), Err(std::io::Error::other("cut"))];
     BodyExt::boxed(StreamBody::new(Frames(frames.into_iter().collect())))
--- a/crates/persimmonshift-standin/src/store.rs
+++ b/crates/persimmonshift-standin/src/store.rs
@@ -136,7 +136,7 @@
     }
     let switches: Switches = match call.json() {
         Ok(switches) => switches,
-        Err(response) => return response,
+        Err(response) => return *response,
     };
     let expire = switches.expire_leases;
     store.lock().switches = switches;
@@ -227,7 +227,7 @@
     fn cas(&self, call: &Call) -> Response<Body> {
         let cas: Cas = match call.json() {
             Ok(cas) => cas,
-            Err(response) => return response,
+            Err(response) => return *response,
         };
         if cas
             .value
@@ -256,7 +256,7 @@
     fn grant(&self, call: &Call) -> Response<Body> {
         let grant: Grant = match call.json() {
             Ok(grant) => grant,
-            Err(response) => return response,
+            Err(response) => return *response,
         };
         let mut inner = self.lock();
         inner.last_lease += 1;
@@ -274,7 +274,7 @@
     fn renew(&self, call: &Call) -> Response<Body> {
         let lease: Lease = match call.json() {
             Ok(lease) => lease,
-            Err(response) => return response,
+            Err(response) => return *response,
         };
         match self.lock().leases.get_mut(&lease.lease) {
             Some(entry) => {
@@ -288,7 +288,7 @@
     fn revoke(&self, call: &Call) -> Response<Body> {
         let lease: Lease = match call.json() {
             Ok(lease) => lease,
-            Err(response) => return response,
+            Err(response) => return *response,
         };
         self.lock().end_lease(lease.lease);
         self.changed.notify_waiters();
--- a/crates/persimmonshift-standin/src/worker.rs
+++ b/crates/persimmonshift-standin/src/worker.rs
@@ -139,7 +139,7 @@
             }
             match call.json::<SyncRequest>() {
                 Ok(request) => worker.sync(request),
-                Err(response) => response,
+                Err(response) => *response,
             }
         }
         "/control/runs" => json(StatusCode::OK, &worker.lock().runs),
@@ -148,7 +148,7 @@
                 worker.lock().switches = switches;
                 text(StatusCode::OK, "{}")
             }
-            Err(response) => response,
+            Err(response) => *response,
         },
         _ => text(StatusCode::NOT_FOUND, "no such call"),
     }
@@ -232,7 +232,14 @@
                 checkpoint,
             } => {
                 if !self.tasks.contains_key(&attempt) {
-                    self.start(attempt, class, size, run_time_ms, checkpoint, now);
+                    self.start(
+                        attempt,
+                        class,
+                        size,
+                        run_time_ms,
+                        checkpoint.as_deref(),
+                        now,
+                    );
                 }
             }
             Command::Throttle { attempt, percent } => {
@@ -266,11 +273,10 @@
         class: String,
         size: Size,
         run_time_ms: u64,
-        checkpoint: Option<String>,
+        checkpoint: Option<&str>,
         now: Instant,
     ) {
         let done_ms = checkpoint
-            .as_deref()
             .and_then(|text| text.parse::<u64>().ok())
             .unwrap_or(0);
         self.runs.push(Run {
--- a/crates/persimmonshiftd/src/api/error.rs
+++ b/crates/persimmonshiftd/src/api/error.rs
@@ -11,21 +11,21 @@
 #[derive(Debug)]
 pub(crate) struct ApiError {
     pub(crate) status: Status,
-    pub(crate) body: ErrorBody,
+    pub(crate) body: Box<ErrorBody>,
 }
 
 impl ApiError {
     pub(crate) fn new(status: Status, step: &str, peer: &str, code: &str, message: &str) -> Self {
         Self {
             status,
-            body: ErrorBody {
+            body: Box::new(ErrorBody {
                 code: code.to_owned(),
                 step: step.to_owned(),
                 peer: peer.to_owned(),
                 message: message.to_owned(),
                 ran: Ran::NotRun,
                 retry_after_ms: None,
-            },
+            }),
         }
     }
 
@@ -49,7 +49,10 @@
                 Ran::Unknown => Status::BadGateway,
             },
         };
-        Self { status, body }
+        Self {
+            status,
+            body: Box::new(body),
+        }
     }
 }
 
--- a/crates/persimmonshiftd/src/api/tickets.rs
+++ b/crates/persimmonshiftd/src/api/tickets.rs
@@ -44,7 +44,7 @@
             reason: err.to_string(),
         })
     });
-    result.map(Json).map_err(refused)
+    result.map(Json).map_err(|err| refused(&err))
 }
 
 #[post("/v1/tickets/check", data = "<data>")]
@@ -125,7 +125,7 @@
     parse(&text).map_err(|err| bad("malformed", &err.to_string()))
 }
 
-fn refused(err: Error) -> ApiError {
+fn refused(err: &Error) -> ApiError {
     let message = err.to_string();
     match err {
         Error::Refused(_) => ApiError::new(Status::Conflict, STEP, "config", "refused", &message),
--- a/crates/persimmonshiftd/src/main.rs
+++ b/crates/persimmonshiftd/src/main.rs
@@ -4,5 +4,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    persimmonshiftd::run(argh::from_env())
+    persimmonshiftd::run(&argh::from_env())
 }
--- a/crates/persimmonshiftd/src/member/list.rs
+++ b/crates/persimmonshiftd/src/member/list.rs
@@ -46,7 +46,7 @@
             None => self.by_key.remove(&entry.key),
         };
         if let Some(member) = replaced {
-            self.note_missing(member, now);
+            self.note_missing(&member, now);
         }
     }
 
@@ -61,7 +61,7 @@
             .collect();
         for key in gone {
             if let Some(member) = self.by_key.remove(&key) {
-                self.note_missing(member, now);
+                self.note_missing(&member, now);
             }
         }
     }
@@ -96,9 +96,9 @@
         *self.missing_since.entry(key).or_insert(now)
     }
 
-    fn note_missing(&mut self, member: Member, now: Instant) {
+    fn note_missing(&mut self, member: &Member, now: Instant) {
         let key = (member.id.clone(), member.incarnation);
-        let replaced = self.by_key.values().any(|other| *other == member);
+        let replaced = self.by_key.values().any(|other| other == member);
         if !replaced {
             self.missing_since.entry(key).or_insert(now);
         }
--- a/crates/persimmonshiftd/src/shards/owned.rs
+++ b/crates/persimmonshiftd/src/shards/owned.rs
@@ -57,7 +57,7 @@
 }
 
 /// What the duty does after a commit.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Next {
     Keep,
     Drop,
--- a/crates/persimmonshiftd/src/start.rs
+++ b/crates/persimmonshiftd/src/start.rs
@@ -51,11 +51,11 @@
 }
 
 /// Runs the daemon until it is told to stop.
-pub fn run(args: Args) -> ExitCode {
+pub fn run(args: &Args) -> ExitCode {
     // Rocket would set up logging of its own if none were there.
     let filter = env_logger::Env::default().default_filter_or(LOG_FILTER);
     env_logger::Builder::from_env(filter).init();
-    let settings = match Settings::check(&args, |name| std::env::var(name).ok()) {
+    let settings = match Settings::check(args, |name| std::env::var(name).ok()) {
         Ok(settings) => settings,
         Err(err) => {
             for fault in &err.faults {
@@ -135,16 +135,13 @@
     Ok(())
 }
 
+/// This daemon's end of the calls between daemons.
+type MeshEnd = Mesh<crate::message::Question, crate::message::Answer>;
+
 fn build(
     settings: Settings,
     shard_handle: shards::ShardHandle,
-) -> Result<
-    (
-        Arc<Context>,
-        Arc<Mesh<crate::message::Question, crate::message::Answer>>,
-    ),
-    StartError,
-> {
+) -> Result<(Arc<Context>, Arc<MeshEnd>), StartError> {
     let clock = Arc::new(SystemClock);
     let started_at = clock.now();
     // Two starts of one member within a millisecond can't both own its address.
