feat(shard): plan the busiest minute with learned run times and arrivals

Cause: the critical-interval level counts tasks as divisible and knows nothing of work to come, so it had to be raised at the end of the night.

--- a/crates/persimmon-peak/src/lib.rs
+++ b/crates/persimmon-peak/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod naive;
 mod planner;
 mod profile;
-mod required;
+mod rigid;
+mod work;
 
 pub use estimate::Estimate;
 pub use interval::{interval_cpu_millis, Released};
 pub use planner::{Options, Planner};
 pub use profile::Profile;
-pub use required::{required_cpu_millis, Work};
+pub use rigid::is_feasible;
+pub use work::Work;
--- a/crates/persimmon-peak/src/planner.rs
+++ b/crates/persimmon-peak/src/planner.rs
@@ -1,5 +1,4 @@
-use crate::{interval_cpu_millis, Profile, Released, Work};
-use std::collections::BTreeMap;
+use crate::{interval_cpu_millis, is_feasible, Profile, Released, Work};
 
 /// How a planner decides.
 #[derive(Debug, Clone, Copy)]
@@ -9,6 +8,8 @@
     /// How long before its deadline expected work should be done, since tasks can't be divided;
     /// 10 min by default. For work that is known the planner works it out.
     pub margin_ms: u64,
+    /// Added to expected work, in hundredths, since days differ; 8 by default.
+    pub expected_margin_percent: u32,
 }
 
 impl Default for Options {
@@ -16,6 +17,7 @@
         Self {
             bucket_ms: 60_000,
             margin_ms: 600_000,
+            expected_margin_percent: 8,
         }
     }
 }
@@ -68,9 +70,26 @@
         known: &[Work],
         profile: &Profile,
     ) -> u64 {
+        let longest_ms = known.iter().map(|known| known.run_ms).max().unwrap_or(0);
+        let last_end = now_unix_ms + longest_ms + self.options.bucket_ms;
+        let free = if last_end < month_end_unix_ms {
+            self.paid_cpu_millis
+        } else {
+            0
+        };
+        self.raise(now_unix_ms, free, known, profile)
+    }
+
+    /// The least level that does the `known` and the expected work in time, with nothing paid.
+    pub fn required(&self, now_unix_ms: u64, known: &[Work], profile: &Profile) -> u64 {
+        self.raise(now_unix_ms, 0, known, profile)
+    }
+
+    fn raise(&self, now_unix_ms: u64, free: u64, known: &[Work], profile: &Profile) -> u64 {
         let Options {
             bucket_ms,
             margin_ms,
+            expected_margin_percent,
         } = self.options;
         let floor = |unix_ms: u64, margin_ms: u64| {
             let early = unix_ms.saturating_sub(margin_ms);
@@ -78,45 +97,46 @@
         };
         let mut work = profile.expect(now_unix_ms);
         for expected in &mut work {
+            let margin = expected.cpu_millis_ms * u128::from(expected_margin_percent) / 100;
+            expected.cpu_millis_ms += margin;
             expected.deadline_unix_ms = floor(expected.deadline_unix_ms, margin_ms);
         }
         work.retain(|it| it.deadline_unix_ms > it.release_unix_ms);
-        let margins = self.margins(known);
-        work.extend(known.iter().map(|known| {
-            let margin_ms = margins.get(&known.deadline_unix_ms).copied().unwrap_or(0);
-            Released {
-                release_unix_ms: now_unix_ms,
-                deadline_unix_ms: floor(known.deadline_unix_ms, margin_ms),
-                cpu_millis_ms: u128::from(known.cpu_millis) * u128::from(known.run_ms),
-            }
+        work.extend(known.iter().map(|known| Released {
+            release_unix_ms: now_unix_ms,
+            deadline_unix_ms: floor(known.deadline_unix_ms, 0),
+            cpu_millis_ms: u128::from(known.cpu_millis) * u128::from(known.run_ms),
         }));
         let widest = known
             .iter()
             .map(|known| known.cpu_millis)
             .max()
             .unwrap_or(0);
-        let longest_ms = known.iter().map(|known| known.run_ms).max().unwrap_or(0);
-        let ends_this_month = now_unix_ms + longest_ms + bucket_ms < month_end_unix_ms;
-        let free = if ends_this_month {
-            self.paid_cpu_millis
-        } else {
-            0
-        };
-        free.max(interval_cpu_millis(&work)).max(widest)
+        let divisible = free.max(interval_cpu_millis(&work)).max(widest);
+        self.rigid(now_unix_ms, known, divisible)
     }
 
-    /// How long before each deadline the last of its tasks must have been started.
-    ///
-    /// Those due together are started longest first, so the last are the shortest of them.
-    fn margins(&self, known: &[Work]) -> BTreeMap<u64, u64> {
-        let mut margins: BTreeMap<u64, u64> = BTreeMap::new();
-        for work in known.iter().filter(|work| work.safe_ms > 0) {
-            let least = margins.entry(work.deadline_unix_ms).or_insert(work.safe_ms);
-            *least = work.safe_ms.min(*least);
-        }
-        for margin_ms in margins.values_mut() {
-            *margin_ms += 2 * self.options.bucket_ms;
+    /// Raises a level that would do for divisible work to one at which all tasks start in time.
+    fn rigid(&self, now_unix_ms: u64, known: &[Work], divisible_cpu_millis: u64) -> u64 {
+        const STEPS_MAX: usize = 256;
+        const STEPS_PER_LEVEL: u64 = 200;
+        let guarded: Vec<Work> = known
+            .iter()
+            .map(|work| Work {
+                deadline_unix_ms: work
+                    .deadline_unix_ms
+                    .saturating_sub(2 * self.options.bucket_ms),
+                ..*work
+            })
+            .collect();
+        let mut level = divisible_cpu_millis;
+        for _ in 0..STEPS_MAX {
+            if is_feasible(now_unix_ms, &guarded, level) {
+                return level;
+            }
+            level += (level / STEPS_PER_LEVEL).max(1);
         }
-        margins
+        // Some deadline can't be met at any level; that must not raise the bill.
+        divisible_cpu_millis
     }
 }
--- /dev/null
+++ b/crates/persimmon-peak/src/rigid.rs
@@ -0,0 +1,42 @@
+use crate::Work;
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+/// Tells whether `work` can be started in time, by its safe run times, at `level_cpu_millis`.
+///
+/// Tasks can't be divided, so this plays them through, the most pressing first, each for its mean
+/// run time. None overtakes another, since narrow tasks would starve wide ones. Begun tasks
+/// (`safe_ms` of 0) go on first.
+pub fn is_feasible(now_unix_ms: u64, work: &[Work], level_cpu_millis: u64) -> bool {
+    let (begun, mut waiting): (Vec<&Work>, Vec<&Work>) =
+        work.iter().partition(|work| work.safe_ms == 0);
+    waiting.sort_unstable_by_key(|work| Reverse(latest_start(work)));
+    let mut ends: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
+    let mut used: u64 = 0;
+    for work in begun {
+        used += work.cpu_millis;
+        ends.push(Reverse((now_unix_ms + work.run_ms, work.cpu_millis)));
+    }
+    let mut now = now_unix_ms;
+    // The most pressing is last in the list.
+    while let Some(first) = waiting.last() {
+        if latest_start(first) < now {
+            return false;
+        }
+        if used + first.cpu_millis <= level_cpu_millis {
+            used += first.cpu_millis;
+            ends.push(Reverse((now + first.run_ms.max(1), first.cpu_millis)));
+            waiting.pop();
+            continue;
+        }
+        let Some(Reverse((end, cpu_millis))) = ends.pop() else {
+            return false;
+        };
+        now = now.max(end);
+        used -= cpu_millis;
+    }
+    true
+}
+
+fn latest_start(work: &Work) -> u64 {
+    work.deadline_unix_ms.saturating_sub(work.safe_ms)
+}
--- a/crates/persimmon-shard/src/core/decide.rs
+++ b/crates/persimmon-shard/src/core/decide.rs
@@ -3,10 +3,7 @@
 use persimmon_peak::Work;
 use persimmon_place::{place, Kind, WorkerKey};
 use persimmon_types::Size;
-use std::{
-    collections::HashSet,
-    time::{Duration, Instant},
-};
+use std::{collections::HashSet, time::Instant};
 
 impl Core {
     /// Places queued jobs where they may run, most pressing first; the number placed.
@@ -15,9 +12,16 @@
         let mut claimed = self.batch_claimed_cpu_millis();
         let mut no_room: HashSet<Size> = HashSet::new();
         let candidates: Vec<u64> = self.queue.iter().map(|key| key.number).collect();
-        let mut placed = 0;
+        let (mut placed, mut over_budget) = (0, false);
         for number in candidates {
-            match self.try_place(number, now_unix_ms, claimed, &closed, &mut no_room) {
+            match self.try_place(
+                number,
+                now_unix_ms,
+                claimed,
+                &closed,
+                &mut no_room,
+                &mut over_budget,
+            ) {
                 Ok(size) => {
                     claimed += u64::from(size.cpu_millis);
                     placed += 1;
@@ -28,24 +32,57 @@
         placed
     }
 
-    /// What batch tasks of this shard use and need at `now_unix_ms`.
-    pub fn demand(&self, now_unix_ms: u64) -> Demand {
+    /// Works out anew what meeting all deadlines takes; [`Core::demand()`] tells it.
+    pub fn plan(&mut self, now_unix_ms: u64) {
+        self.profile.turn(now_unix_ms);
         let open = self
             .book
             .iter()
             .filter(|job| !job.is_ended() && job.state != JobState::Unknown);
         let work: Vec<Work> = open.map(|job| self.work(job, now_unix_ms)).collect();
+        self.required_cpu_millis = self.planner.required(now_unix_ms, &work, &self.profile);
+    }
+
+    /// What batch tasks of this shard use, and need by the newest plan.
+    pub fn demand(&self) -> Demand {
         let queued = self
             .queue
             .iter()
             .filter_map(|key| self.book.try_find(key.number));
         Demand {
             claimed_cpu_millis: self.batch_claimed_cpu_millis(),
-            required_cpu_millis: persimmon_peak::required_cpu_millis(now_unix_ms, &work),
+            required_cpu_millis: self.required_cpu_millis,
             queued_cpu_millis: queued.map(|job| u64::from(job.size.cpu_millis)).sum(),
         }
     }
 
+    /// Learns from a completed attempt that was not resumed.
+    pub(super) fn learn_run_time(&mut self, number: u64, now_unix_ms: u64) {
+        let Some(job) = self
+            .book
+            .try_find(number)
+            .filter(|job| job.checkpoint.is_none())
+        else {
+            return;
+        };
+        let ran_ms = now_unix_ms.saturating_sub(job.placed_unix_ms);
+        self.estimate
+            .observe(&job.class, job.run_time.as_millis() as u64, ran_ms);
+    }
+
+    /// Notes work that came in, for what is to be expected on later days.
+    pub(super) fn learn_arrival(&mut self, number: u64, now_unix_ms: u64) {
+        let Some(job) = self.book.try_find(number) else {
+            return;
+        };
+        let run_ms = self
+            .estimate
+            .mean_ms(&job.class, job.run_time.as_millis() as u64);
+        let work = u128::from(job.size.cpu_millis) * u128::from(run_ms);
+        self.profile
+            .observe(now_unix_ms, job.deadline_unix_ms, work);
+    }
+
     fn try_place(
         &mut self,
         number: u64,
@@ -53,6 +90,7 @@
         claimed_cpu_millis: u64,
         closed: &HashSet<WorkerKey>,
         no_room: &mut HashSet<Size>,
+        over_budget: &mut bool,
     ) -> Result<Size, WaitReason> {
         let Some(job) = self.book.try_find(number) else {
             return Err(WaitReason::NoRoom);
@@ -65,7 +103,9 @@
             return Err(WaitReason::Quota);
         }
         let level = claimed_cpu_millis + u64::from(size.cpu_millis);
-        if level > self.batch_budget_cpu_millis && !self.must_start(job, now_unix_ms) {
+        // Narrow tasks must not starve a wide one before them.
+        *over_budget |= level > self.batch_budget_cpu_millis;
+        if *over_budget && !self.must_start(job, now_unix_ms) {
             return Err(WaitReason::BusiestMinute);
         }
         let team = job.team.clone();
@@ -168,11 +208,15 @@
     }
 
     fn must_start(&self, job: &Job, now_unix_ms: u64) -> bool {
-        job.urgent || now_unix_ms + self.padded(job).as_millis() as u64 >= job.deadline_unix_ms
+        job.urgent || now_unix_ms + self.safe_ms(job) >= job.deadline_unix_ms
     }
 
-    fn padded(&self, job: &Job) -> Duration {
-        job.run_time * (100 + self.options.run_time_margin_percent) / 100
+    /// The run time that is safe to count on.
+    fn safe_ms(&self, job: &Job) -> u64 {
+        let unknown_per_mille = 1_000 + 10 * u64::from(self.options.run_time_margin_percent);
+        let declared_ms = job.run_time.as_millis() as u64;
+        self.estimate
+            .high_ms(&job.class, declared_ms, unknown_per_mille)
     }
 
     fn work(&self, job: &Job, now_unix_ms: u64) -> Work {
@@ -181,11 +225,17 @@
         } else {
             0
         };
-        let run_ms = self.padded(job).as_millis() as u64;
+        let run_ms = self
+            .estimate
+            .mean_ms(&job.class, job.run_time.as_millis() as u64);
         Work {
             cpu_millis: u64::from(job.size.cpu_millis),
-            run_ms: run_ms.saturating_sub(ran_ms),
-            safe_ms: if job.is_held() { 0 } else { run_ms },
+            run_ms: run_ms.saturating_sub(ran_ms).max(1),
+            safe_ms: if job.is_held() {
+                0
+            } else {
+                self.safe_ms(job).max(1)
+            },
             deadline_unix_ms: job.deadline_unix_ms,
         }
     }
--- a/crates/persimmon-shard/src/core/job.rs
+++ b/crates/persimmon-shard/src/core/job.rs
@@ -40,6 +40,7 @@
             deadline_unix_ms: submission.deadline_unix_ms,
             at_unix_ms: now_unix_ms,
         });
+        self.learn_arrival(number, now_unix_ms);
         Ok(SubmitOutcome {
             number,
             seq,
--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{Book, Charts, Entry, Job, JobState, Seq};
+use persimmon_peak::{Estimate, Planner, Profile};
 use persimmon_place::{ClaimKey, Health, Kind, Ledger, Quotas, Shares};
 use persimmon_types::Size;
 use std::{
@@ -64,6 +65,10 @@
     team_quotas: BTreeMap<String, Size>,
     team_used_elsewhere: BTreeMap<String, Size>,
     batch_budget_cpu_millis: u64,
+    planner: Planner,
+    profile: Profile,
+    estimate: Estimate,
+    required_cpu_millis: u64,
     rotation: usize,
 }
 
@@ -100,6 +105,10 @@
             team_quotas: BTreeMap::new(),
             team_used_elsewhere: BTreeMap::new(),
             batch_budget_cpu_millis: u64::MAX,
+            planner: Planner::new(persimmon_peak::Options::default()),
+            profile: Profile::default(),
+            estimate: Estimate::default(),
+            required_cpu_millis: 0,
             rotation: 0,
         }
     }
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -234,6 +234,7 @@
             TaskStatus::Running => {}
             TaskStatus::Done => {
                 self.health.succeed(key);
+                self.learn_run_time(number, now_unix_ms);
                 self.step(number, JobEvent::Complete, now_unix_ms, None, false);
             }
             TaskStatus::Failed if state == JobState::Cancelling => {
--- a/crates/persimmonshift-load/src/experiment/peak.rs
+++ b/crates/persimmonshift-load/src/experiment/peak.rs
@@ -4,6 +4,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// How often tasks are started.
+const TICK_MS: u64 = 5_000;
 const MINUTE_MS: u64 = 60_000;
 const DAY_MS: u64 = 24 * 60 * MINUTE_MS;
 /// Days before the month that is billed, from which the profile and the estimates are learned.
@@ -146,7 +148,9 @@
         missed: 0,
     };
     let end = (LEARNING_DAYS + DAYS + 2) * DAY_MS;
-    for now in (0..end).step_by(MINUTE_MS as usize) {
+    let mut level = naive::run_at_once();
+    let mut minute_cpu_ms: u64 = 0;
+    for now in (0..end).step_by(TICK_MS as usize) {
         let billed = now >= LEARNING_DAYS * DAY_MS;
         profile.turn(now);
         planner.turn(u32::from(billed));
@@ -167,26 +171,27 @@
             !ended
         });
         let month_end = if billed { end } else { LEARNING_DAYS * DAY_MS };
-        let level = match policy {
-            Policy::RunAtOnce => naive::run_at_once(),
-            Policy::Known | Policy::Expected => {
-                let known = known(now, &queue, &running, &estimate, &names);
-                let profile = if policy == Policy::Expected {
-                    &profile
-                } else {
-                    &empty
-                };
-                planner.level(now, month_end, &known, profile)
-            }
-        };
+        if now % MINUTE_MS == 0 && policy != Policy::RunAtOnce {
+            let known = known(now, &queue, &running, &estimate, &names);
+            let profile = if policy == Policy::Expected {
+                &profile
+            } else {
+                &empty
+            };
+            level = planner.level(now, month_end, &known, profile);
+        }
         // Most pressing first, by the run time that is safe to count on.
         let safe_ms =
             |job: &Job| estimate.high_ms(&names[job.class], job.declared_ms, UNKNOWN_PER_MILLE);
         queue.sort_by_key(|job| job.deadline_ms.saturating_sub(safe_ms(job)));
         let mut used: u64 = running.iter().map(|task| task.job.cpu_millis).sum();
+        let mut blocked = false;
         queue.retain(|job| {
             let must = now + safe_ms(job) + MINUTE_MS >= job.deadline_ms;
-            let starts = must || used.saturating_add(job.cpu_millis) <= level;
+            let fits = used.saturating_add(job.cpu_millis) <= level;
+            // Narrow tasks must not starve a wide one before them.
+            blocked |= !fits;
+            let starts = must || !blocked;
             if starts {
                 used += job.cpu_millis;
                 running.push(Running {
@@ -196,9 +201,14 @@
             }
             !starts
         });
-        planner.pay(used);
-        if billed {
-            outcome.busiest = outcome.busiest.max(used);
+        minute_cpu_ms += used * TICK_MS;
+        if (now + TICK_MS) % MINUTE_MS == 0 {
+            let minute = minute_cpu_ms / MINUTE_MS;
+            minute_cpu_ms = 0;
+            planner.pay(minute);
+            if billed {
+                outcome.busiest = outcome.busiest.max(minute);
+            }
         }
     }
     outcome.missed += queue.len() as u64;
--- a/crates/persimmonshiftd/src/shards/duty.rs
+++ b/crates/persimmonshiftd/src/shards/duty.rs
@@ -147,7 +147,7 @@
                 let specs = worker_specs(&self.context, &self.instances, shard);
                 owned.core.set_workers(&specs, now);
                 *slot = Slot::Owned(Box::new(owned));
-                self.publish(now);
+                self.publish();
                 self.context.gossip_now.notify_one();
             }
             Err(reason) => {
@@ -167,7 +167,7 @@
         self.slots[usize::from(shard)] = Slot::Idle {
             retry_at: now + TAKE_PAUSE,
         };
-        self.publish(now);
+        self.publish();
         self.context.gossip_now.notify_one();
     }
 
@@ -185,7 +185,7 @@
         self.follow_members(now);
         if now >= self.budget_at {
             self.budget_at = now + BUDGET_INTERVAL;
-            self.set_budgets(now);
+            self.set_budgets();
         }
         let context = Arc::clone(&self.context);
         for slot in &mut self.slots {
@@ -256,11 +256,16 @@
         ids.into_iter().filter(|id| !draining(id)).collect()
     }
 
-    fn set_budgets(&mut self, now: Instant) {
-        self.publish(now);
+    fn set_budgets(&mut self) {
+        let now_unix_ms = self.context.now_unix_ms();
+        for slot in &mut self.slots {
+            if let Slot::Owned(owned) = slot {
+                owned.core.plan(now_unix_ms);
+            }
+        }
+        self.publish();
         let own = self.context.shards.owned();
         let known = budget::known(&self.context, &own);
-        let now_unix_ms = self.context.now_unix_ms();
         let claimed: u64 = known.values().map(|news| news.claimed_cpu_millis).sum();
         self.meter.sample(&self.context, claimed, now_unix_ms);
         let busiest = self.context.busiest.get();
@@ -277,10 +282,9 @@
         }
     }
 
-    fn publish(&self, _now: Instant) {
-        let now_unix_ms = self.context.now_unix_ms();
+    fn publish(&self) {
         let owned = self.slots.iter().filter_map(|slot| match slot {
-            Slot::Owned(owned) => Some(view::news(owned, now_unix_ms)),
+            Slot::Owned(owned) => Some(view::news(owned)),
             _ => None,
         });
         self.context.shards.set_owned(owned.collect());
--- a/crates/persimmonshiftd/src/shards/view.rs
+++ b/crates/persimmonshiftd/src/shards/view.rs
@@ -66,8 +66,8 @@
     }
 }
 
-pub(crate) fn news(owned: &Owned, now_unix_ms: u64) -> OwnedNews {
-    let demand = owned.core.demand(now_unix_ms);
+pub(crate) fn news(owned: &Owned) -> OwnedNews {
+    let demand = owned.core.demand();
     let teams = owned.core.team_used().into_iter();
     OwnedNews {
         shard: owned.shard,
