--- a/crates/persimmon-lease/tests/all/ownership.rs
+++ b/crates/persimmon-lease/tests/all/ownership.rs
@@ -23,8 +23,12 @@
         there_ms: u64,
         back_ms: u64,
     },
+    /// The owner asks all witnesses.
+    AskPromises,
     /// The taker asks a witness for a release.
     AskRelease(usize),
+    /// The taker asks all witnesses.
+    AskReleases,
     Restart(usize),
     SetStore(bool),
     /// The taker writes the record, if it may.
@@ -40,6 +44,9 @@
             Step::AskPromise { witness, there_ms, back_ms }
         }),
         4 => (0..7usize).prop_map(Step::AskRelease),
+        2 => Just(Step::AskPromises),
+        2 => Just(Step::AskReleases),
+        3 => (0..40u64).prop_map(Step::Pass),
         1 => (0..7usize).prop_map(Step::Restart),
         1 => any::<bool>().prop_map(Step::SetStore),
         3 => Just(Step::Take),
@@ -161,7 +168,17 @@
                     self.extension.confirm(&name, asked_at);
                 }
             }
+            Step::AskPromises => {
+                for witness in 0..self.witnesses.len() {
+                    self.take(&Step::AskPromise {
+                        witness,
+                        there_ms: 1,
+                        back_ms: 1,
+                    });
+                }
+            }
             Step::AskRelease(witness) => self.ask_release(witness),
+            Step::AskReleases => (0..self.witnesses.len()).for_each(|at| self.ask_release(at)),
             Step::Restart(witness) => {
                 let Some(at) = witness.checked_rem(self.witnesses.len()) else {
                     return;
@@ -257,3 +274,31 @@
     }
     assert!(!world.owner_acts());
 }
+
+/// The owner's clock is as slow as is allowed for; the store's and the witnesses' are not.
+#[test]
+fn ownership_ends_before_others_think_so() {
+    let (base, drift) = (Instant::now(), Drift::default());
+    let slow = |real: Duration| real * (1000 - drift.rate_per_mille) / 1000;
+    let mut session = Session::new(TTL, drift);
+    session.confirm(base);
+    assert!(session.is_valid(base + TTL / 2));
+    assert!(
+        !session.is_valid(base + slow(TTL)),
+        "relied on when the store's lease has ended"
+    );
+    let mut extension = Extension::new(TERM, LIMIT, drift);
+    let names = ["w#1".to_owned()];
+    extension.confirm("w#1", base);
+    let until = extension.valid_until(&names, base).expect("extended");
+    assert!(until > base + TERM / 2);
+    assert!(
+        until <= base + slow(TERM),
+        "relied on when the promise has ended"
+    );
+    assert_eq!(
+        extension.valid_until(&["w#2".to_owned()], base),
+        None,
+        "another incarnation"
+    );
+}
--- a/crates/persimmon-shard/tests/all/core.rs
+++ b/crates/persimmon-shard/tests/all/core.rs
@@ -1,7 +1,7 @@
 use persimmon_place::Shares;
 use persimmon_shard::{
     Book, Charts, Core, JobState, Options, Submission, SubmitError, SyncAnswer, TaskCommand,
-    WaitReason, WorkerSpec,
+    TaskStatus, TaskView, WaitReason, WorkerSpec,
 };
 use persimmon_ticket::{BatchClass, Rerun};
 use persimmon_types::Size;
@@ -99,6 +99,52 @@
     ));
 }
 
+/// A report that was dropped too early would leave a later owner to run the job again.
+#[test]
+fn core_report_kept_until_commit() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    core.submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    core.decide(now, NOW_UNIX_MS);
+    let (seq, _) = core.take_batch().expect("entries");
+    core.commit(seq);
+    answer(&mut core, now);
+    let report = |core: &mut Core| {
+        let call = core.begin_sync(0, true);
+        let status = TaskStatus::Done;
+        let tasks = vec![TaskView {
+            number: 1,
+            attempt: 1,
+            status,
+            checkpoint: None,
+        }];
+        let answer = SyncAnswer {
+            incarnation: 1,
+            nonce: 2,
+            tasks,
+            used: Size::ZERO,
+        };
+        core.end_sync(0, Ok(answer), now, NOW_UNIX_MS);
+        call.commands
+    };
+    report(&mut core);
+    let forget = |command: &TaskCommand| matches!(command, TaskCommand::Forget { .. });
+    assert!(
+        !report(&mut core).iter().any(forget),
+        "dropped before it was decided on"
+    );
+    let (seq, _) = core.take_batch().expect("its completion");
+    assert!(
+        !report(&mut core).iter().any(forget),
+        "dropped while its commit was in doubt"
+    );
+    core.commit(seq);
+    report(&mut core);
+    assert!(report(&mut core).iter().any(forget), "never dropped");
+}
+
 #[test]
 fn core_not_valid_says_nothing() {
     let now = Instant::now();
--- a/crates/persimmon-ticket/tests/all/accept.rs
+++ b/crates/persimmon-ticket/tests/all/accept.rs
@@ -249,3 +249,14 @@
     let error = Config::default().accept(&ticket).expect_err("refused");
     assert_eq!(error.to_string(), "ticket 1: unknown team \"nobody\"");
 }
+
+#[test]
+fn accept_same_number_other_content() {
+    let mut config = Config::default();
+    let first = ticket(1, 0, 5);
+    assert_eq!(config.accept(&first), Ok(Outcome::Accepted));
+    assert_eq!(config.accept(&first), Ok(Outcome::Repeated));
+    let winner_digest = accept::digest(&first);
+    let lost = accept::Error::Lost { number: 1, winner_digest };
+    assert_eq!(config.accept(&ticket(1, 0, 6)), Err(lost));
+}
--- a/crates/persimmonshift-load/src/args.rs
+++ b/crates/persimmonshift-load/src/args.rs
@@ -12,6 +12,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Drive(DriveArgs),
+    Jobs(JobsArgs),
     Compare(CompareArgs),
     Experiment(ExperimentArgs),
 }
@@ -49,6 +50,30 @@
     pub(crate) out: Option<String>,
 }
 
+/// submit batch jobs at seeded times, wait for them, and check that each ran once
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "jobs")]
+pub(crate) struct JobsArgs {
+    /// a daemon's address, IP:PORT on loopback; may be repeated, submissions go round
+    #[argh(option)]
+    pub(crate) daemon: Vec<String>,
+    /// a worker's address, to learn when tasks started; may be repeated
+    #[argh(option)]
+    pub(crate) worker: Vec<String>,
+    /// the batch class
+    #[argh(option)]
+    pub(crate) class: String,
+    /// jobs a second (default 50, at most 2000)
+    #[argh(option, default = "50")]
+    pub(crate) rate: u32,
+    /// how long, in seconds (default 5, at most 600)
+    #[argh(option, default = "5")]
+    pub(crate) seconds: u32,
+    /// seed of the arrivals (default 1)
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+}
+
 /// compare two results of `drive`
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "compare")]
--- a/crates/persimmonshift-load/src/drive/mod.rs
+++ b/crates/persimmonshift-load/src/drive/mod.rs
@@ -69,6 +69,32 @@
     Ok(())
 }
 
+/// Only addresses of this machine are driven.
+pub(crate) fn check_loopback<'a>(addresses: impl Iterator<Item = &'a String>) -> Result<(), Error> {
+    for address in addresses {
+        let parsed = address.parse::<std::net::SocketAddr>();
+        if !parsed.is_ok_and(|address| address.ip().is_loopback()) {
+            let reason = format!("{address}: only IP:PORT on loopback is driven");
+            return Err(Error::new("arguments", reason));
+        }
+    }
+    Ok(())
+}
+
+/// Seeded arrivals with exponential pauses, as times from the start.
+pub(crate) fn arrivals(rng: &mut ChaCha8Rng, rate: u32, seconds: u32) -> Vec<Duration> {
+    let mut at_s = 0.0;
+    let mut times = Vec::new();
+    loop {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        at_s -= uniform.ln() / f64::from(rate);
+        if at_s >= f64::from(seconds) {
+            return times;
+        }
+        times.push(Duration::from_secs_f64(at_s));
+    }
+}
+
 async fn drive(args: &DriveArgs) -> Result<(DriveResult, Vec<String>), Error> {
     let plan = plan(args);
     let client = reqwest::Client::builder()
@@ -109,26 +135,17 @@
     tally.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Seeded arrivals with exponential pauses.
 fn plan(args: &DriveArgs) -> Vec<Planned> {
     let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
     let run = std::process::id();
-    let mut at_s = 0.0;
-    let mut plan = Vec::new();
-    loop {
-        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-        at_s -= uniform.ln() / f64::from(args.rate);
-        if at_s >= f64::from(args.seconds) {
-            return plan;
-        }
-        let number = plan.len();
-        plan.push(Planned {
-            id: format!("load-{run}-{number}"),
-            at: Duration::from_secs_f64(at_s),
-            daemon: args.daemon[number % args.daemon.len()].clone(),
-            service: args.service.clone(),
-            post: rng.random_range(0..100) < args.post_percent,
-            deadline: Duration::from_millis(args.deadline_ms),
-        });
-    }
+    let times = arrivals(&mut rng, args.rate, args.seconds);
+    let planned = times.into_iter().enumerate().map(|(number, at)| Planned {
+        id: format!("load-{run}-{number}"),
+        at,
+        daemon: args.daemon[number % args.daemon.len()].clone(),
+        service: args.service.clone(),
+        post: rng.random_range(0..100) < args.post_percent,
+        deadline: Duration::from_millis(args.deadline_ms),
+    });
+    planned.collect()
 }
--- a/crates/persimmonshift-load/src/lib.rs
+++ b/crates/persimmonshift-load/src/lib.rs
@@ -10,6 +10,7 @@
 mod compare;
 mod drive;
 mod experiment;
+mod jobs;
 
 pub use args::Args;
 
@@ -37,6 +38,7 @@
 pub fn run(args: Args) -> ExitCode {
     let result = match args.command {
         Command::Drive(args) => drive::run(&args),
+        Command::Jobs(args) => jobs::run(&args),
         Command::Compare(args) => compare::run(&args),
         Command::Experiment(args) => experiment::run(&args),
     };
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,132 @@
+#!/usr/bin/env bash
+# Measures a cluster of plain processes on loopback: what each daemon costs, idle and with jobs.
+# usage: scripts/measure.sh DAEMONS WORKERS JOBS_PER_S SECONDS [tickets|takeover]
+set -u
+cd "$(dirname "$0")/.." || exit 1
+daemons=$1 workers=$2 rate=$3 seconds=$4 also=${5:-}
+cargo build --quiet --release --workspace --bins || exit 1
+bin="${CARGO_TARGET_DIR:-target}/release"
+work=$(mktemp -d)
+pids=()
+finish() {
+    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    wait 2>/dev/null
+    rm -rf "$work"
+}
+trap finish EXIT
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.out" 2>"$work/$name.err" &
+    pid=$!
+    pids+=("$pid")
+    for _ in $(seq 1 400); do
+        [ -s "$work/$name.out" ] && break
+        sleep 0.05
+    done
+    line=$(head -n 1 "$work/$name.out")
+}
+field() { sed -E "s/.*\"$1\":\"([^\"]*)\".*/\1/" <<<"$line"; }
+
+start store "$bin/persimmonshift-standin" store
+store=$(field store)
+start instances "$bin/persimmonshift-standin" instances --lag-ms 200
+instances=$(field instances)
+start workers "$bin/persimmonshift-standin" worker --instances "$instances" --count "$workers"
+worker_args=()
+for address in $(grep -oE '127\.0\.0\.1:[0-9]+' <<<"$line"); do worker_args+=(--worker "$address"); done
+export PERSIMMONSHIFT_TOKEN="measure-token-$$-of-this-run"
+ids=()
+for number in $(seq 1 "$daemons"); do ids+=(--member "e$number"); done
+"$bin/persimmonshift" keys create --out "$work" "${ids[@]}" >/dev/null || exit 1
+apis=() daemon_args=() daemon_pids=()
+for number in $(seq 1 "$daemons"); do
+    id="e$number"
+    start "$id" "$bin/persimmonshiftd" --member-id "$id" --data-centre "dc$((number % 4))" \
+        --store "$store" --instances "$instances" --mesh-authorities "$work/authority.pem" \
+        --mesh-certificate "$work/$id.pem" --mesh-private-key "$work/$id.key"
+    apis+=("$(field api)")
+    daemon_args+=(--daemon "$(field api)")
+    daemon_pids+=("$pid")
+done
+tool() { "$bin/persimmonshift" --daemon "${apis[0]}" "$@"; }
+for _ in $(seq 1 100); do
+    tool ticket apply examples/measure.toml 2>/dev/null | grep -q "in force everywhere" && break
+    sleep 0.2
+done
+for _ in $(seq 1 200); do
+    [ "$(tool status 2>/dev/null | grep -c ' live ')" = "$workers" ] && break
+    sleep 0.2
+done
+sleep 4 # shards move once while daemons join
+
+metric() { awk -v name="persimmonshift_$1" '$1 == name { print $2 }' <<<"$2"; }
+snapshot() { for api in "${apis[@]}"; do curl -sS "http://$api/metrics" | tr '\n' '\036'; echo; done; }
+counters() { curl -sS "http://$store/control/counters"; }
+count() { sed -E "s/.*\"$1\":([0-9]+).*/\1/" <<<"$2"; }
+# Prints what lies between two snapshots, a daemon in the mean and the most of any.
+cost() {
+    local label=$1 span=$2 before=$3 after=$4 calls_before=$5 calls_after=$6
+    paste -d '\037' <(echo "$before") <(echo "$after") | awk -v label="$label" -v span="$span" '
+        function value(text, name,   lines, n, i, parts) {
+            n = split(text, lines, "\036")
+            for (i = 1; i <= n; i++) { split(lines[i], parts, " "); if (parts[1] == "persimmonshift_" name) return parts[2] }
+            return 0
+        }
+        {
+            split($0, both, "\037")
+            cpu = (value(both[2], "process_cpu_seconds") - value(both[1], "process_cpu_seconds")) / span * 100
+            rss = value(both[2], "process_resident_memory_bytes") / 1048576
+            sent = value(both[2], "mesh_sent_bytes") - value(both[1], "mesh_sent_bytes")
+            got = value(both[2], "mesh_received_bytes") - value(both[1], "mesh_received_bytes")
+            bytes = (sent + got) / span / 1024
+            store = (value(both[2], "store_calls") - value(both[1], "store_calls")) / span
+            n++; cpus += cpu; rsss += rss; kbs += bytes; stores += store
+            if (cpu > cpu_most) cpu_most = cpu
+            if (rss > rss_most) rss_most = rss
+            if (bytes > kb_most) kb_most = bytes
+            if (store > store_most) store_most = store
+        }
+        END {
+            printf "%s: a daemon: %.2f %% of a core (most %.2f), %.1f MB (most %.1f), mesh %.2f KB/s (most %.2f), store calls %.2f/s (most %.2f)\n", label, cpus / n, cpu_most, rsss / n, rss_most, kbs / n, kb_most, stores / n, store_most
+        }'
+    echo "$label: the store: $(awk -v a="$(count writes "$calls_before")" -v b="$(count writes "$calls_after")" -v s="$span" 'BEGIN { printf "%.1f", (b - a) / s }') writes/s, $(awk -v a="$(count reads "$calls_before")" -v b="$(count reads "$calls_after")" -v s="$span" 'BEGIN { printf "%.1f", (b - a) / s }') reads/s"
+}
+echo "daemons $daemons, workers $workers, jobs $rate/s for $seconds s"
+before=$(snapshot) calls=$(counters)
+sleep 10
+after=$(snapshot) calls_after=$(counters)
+cost idle 10 "$before" "$after" "$calls" "$calls_after"
+if [ "$rate" -gt 0 ]; then
+    before=$(snapshot) calls=$(counters)
+    "$bin/persimmonshift-load" jobs --class task --rate "$rate" --seconds "$seconds" \
+        "${daemon_args[@]}" "${worker_args[@]}" >"$work/jobs" 2>&1 &
+    load=$!
+    sleep "$seconds"
+    after=$(snapshot) calls_after=$(counters)
+    cost jobs "$seconds" "$before" "$after" "$calls" "$calls_after"
+    wait "$load"
+    cat "$work/jobs"
+fi
+if [ "$also" = tickets ]; then
+    for number in $(seq 2 101); do
+        sed "s/^number = 1$/number = $number/" examples/measure.toml >"$work/t.toml"
+        began=$(date +%s%N)
+        tool ticket apply "$work/t.toml" | grep -q "in force everywhere" || echo "ticket $number: not in force"
+        echo $((($(date +%s%N) - began) / 1000000))
+    done | sort -n >"$work/times"
+    echo "tickets in force on all after ms: p50 $(sed -n 50p "$work/times"), p99 $(sed -n 99p "$work/times"), max $(sed -n 100p "$work/times")"
+fi
+if [ "$also" = takeover ]; then
+    for number in $(seq "$daemons" -1 $((daemons - 2))); do
+        api=${apis[0]}
+        before=$(tool --json status | grep -c "\"owner\": \"e$number\"")
+        began=$(date +%s%N)
+        kill -KILL "${daemon_pids[$((number - 1))]}"
+        until status=$("$bin/persimmonshift" --timeout-ms 1500 --daemon "$api" --json status 2>/dev/null) &&
+            ! grep -q "\"owner\": \"e$number\"" <<<"$status" && grep -q '"missing_shards": \[\]' <<<"$status"; do
+            sleep 0.05
+        done
+        echo "killed e$number, which owned $before shards: all owned again after $((($(date +%s%N) - began) / 1000000)) ms"
+    done
+fi
