feat(shard): send a key elsewhere when its shard has no room; call workers when tasks should end

Cause: measured with 8 daemons, 65 workers in 9 racks, 9 shards and 510 jobs a second for 15 s: 1692 of 7655 jobs were refused as 'can never run', since the hash gives some shards no rack at all; and tasks of one second kept their claims until the next idle call two seconds later, so full shards fell behind (starts p99 83 s). Ruled out: dealing racks out evenly by their order (a new rack would move workers between shards under running tasks); a hash over the shards that have workers now (a repeat would find another shard). Now a key's home shard names the shard that takes it, in its own record, so a repeat finds the same; and a worker is called when its next task should be complete. Tests: job_of_a_shard_without_workers, core_key_sent_elsewhere_once, core_calls_when_a_task_should_be_done.

--- a/crates/persimmon-e2e/tests/e2e/jobs.rs
+++ b/crates/persimmon-e2e/tests/e2e/jobs.rs
@@ -141,3 +141,29 @@
     cluster.daemons[0].wait_job(&ids[0], "done");
     assert_eq!(cluster.runs().len(), 1);
 }
+
+/// Racks are few and keys are many: a key whose shard has no worker is sent to one that has.
+#[test]
+fn job_of_a_shard_without_workers() {
+    let options = Options {
+        runners: 0,
+        workers: 1,
+        settings: vec![("shard-count", "6")],
+        ..Options::default()
+    };
+    let cluster = Cluster::ready(&options);
+    let keys: Vec<String> = (0..12).map(|number| format!("homeless-{number}")).collect();
+    let ids: Vec<String> = keys
+        .iter()
+        .map(|key| cluster.daemons[0].submit("short", key))
+        .collect();
+    let again: Vec<String> = keys
+        .iter()
+        .map(|key| cluster.daemons[1].submit("short", key))
+        .collect();
+    assert_eq!(ids, again, "a repeat is another job");
+    for id in &ids {
+        cluster.daemons[2].wait_job(id, "done");
+    }
+    assert_eq!(cluster.runs().len(), ids.len());
+}
--- a/crates/persimmon-place/src/ledger.rs
+++ b/crates/persimmon-place/src/ledger.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// What work of `kind` may claim of `worker` in all.
+    pub fn share_of(&self, worker: WorkerKey, kind: Kind) -> Size {
+        self.share(self.worker(worker).capacity, kind)
+    }
+
     /// What is claimed on `worker`, over both kinds.
     pub fn claimed(&self, worker: WorkerKey) -> Size {
         let [latency_critical, batch] = self.worker(worker).claimed;
--- a/crates/persimmon-shard/src/book.rs
+++ b/crates/persimmon-shard/src/book.rs
@@ -80,6 +80,8 @@
 pub struct Book {
     pub(crate) jobs: BTreeMap<u64, Job>,
     pub(crate) by_key: HashMap<String, u64>,
+    /// Keys that were sent to other shards, and when.
+    pub(crate) assigned: BTreeMap<String, (u16, u64)>,
     pub(crate) last_number: u64,
     pub(crate) evictions: u64,
     pub(crate) deadlines_met: u64,
@@ -98,6 +100,17 @@
                 true
             }
             Entry::Step(step) => self.step(charts, step),
+            Entry::Assign {
+                key,
+                shard,
+                at_unix_ms,
+            } => {
+                if self.by_key.contains_key(key) || self.assigned.contains_key(key) {
+                    return false;
+                }
+                self.assigned.insert(key.clone(), (*shard, *at_unix_ms));
+                true
+            }
         }
     }
 
@@ -113,6 +126,11 @@
             .and_then(|number| self.jobs.get(number))
     }
 
+    /// The shard that a key was sent to.
+    pub fn try_find_assigned(&self, key: &str) -> Option<u16> {
+        self.assigned.get(key).map(|(shard, _)| *shard)
+    }
+
     /// All jobs, by number.
     pub fn iter(&self) -> impl Iterator<Item = &Job> {
         self.jobs.values()
@@ -141,6 +159,8 @@
     /// Forgets jobs that ended before `unix_ms`; their keys are then free again.
     pub fn prune(&mut self, unix_ms: u64) {
         let old = |job: &Job| job.ended_unix_ms.is_some_and(|ended| ended < unix_ms);
+        self.assigned
+            .retain(|_, (_, at_unix_ms)| *at_unix_ms >= unix_ms);
         let by_key = &mut self.by_key;
         self.jobs.retain(|_, job| {
             let keep = !old(job);
--- a/crates/persimmon-shard/src/core/decide.rs
+++ b/crates/persimmon-shard/src/core/decide.rs
@@ -1,5 +1,5 @@
 use super::{Core, Demand, WaitReason};
-use crate::{Entry, Job, JobEvent, JobState, Step};
+use crate::{Entry, Job, JobEvent, JobState, Step, WorkerState};
 use persimmon_peak::Work;
 use persimmon_place::{place, Kind, WorkerKey};
 use persimmon_types::Size;
@@ -53,6 +53,8 @@
             claimed_cpu_millis: self.batch_claimed_cpu_millis(),
             required_cpu_millis: self.required_cpu_millis,
             queued_cpu_millis: queued.map(|job| u64::from(job.size.cpu_millis)).sum(),
+            capacity_cpu_millis: self.batch_shares().map(|it| u64::from(it.cpu_millis)).sum(),
+            largest: self.batch_shares().fold(Size::ZERO, Size::max),
         }
     }
 
@@ -75,9 +77,7 @@
         let Some(job) = self.book.try_find(number) else {
             return;
         };
-        let run_ms = self
-            .estimate
-            .mean_ms(&job.class, job.run_time.as_millis() as u64);
+        let run_ms = self.mean_ms(job);
         let work = u128::from(job.size.cpu_millis) * u128::from(run_ms);
         self.profile
             .observe(now_unix_ms, job.deadline_unix_ms, work);
@@ -207,10 +207,25 @@
             .admits(&job.team, quota.saturating_sub(elsewhere), job.size)
     }
 
+    /// What batch tasks may claim of each live worker.
+    fn batch_shares(&self) -> impl Iterator<Item = Size> + '_ {
+        let live = self
+            .workers
+            .iter()
+            .filter(|worker| worker.state == WorkerState::Live);
+        live.map(|worker| self.ledger.share_of(worker.key, Kind::Batch))
+    }
+
     fn must_start(&self, job: &Job, now_unix_ms: u64) -> bool {
         job.urgent || now_unix_ms + self.safe_ms(job) >= job.deadline_unix_ms
     }
 
+    /// The run time that tasks of the job's class take in the mean.
+    pub(super) fn mean_ms(&self, job: &Job) -> u64 {
+        self.estimate
+            .mean_ms(&job.class, job.run_time.as_millis() as u64)
+    }
+
     /// The run time that is safe to count on.
     fn safe_ms(&self, job: &Job) -> u64 {
         let unknown_per_mille = 1_000 + 10 * u64::from(self.options.run_time_margin_percent);
@@ -225,9 +240,7 @@
         } else {
             0
         };
-        let run_ms = self
-            .estimate
-            .mean_ms(&job.class, job.run_time.as_millis() as u64);
+        let run_ms = self.mean_ms(job);
         Work {
             cpu_millis: u64::from(job.size.cpu_millis),
             run_ms: run_ms.saturating_sub(ran_ms).max(1),
--- a/crates/persimmon-shard/src/core/job.rs
+++ b/crates/persimmon-shard/src/core/job.rs
@@ -48,6 +48,21 @@
         })
     }
 
+    /// Sends a key to another shard, to be told once the entry is in the store; the shard that the
+    /// key was sent to, which may be an earlier choice.
+    pub fn assign(&mut self, key: &str, shard: u16, now_unix_ms: u64) -> (u16, Seq) {
+        if let Some(earlier) = self.book.try_find_assigned(key) {
+            // Earlier entries may still be in doubt; the newest of all covers them.
+            return (earlier, self.last_seq);
+        }
+        let entry = Entry::Assign {
+            key: key.to_owned(),
+            shard,
+            at_unix_ms: now_unix_ms,
+        };
+        (shard, self.push(entry))
+    }
+
     /// Cancels a job, to be acknowledged once the outcome's entry is in the store.
     pub fn cancel(&mut self, number: u64, now_unix_ms: u64) -> Result<CancelOutcome, CancelError> {
         let job = self.book.try_find(number).ok_or(CancelError::Unknown)?;
--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -190,6 +190,7 @@
         let number = match &entry {
             Entry::Submit { number, .. } => *number,
             Entry::Step(step) => step.number,
+            Entry::Assign { .. } => return self.push_assign(entry),
         };
         self.dequeue(number);
         if !self.book.apply(&self.charts, &entry) {
@@ -204,6 +205,15 @@
         self.last_seq
     }
 
+    /// Adds an entry that concerns no job of this shard.
+    fn push_assign(&mut self, entry: Entry) -> Seq {
+        if self.book.apply(&self.charts, &entry) {
+            self.last_seq = Seq(self.last_seq.0 + 1);
+            self.pending.push(entry);
+        }
+        self.last_seq
+    }
+
     fn dequeue(&mut self, number: u64) {
         if let Some(job) = self.book.try_find(number) {
             self.queue.remove(&QueueKey::from(job));
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -188,6 +188,26 @@
         if !self.commands(position).is_empty() {
             self.workers[position].next_sync = now + COMMAND_PAUSE;
         }
+        let ends_in = self.soonest_end(position, now_unix_ms);
+        let worker = &mut self.workers[position];
+        worker.next_sync = worker.next_sync.min(now + ends_in);
+    }
+
+    /// When the worker's next task should be complete, or be looked at again when it is overdue.
+    fn soonest_end(&self, position: usize, now_unix_ms: u64) -> Duration {
+        let held = self.workers[position].held.iter();
+        let ends = held
+            .filter_map(|number| self.book.try_find(*number))
+            .map(|job| {
+                let ran_ms = now_unix_ms.saturating_sub(job.placed_unix_ms);
+                let left_ms = self.mean_ms(job).saturating_sub(ran_ms);
+                // One that is late is looked at more and more seldom.
+                let overdue_ms = ran_ms / OVERDUE_PART;
+                Duration::from_millis(if left_ms > 0 { left_ms } else { overdue_ms })
+            });
+        ends.min()
+            .unwrap_or(self.options.sync_interval)
+            .max(END_PAUSE)
     }
 
     /// Keeps what tasks use beyond their claims free of new claims.
@@ -348,5 +368,9 @@
 
 /// The pause before a call that carries commands, so that a wave of them goes together.
 const COMMAND_PAUSE: Duration = Duration::from_millis(5);
+/// The shortest pause before a call that looks for completed tasks.
+const END_PAUSE: Duration = Duration::from_millis(100);
+/// An overdue task is looked at again after this part of the time that it has run for.
+const OVERDUE_PART: u64 = 8;
 /// The pause before a report is asked for again once its consequence is in the store.
 const SETTLE_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/persimmon-shard/src/core/types.rs
+++ b/crates/persimmon-shard/src/core/types.rs
@@ -243,6 +243,10 @@
     pub required_cpu_millis: u64,
     /// Processors that queued tasks would claim if all were started.
     pub queued_cpu_millis: u64,
+    /// Processors of all live workers that batch tasks may claim.
+    pub capacity_cpu_millis: u64,
+    /// The largest batch share of any live worker, in each dimension on its own.
+    pub largest: Size,
 }
 
 /// A worker as its shard's owner sees it.
--- a/crates/persimmon-shard/src/entry.rs
+++ b/crates/persimmon-shard/src/entry.rs
@@ -37,6 +37,15 @@
     },
     /// Something happened to a job.
     Step(Step),
+    /// A key was sent to another shard, since this one has no room for its job.
+    Assign {
+        /// The idempotency key.
+        key: String,
+        /// The shard that takes the job.
+        shard: u16,
+        /// When.
+        at_unix_ms: u64,
+    },
 }
 
 /// Something that happened to a job.
--- a/crates/persimmon-shard/src/lib.rs
+++ b/crates/persimmon-shard/src/lib.rs
@@ -24,7 +24,7 @@
     },
     entry::{Entry, Seq, Step},
     record::{
-        BaseRef, BaseWire, BusiestWire, DecodeError, EntryWire, JobWire, OwnerWire, RecordWire,
-        StepWire, SubmitWire, WitnessWire,
+        AssignWire, BaseRef, BaseWire, BusiestWire, DecodeError, EntryWire, JobWire, OwnerWire,
+        RecordWire, StepWire, SubmitWire, WitnessWire,
     },
 };
--- a/crates/persimmon-shard/src/record.rs
+++ b/crates/persimmon-shard/src/record.rs
@@ -73,6 +73,8 @@
     pub deadlines_met: u64,
     pub deadlines_missed: u64,
     pub jobs: Vec<JobWire>,
+    #[serde(default)]
+    pub assigned: Vec<AssignWire>,
 }
 
 /// See [`Job`].
@@ -109,6 +111,17 @@
     Submit(SubmitWire),
     /// See [`Entry::Step`].
     Step(StepWire),
+    /// See [`Entry::Assign`].
+    Assign(AssignWire),
+}
+
+/// See [`Entry::Assign`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[allow(missing_docs)]
+pub struct AssignWire {
+    pub key: String,
+    pub shard: u16,
+    pub at_unix_ms: u64,
 }
 
 /// See [`Entry::Submit`].
@@ -199,6 +212,15 @@
                 deadline_unix_ms: *deadline_unix_ms,
                 at_unix_ms: *at_unix_ms,
             }),
+            Entry::Assign {
+                key,
+                shard,
+                at_unix_ms,
+            } => Self::Assign(AssignWire {
+                key: key.clone(),
+                shard: *shard,
+                at_unix_ms: *at_unix_ms,
+            }),
             Entry::Step(step) => Self::Step(StepWire {
                 number: step.number,
                 event: step.event.label().to_owned(),
@@ -229,6 +251,15 @@
                 deadline_unix_ms: wire.deadline_unix_ms,
                 at_unix_ms: wire.at_unix_ms,
             }),
+            EntryWire::Assign(AssignWire {
+                key,
+                shard,
+                at_unix_ms,
+            }) => Ok(Self::Assign {
+                key,
+                shard,
+                at_unix_ms,
+            }),
             EntryWire::Step(wire) => Ok(Self::Step(Step {
                 number: wire.number,
                 event: JobEvent::find(&wire.event).ok_or_else(|| DecodeError {
@@ -311,6 +342,15 @@
             deadlines_met: book.deadlines_met,
             deadlines_missed: book.deadlines_missed,
             jobs: book.iter().map(JobWire::from).collect(),
+            assigned: book
+                .assigned
+                .iter()
+                .map(|(key, (shard, at_unix_ms))| AssignWire {
+                    key: key.clone(),
+                    shard: *shard,
+                    at_unix_ms: *at_unix_ms,
+                })
+                .collect(),
         }
     }
 }
@@ -326,6 +366,14 @@
             deadlines_missed: wire.deadlines_missed,
             ..Self::default()
         };
+        for AssignWire {
+            key,
+            shard,
+            at_unix_ms,
+        } in wire.assigned
+        {
+            book.assigned.insert(key, (shard, at_unix_ms));
+        }
         for job in wire.jobs {
             let job = Job::try_from(job)?;
             book.by_key.insert(job.key.clone(), job.number);
--- a/crates/persimmon-shard/tests/all/core.rs
+++ b/crates/persimmon-shard/tests/all/core.rs
@@ -266,3 +266,50 @@
     let job = core.book().try_find(again.number).expect("the job");
     assert_eq!(job.state, JobState::Cancelled);
 }
+
+#[test]
+fn core_key_sent_elsewhere_once() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let (shard, seq) = core.assign("a", 4, NOW_UNIX_MS);
+    assert_eq!(shard, 4);
+    assert!(!core.is_committed(seq), "told before it is in the store");
+    // A repeat goes where the first went, whatever has room by then.
+    assert_eq!(core.assign("a", 5, NOW_UNIX_MS).0, 4);
+    let (seq, entries) = core.take_batch().expect("one entry");
+    assert_eq!(entries.len(), 1);
+    core.commit(seq);
+    assert_eq!(core.book().try_find_assigned("a"), Some(4));
+    core.prune(NOW_UNIX_MS + 1);
+    assert_eq!(core.book().try_find_assigned("a"), None);
+}
+
+#[test]
+fn core_calls_when_a_task_should_be_done() {
+    let now = Instant::now();
+    let mut core = core(now);
+    answer(&mut core, now);
+    core.submit(submission("a", 1_000), NOW_UNIX_MS)
+        .expect("accepted");
+    core.decide(now, NOW_UNIX_MS);
+    let (seq, _) = core.take_batch().expect("entries");
+    core.commit(seq);
+    answer(&mut core, now);
+    let status = TaskStatus::Running;
+    let tasks = vec![TaskView {
+        number: 1,
+        attempt: 1,
+        status,
+        checkpoint: None,
+    }];
+    let running = SyncAnswer {
+        incarnation: 1,
+        nonce: 2,
+        tasks,
+        used: Size::ZERO,
+    };
+    core.begin_sync(0, true);
+    core.end_sync(0, Ok(running), now, NOW_UNIX_MS + 9_500);
+    assert!(core.due(now + Duration::from_millis(499)).is_empty());
+    assert_eq!(core.due(now + Duration::from_millis(500)), [0]);
+}
--- a/crates/persimmon-shard/tests/all/record.rs
+++ b/crates/persimmon-shard/tests/all/record.rs
@@ -51,8 +51,16 @@
     )
 }
 
+fn assign() -> impl Strategy<Value = Entry> {
+    ("key-[0-9]", 0..9u16).prop_map(|(key, shard)| Entry::Assign {
+        key,
+        shard,
+        at_unix_ms: 7,
+    })
+}
+
 fn entry() -> impl Strategy<Value = Entry> {
-    prop_oneof![1 => (1..5u64).prop_map(submit), 4 => step()]
+    prop_oneof![1 => (1..5u64).prop_map(submit), 1 => assign(), 4 => step()]
 }
 
 proptest! {
--- a/crates/persimmon-ticket/tests/all/accept.rs
+++ b/crates/persimmon-ticket/tests/all/accept.rs
@@ -257,6 +257,9 @@
     assert_eq!(config.accept(&first), Ok(Outcome::Accepted));
     assert_eq!(config.accept(&first), Ok(Outcome::Repeated));
     let winner_digest = accept::digest(&first);
-    let lost = accept::Error::Lost { number: 1, winner_digest };
+    let lost = accept::Error::Lost {
+        number: 1,
+        winner_digest,
+    };
     assert_eq!(config.accept(&ticket(1, 0, 6)), Err(lost));
 }
--- a/crates/persimmonshiftd/src/api/jobs.rs
+++ b/crates/persimmonshiftd/src/api/jobs.rs
@@ -58,8 +58,13 @@
         key: body.key,
         class: body.class,
         deadline_unix_ms: body.deadline_unix_ms,
+        assigned: false,
     };
-    job(ask(context, question).await)
+    let answer = match ask(context, question.clone()).await {
+        ShardAnswer::Elsewhere { shard } => ask(context, question.sent_to(shard)).await,
+        answer => answer,
+    };
+    job(answer)
 }
 
 #[delete("/v1/jobs/<id>")]
--- a/crates/persimmonshiftd/src/message/mod.rs
+++ b/crates/persimmonshiftd/src/message/mod.rs
@@ -80,6 +80,8 @@
     pub(crate) claimed_cpu_millis: u64,
     pub(crate) required_cpu_millis: u64,
     pub(crate) queued_cpu_millis: u64,
+    pub(crate) capacity_cpu_millis: u64,
+    pub(crate) largest: Size,
     pub(crate) team_used: Vec<TeamUsed>,
 }
 
@@ -100,11 +102,13 @@
 /// A question for the owner of a shard.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum ShardQuestion {
+    /// `assigned` tells that the key's home shard sent it here.
     Submit {
         shard: u16,
         key: String,
         class: String,
         deadline_unix_ms: u64,
+        assigned: bool,
     },
     Cancel {
         shard: u16,
@@ -123,6 +127,17 @@
 }
 
 impl ShardQuestion {
+    /// The same submission for the shard that the key's home shard named.
+    pub(crate) fn sent_to(mut self, target: u16) -> Self {
+        if let Self::Submit {
+            shard, assigned, ..
+        } = &mut self
+        {
+            (*shard, *assigned) = (target, true);
+        }
+        self
+    }
+
     pub(crate) fn shard(&self) -> u16 {
         match self {
             Self::Submit { shard, .. }
@@ -141,6 +156,10 @@
     Summary(ShardView),
     /// The receiver does not own the shard; nothing was done.
     NotOwner,
+    /// The key belongs to a job of another shard.
+    Elsewhere {
+        shard: u16,
+    },
     Refused(ErrorBody),
 }
 
--- a/crates/persimmonshiftd/src/shards/owned.rs
+++ b/crates/persimmonshiftd/src/shards/owned.rs
@@ -1,6 +1,7 @@
 //! A shard while this daemon owns it.
 
 use super::{
+    budget,
     commit::{self, chunk, Outcome, Write},
     take::{self, Taken},
     view, worker,
@@ -17,6 +18,7 @@
     Submission, SubmitError, SyncFailure, WitnessWire,
 };
 use persimmon_ticket::Config;
+use persimmon_types::Size;
 use persimmon_wire::api::{ErrorBody, Ran};
 use std::{
     sync::Arc,
@@ -32,11 +34,25 @@
 /// An answer that leaves once an entry is in the store.
 struct Reply {
     seq: Seq,
-    number: u64,
-    repeated: bool,
+    about: About,
     to: oneshot::Sender<ShardAnswer>,
 }
 
+/// What a reply is about.
+enum About {
+    Job { number: u64, repeated: bool },
+    Elsewhere { shard: u16 },
+}
+
+/// A submission as it reached this shard.
+struct Submitted {
+    key: String,
+    class: String,
+    deadline_unix_ms: u64,
+    /// Whether the key's home shard sent it here.
+    assigned: bool,
+}
+
 /// The owner's state of one shard.
 pub(crate) struct Owned {
     pub(crate) shard: u16,
@@ -169,9 +185,16 @@
                 key,
                 class,
                 deadline_unix_ms,
+                assigned,
                 ..
             } => {
-                return self.submit(context, key, &class, deadline_unix_ms, to);
+                let wanted = Submitted {
+                    key,
+                    class,
+                    deadline_unix_ms,
+                    assigned,
+                };
+                return self.submit(context, wanted, to);
             }
             ShardQuestion::Cancel { number, .. } => return self.cancel(context, number, to),
             ShardQuestion::Show { number, .. } => match self.core.book().try_find(number) {
@@ -192,77 +215,120 @@
         let _ = to.send(answer);
     }
 
-    fn submit(
+    fn submit(&mut self, context: &Context, wanted: Submitted, to: oneshot::Sender<ShardAnswer>) {
+        match self.try_submit(context, wanted) {
+            Ok((seq, about)) => self.reply(Reply { seq, about, to }),
+            // Whoever asked may have gone away.
+            Err(answer) => drop(to.send(*answer)),
+        }
+    }
+
+    /// The entry to wait for, or the answer when nothing is to be written.
+    fn try_submit(
         &mut self,
         context: &Context,
-        key: String,
-        class: &str,
-        deadline_unix_ms: u64,
-        to: oneshot::Sender<ShardAnswer>,
-    ) {
+        wanted: Submitted,
+    ) -> Result<(Seq, About), Box<ShardAnswer>> {
         let member = context.settings.member_id.as_str();
         let refuse = |code: &str, text: &str| {
-            ShardAnswer::Refused(refusal("job.submit", member, code, text))
+            Box::new(ShardAnswer::Refused(refusal(
+                "job.submit",
+                member,
+                code,
+                text,
+            )))
         };
-        let config = context.config.lock().config();
-        let known = self.core.book().try_find_key(&key).is_some();
         if self.handing_over {
-            let _ = to.send(ShardAnswer::NotOwner);
-            return;
+            return Err(Box::new(ShardAnswer::NotOwner));
         }
+        let book = self.core.book();
+        let known = book.try_find_key(&wanted.key).is_some()
+            || book.try_find_assigned(&wanted.key).is_some();
         let reachable = context.is_store_reachable() && self.is_valid(context, context.now());
         if !known && !reachable {
-            let mut body = refusal(
-                "job.submit",
-                member,
-                "store-unreachable",
-                "the store can't be reached; the job was not accepted",
-            );
+            let text = "the store can't be reached; the job was not accepted";
+            let mut body = refusal("job.submit", member, "store-unreachable", text);
             body.retry_after_ms = Some(5_000);
-            let _ = to.send(ShardAnswer::Refused(body));
-            return;
+            return Err(Box::new(ShardAnswer::Refused(body)));
         }
-        let Some(class) = config.try_find_class(class).cloned() else {
-            let _ = to.send(refuse(
-                "unknown-class",
-                &format!("no batch class {class:?}"),
-            ));
-            return;
+        let config = context.config.lock().config();
+        let Some(class) = config.try_find_class(&wanted.class).cloned() else {
+            let text = format!("no batch class {:?}", wanted.class);
+            return Err(refuse("unknown-class", &text));
         };
+        let now_unix_ms = context.now_unix_ms();
+        if let Some(shard) = self.other_shard(context, &wanted, class.size) {
+            let (shard, seq) = self.core.assign(&wanted.key, shard, now_unix_ms);
+            return Ok((seq, About::Elsewhere { shard }));
+        }
+        let Submitted {
+            key,
+            deadline_unix_ms,
+            ..
+        } = wanted;
         let submission = Submission {
             key,
             class,
             deadline_unix_ms,
         };
-        match self.core.submit(submission, context.now_unix_ms()) {
+        match self.core.submit(submission, now_unix_ms) {
             Ok(outcome) => {
-                let (seq, number, repeated) = (outcome.seq, outcome.number, outcome.repeated);
-                self.reply(Reply {
-                    seq,
-                    number,
-                    repeated,
-                    to,
-                });
-            }
-            Err(err) => {
-                let code = match err {
-                    SubmitError::KeyReused { .. } => "key-reused",
-                    SubmitError::NeverFits { .. }
-                    | SubmitError::OverQuota { .. }
-                    | SubmitError::TooLate { .. } => "can-never-run",
-                };
-                let _ = to.send(refuse(code, &err.to_string()));
+                let (number, repeated) = (outcome.number, outcome.repeated);
+                Ok((outcome.seq, About::Job { number, repeated }))
             }
+            Err(err) => Err(refuse(submit_code(&err), &err.to_string())),
         }
     }
 
+    /// The shard to send a key to: one it was sent to before, or one with room when this one has
+    /// none. A key that was sent here stays.
+    fn other_shard(&self, context: &Context, wanted: &Submitted, size: Size) -> Option<u16> {
+        let book = self.core.book();
+        if wanted.assigned || book.try_find_key(&wanted.key).is_some() {
+            return None;
+        }
+        if let Some(shard) = book.try_find_assigned(&wanted.key) {
+            return Some(shard);
+        }
+        let demand = self.core.demand();
+        let cpu = u64::from(size.cpu_millis);
+        let free = |capacity: u64, claimed: u64, queued: u64| {
+            capacity.saturating_sub(claimed).saturating_sub(queued)
+        };
+        let own_free = free(
+            demand.capacity_cpu_millis,
+            demand.claimed_cpu_millis,
+            demand.queued_cpu_millis,
+        );
+        let fits_here = size.fits(demand.largest);
+        if fits_here && own_free >= cpu {
+            return None;
+        }
+        let known = budget::known(context, &context.shards.owned());
+        let others = known.values().filter(|news| news.shard != self.shard);
+        let with_room = others.filter(|news| size.fits(news.largest)).map(|news| {
+            let left = free(
+                news.capacity_cpu_millis,
+                news.claimed_cpu_millis,
+                news.queued_cpu_millis,
+            );
+            (left, news.shard)
+        });
+        let (left, shard) = with_room.max()?;
+        // Both full: a wait here is as good as one there.
+        (!fits_here || left >= cpu).then_some(shard)
+    }
+
     fn cancel(&mut self, context: &Context, number: u64, to: oneshot::Sender<ShardAnswer>) {
         match self.core.cancel(number, context.now_unix_ms()) {
             Ok(outcome) => {
-                self.reply(Reply {
-                    seq: outcome.seq,
+                let about = About::Job {
                     number,
                     repeated: false,
+                };
+                self.reply(Reply {
+                    seq: outcome.seq,
+                    about,
                     to,
                 });
             }
@@ -294,9 +360,12 @@
         self.replies = waiting;
         let ready: Vec<Reply> = ready;
         for reply in ready {
-            let answer = match self.core.book().try_find(reply.number) {
-                Some(job) => ShardAnswer::Job(view::job(self, job, reply.repeated)),
-                None => ShardAnswer::NotOwner,
+            let answer = match reply.about {
+                About::Elsewhere { shard } => ShardAnswer::Elsewhere { shard },
+                About::Job { number, repeated } => match self.core.book().try_find(number) {
+                    Some(job) => ShardAnswer::Job(view::job(self, job, repeated)),
+                    None => ShardAnswer::NotOwner,
+                },
             };
             let _ = reply.to.send(answer);
         }
@@ -405,6 +474,15 @@
     }
 }
 
+fn submit_code(err: &SubmitError) -> &'static str {
+    match err {
+        SubmitError::KeyReused { .. } => "key-reused",
+        SubmitError::NeverFits { .. }
+        | SubmitError::OverQuota { .. }
+        | SubmitError::TooLate { .. } => "can-never-run",
+    }
+}
+
 fn shares(config: &Config) -> Shares {
     let shares = config.shares();
     Shares {
--- a/crates/persimmonshiftd/src/shards/view.rs
+++ b/crates/persimmonshiftd/src/shards/view.rs
@@ -75,6 +75,8 @@
         claimed_cpu_millis: demand.claimed_cpu_millis,
         required_cpu_millis: demand.required_cpu_millis,
         queued_cpu_millis: demand.queued_cpu_millis,
+        capacity_cpu_millis: demand.capacity_cpu_millis,
+        largest: demand.largest,
         team_used: teams.map(|(team, used)| TeamUsed { team, used }).collect(),
     }
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -67,7 +67,7 @@
 # Prints what lies between two snapshots, a daemon in the mean and the most of any.
 cost() {
     local label=$1 span=$2 before=$3 after=$4 calls_before=$5 calls_after=$6
-    paste -d '\037' <(echo "$before") <(echo "$after") | awk -v label="$label" -v span="$span" '
+    paste -d $'\037' <(echo "$before") <(echo "$after") | awk -v label="$label" -v span="$span" '
         function value(text, name,   lines, n, i, parts) {
             n = split(text, lines, "\036")
             for (i = 1; i <= n; i++) { split(lines[i], parts, " "); if (parts[1] == "persimmonshift_" name) return parts[2] }
