fix(drain): refuse new requests before waiting for those in progress

With requests of 6 s the test failed on the real code too: callers that send on and on begin a request between the last one's end and the shutdown, and it was cut ('IncompleteMessage'). A stop now refuses new requests as not run once the notice is over, counted so that none slips between. Also: one constructor of error bodies in place of five; fewer idle rounds.

--- a/crates/persimmon-wire/src/api.rs
+++ b/crates/persimmon-wire/src/api.rs
@@ -49,6 +49,36 @@
     pub retry_after_ms: Option<u64>,
 }
 
+impl ErrorBody {
+    /// An error of work that did not run and will not.
+    pub fn not_run(code: &str, step: &str, peer: &str, message: &str) -> Self {
+        Self {
+            code: code.to_owned(),
+            step: step.to_owned(),
+            peer: peer.to_owned(),
+            message: message.to_owned(),
+            ran: Ran::NotRun,
+            retry_after_ms: None,
+        }
+    }
+
+    /// An error of work that may have run.
+    pub fn unknown(code: &str, step: &str, peer: &str, message: &str) -> Self {
+        Self {
+            ran: Ran::Unknown,
+            ..Self::not_run(code, step, peer, message)
+        }
+    }
+
+    /// The same error, with a time after which a retry may help.
+    pub fn retry_after(self, retry_after_ms: u64) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after_ms),
+            ..self
+        }
+    }
+}
+
 /// The answer to a ticket.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TicketAnswer {
--- a/crates/persimmonshiftd/src/api/error.rs
+++ b/crates/persimmonshiftd/src/api/error.rs
@@ -18,14 +18,7 @@
     pub(crate) fn new(status: Status, step: &str, peer: &str, code: &str, message: &str) -> Self {
         Self {
             status,
-            body: Box::new(ErrorBody {
-                code: code.to_owned(),
-                step: step.to_owned(),
-                peer: peer.to_owned(),
-                message: message.to_owned(),
-                ran: Ran::NotRun,
-                retry_after_ms: None,
-            }),
+            body: Box::new(ErrorBody::not_run(code, step, peer, message)),
         }
     }
 
--- a/crates/persimmonshiftd/src/api/jobs.rs
+++ b/crates/persimmonshiftd/src/api/jobs.rs
@@ -7,7 +7,7 @@
 use futures_util::future::join_all;
 use persimmon_mesh::Reach;
 use persimmon_types::{shard_of, JobId};
-use persimmon_wire::api::{ErrorBody, JobList, JobView, Ran, SubmitRequest};
+use persimmon_wire::api::{ErrorBody, JobList, JobView, SubmitRequest};
 use rocket::{
     delete, get,
     http::Status,
@@ -166,37 +166,23 @@
         },
         Ok(_) => None,
         Err(err) if err.reach == Reach::NotSent => None,
-        Err(err) => Some(ShardAnswer::Refused(ErrorBody {
-            code: "unsettled".to_owned(),
-            step: err.step.to_owned(),
-            peer: owner,
-            message: format!("{}; repeat it with the same key to learn", err.reason),
-            ran: Ran::Unknown,
-            retry_after_ms: Some(1_000),
-        })),
+        Err(err) => {
+            let message = format!("{}; repeat it with the same key to learn", err.reason);
+            let body = ErrorBody::unknown("unsettled", err.step, &owner, &message);
+            Some(ShardAnswer::Refused(body.retry_after(1_000)))
+        }
     }
 }
 
 fn no_shard(shard: u16) -> ErrorBody {
-    ErrorBody {
-        code: "unknown".to_owned(),
-        step: "shard.find".to_owned(),
-        peer: format!("shard-{shard}"),
-        message: "there is no such shard".to_owned(),
-        ran: Ran::NotRun,
-        retry_after_ms: None,
-    }
+    let peer = format!("shard-{shard}");
+    ErrorBody::not_run("unknown", "shard.find", &peer, "there is no such shard")
 }
 
 fn no_owner(shard: u16) -> ErrorBody {
-    ErrorBody {
-        code: "no-owner".to_owned(),
-        step: "shard.find".to_owned(),
-        peer: format!("shard-{shard}"),
-        message: "the shard has no owner now; it was not accepted".to_owned(),
-        ran: Ran::NotRun,
-        retry_after_ms: Some(2_000),
-    }
+    let peer = format!("shard-{shard}");
+    let message = "the shard has no owner now; it was not accepted";
+    ErrorBody::not_run("no-owner", "shard.find", &peer, message).retry_after(2_000)
 }
 
 pub(crate) fn routes() -> Vec<Route> {
--- a/crates/persimmonshiftd/src/context/mod.rs
+++ b/crates/persimmonshiftd/src/context/mod.rs
@@ -55,7 +55,10 @@
     pub(crate) shards: ShardHandle,
     pub(crate) busiest: Locked<BusiestNews>,
     pub(crate) metrics: Metrics,
+    /// New work goes elsewhere; what still comes is served.
     pub(crate) draining: AtomicBool,
+    /// New requests are refused, so that those in progress come to an end.
+    pub(crate) closing: AtomicBool,
     /// Asks the main thread to stop the daemon.
     pub(crate) stop: Notify,
     /// Wakes the gossip duty early.
@@ -92,6 +95,7 @@
             busiest: Locked::new(BusiestNews::default()),
             metrics: Metrics::new(),
             draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             stop: Notify::new(),
             gossip_now: Notify::new(),
             store_heard_ms: AtomicU64::new(u64::MAX),
@@ -129,6 +133,10 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst)
+    }
+
     /// Notes word from the store, asked for at `asked_at`.
     pub(crate) fn hear_store(&self, asked_at: Instant) {
         let ms = asked_at
--- a/crates/persimmonshiftd/src/services/run.rs
+++ b/crates/persimmonshiftd/src/services/run.rs
@@ -23,17 +23,15 @@
 /// Added to a request's own time for the way to the daemon that issued its key.
 const KEYED_HOP: Duration = Duration::from_millis(500);
 
+const STEP: &str = "request";
+
 /// A request without a whole answer.
 pub(crate) type RequestError = ErrorBody;
 
 fn error(code: &str, peer: &str, message: &str, ran: Ran) -> RequestError {
-    ErrorBody {
-        code: code.to_owned(),
-        step: "request".to_owned(),
-        peer: peer.to_owned(),
-        message: message.to_owned(),
-        ran,
-        retry_after_ms: (ran == Ran::NotRun).then_some(1_000),
+    match ran {
+        Ran::NotRun => ErrorBody::not_run(code, STEP, peer, message).retry_after(1_000),
+        Ran::Unknown => ErrorBody::unknown(code, STEP, peer, message),
     }
 }
 
@@ -198,7 +196,18 @@
         deadline: started_at + allowed,
         idempotent: is_idempotent(&request.method),
     };
-    let result = tries(context, service, &ticket, &request).await;
+    // Asked after it was counted, so that a stop either sees it in progress or is seen by it.
+    let result = if context.is_closing() {
+        let own = context.settings.member_id.as_str();
+        Err(error(
+            "stopping",
+            own,
+            "the daemon stops, ask another one",
+            Ran::NotRun,
+        ))
+    } else {
+        tries(context, service, &ticket, &request).await
+    };
     context.services.end();
     record(context, service, &result, context.now() - started_at);
     result
@@ -265,10 +274,13 @@
     };
     let decision = match decided {
         Ok(decision) => decision,
-        // The sender goes only when the service is removed.
-        Err(receiver) => receiver
-            .await
-            .unwrap_or(Decision::Refuse(Refusal::NoEndpoint)),
+        Err(receiver) => {
+            context.services.waits.notify_one();
+            // The sender goes only when the service is removed.
+            receiver
+                .await
+                .unwrap_or(Decision::Refuse(Refusal::NoEndpoint))
+        }
     };
     let key = match decision {
         Decision::Send(key) => key,
--- a/crates/persimmonshiftd/src/services/table.rs
+++ b/crates/persimmonshiftd/src/services/table.rs
@@ -14,10 +14,12 @@
     },
     time::{Duration, Instant},
 };
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 
 /// How often requests that wait are looked at for their deadlines.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// How often members are looked at while no request waits.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// One service: its router, the requests that wait for it, and its burn.
 pub(super) struct Entry {
@@ -35,6 +37,8 @@
     pub(super) keys: Locked<Keys>,
     pub(super) client_pooled: reqwest::Client,
     pub(super) client_fresh: reqwest::Client,
+    /// Wakes the duty when the first request waits.
+    pub(super) waits: Notify,
     next_id: AtomicU64,
     in_progress: AtomicU64,
 }
@@ -46,6 +50,7 @@
             keys: Locked::new(keys),
             client_pooled: clients.pooled,
             client_fresh: clients.fresh,
+            waits: Notify::new(),
             next_id: AtomicU64::new(1),
             in_progress: AtomicU64::new(0),
         }
@@ -88,16 +93,25 @@
     /// Follows members and deadlines while the process runs.
     pub(crate) async fn run(context: Arc<Context>) {
         let mut members = Vec::new();
+        let mut waiting = false;
         loop {
-            tokio::time::sleep(POLL_INTERVAL).await;
+            if waiting {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            } else {
+                let idle = tokio::time::timeout(IDLE_INTERVAL, context.services.waits.notified());
+                // Whether woken or not, everything is looked at.
+                let _ = idle.await;
+            }
             let newest = context.members.lock().ids();
             if newest != members {
                 members = newest;
                 context.services.refresh(&context);
             }
             let now = context.now();
+            waiting = false;
             for entry in context.services.entries.lock().values_mut() {
                 entry.dispatch(now);
+                waiting |= !entry.waiters.is_empty();
             }
         }
     }
--- a/crates/persimmonshiftd/src/shards/duty.rs
+++ b/crates/persimmonshiftd/src/shards/duty.rs
@@ -21,7 +21,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// The longest pause between two rounds.
-const ROUND_PAUSE: Duration = Duration::from_millis(25);
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// The shortest pause between two rounds.
+const ROUND_PAUSE_MIN: Duration = Duration::from_millis(5);
 /// The pause before another try to take a shard.
 const TAKE_PAUSE: Duration = Duration::from_millis(400);
 /// How often budgets and news are worked out.
@@ -59,15 +61,19 @@
     mut ring: mpsc::Receiver<ShardMessage>,
 ) {
     let mut duty = Duty::new(context, charts);
+    let mut next_round = tokio::time::Instant::now();
     loop {
         if let Ok(Some(message)) = tokio::time::timeout(ROUND_PAUSE, ring.recv()).await {
             duty.take_in(message);
+            // A wave of messages is answered by one round, not by one each.
+            tokio::time::sleep_until(next_round).await;
             for _ in 0..MESSAGES_PER_ROUND {
                 let Ok(message) = ring.try_recv() else { break };
                 duty.take_in(message);
             }
         }
         duty.round();
+        next_round = tokio::time::Instant::now() + ROUND_PAUSE_MIN;
     }
 }
 
--- a/crates/persimmonshiftd/src/shards/handle.rs
+++ b/crates/persimmonshiftd/src/shards/handle.rs
@@ -3,7 +3,7 @@
     context::Locked,
     message::{OwnedNews, ShardAnswer, ShardQuestion},
 };
-use persimmon_wire::api::{ErrorBody, Ran};
+use persimmon_wire::api::ErrorBody;
 use std::{sync::Arc, time::Duration};
 use tokio::sync::{
     mpsc::{self, error::TrySendError},
@@ -15,6 +15,9 @@
 /// How long an answer is waited for; commits may be in doubt for a while.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
+const STEP: &str = "shard.ask";
+const PEER: &str = "shard";
+
 /// What the duty is told.
 pub(crate) enum ShardMessage {
     /// A question and where its answer goes.
@@ -53,12 +56,12 @@
         let (sender, receiver) = oneshot::channel();
         match self.ring.try_send(ShardMessage::Ask(question, sender)) {
             Ok(()) => {}
-            Err(TrySendError::Full(_)) => return refused("overloaded", Ran::NotRun),
-            Err(TrySendError::Closed(_)) => return refused("stopping", Ran::NotRun),
+            Err(TrySendError::Full(_)) => return not_taken("overloaded"),
+            Err(TrySendError::Closed(_)) => return not_taken("stopping"),
         }
         match tokio::time::timeout(ANSWER_TIMEOUT, receiver).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(_)) | Err(_) => refused("unsettled", Ran::Unknown),
+            Ok(Err(_)) | Err(_) => unsettled(),
         }
     }
 
@@ -90,17 +93,12 @@
     }
 }
 
-fn refused(code: &str, ran: Ran) -> ShardAnswer {
-    let message = match ran {
-        Ran::NotRun => "the daemon does not take it now; it was not accepted",
-        Ran::Unknown => "the store has not confirmed it; repeat it with the same key to learn",
-    };
-    ShardAnswer::Refused(ErrorBody {
-        code: code.to_owned(),
-        step: "shard.ask".to_owned(),
-        peer: "shard".to_owned(),
-        message: message.to_owned(),
-        ran,
-        retry_after_ms: Some(1_000),
-    })
+fn not_taken(code: &str) -> ShardAnswer {
+    let message = "the daemon does not take it now; it was not accepted";
+    ShardAnswer::Refused(ErrorBody::not_run(code, STEP, PEER, message).retry_after(1_000))
+}
+
+fn unsettled() -> ShardAnswer {
+    let message = "the store has not confirmed it; repeat it with the same key to learn";
+    ShardAnswer::Refused(ErrorBody::unknown("unsettled", STEP, PEER, message).retry_after(1_000))
 }
--- a/crates/persimmonshiftd/src/shards/owned.rs
+++ b/crates/persimmonshiftd/src/shards/owned.rs
@@ -199,7 +199,12 @@
             ShardQuestion::Cancel { number, .. } => return self.cancel(context, number, to),
             ShardQuestion::Show { number, .. } => match self.core.book().try_find(number) {
                 Some(job) => ShardAnswer::Job(view::job(self, job, false)),
-                None => ShardAnswer::Refused(refusal("job.show", member, "unknown", "no such job")),
+                None => ShardAnswer::Refused(ErrorBody::not_run(
+                    "unknown",
+                    "job.show",
+                    member,
+                    "no such job",
+                )),
             },
             ShardQuestion::List { .. } => {
                 let jobs = self
@@ -231,10 +236,10 @@
     ) -> Result<(Seq, About), Box<ShardAnswer>> {
         let member = context.settings.member_id.as_str();
         let refuse = |code: &str, text: &str| {
-            Box::new(ShardAnswer::Refused(refusal(
+            Box::new(ShardAnswer::Refused(ErrorBody::not_run(
+                code,
                 "job.submit",
                 member,
-                code,
                 text,
             )))
         };
@@ -247,9 +252,8 @@
         let reachable = context.is_store_reachable() && self.is_valid(context, context.now());
         if !known && !reachable {
             let text = "the store can't be reached; the job was not accepted";
-            let mut body = refusal("job.submit", member, "store-unreachable", text);
-            body.retry_after_ms = Some(5_000);
-            return Err(Box::new(ShardAnswer::Refused(body)));
+            let body = ErrorBody::not_run("store-unreachable", "job.submit", member, text);
+            return Err(Box::new(ShardAnswer::Refused(body.retry_after(5_000))));
         }
         let config = context.config.lock().config();
         let Some(class) = config.try_find_class(&wanted.class).cloned() else {
@@ -338,7 +342,7 @@
                     CancelError::Ended { .. } => "ended",
                 };
                 let member = context.settings.member_id.as_str();
-                let mut body = refusal("job.cancel", member, code, &err.to_string());
+                let mut body = ErrorBody::not_run(code, "job.cancel", member, &err.to_string());
                 if err != CancelError::Unknown {
                     body.ran = Ran::Unknown;
                 }
@@ -508,14 +512,3 @@
         incarnation,
     })
 }
-
-fn refusal(step: &str, peer: &str, code: &str, message: &str) -> ErrorBody {
-    ErrorBody {
-        code: code.to_owned(),
-        step: step.to_owned(),
-        peer: peer.to_owned(),
-        message: message.to_owned(),
-        ran: Ran::NotRun,
-        retry_after_ms: None,
-    }
-}
--- a/crates/persimmonshiftd/src/start.rs
+++ b/crates/persimmonshiftd/src/start.rs
@@ -241,6 +241,7 @@
     }
     context.gossip_now.notify_one();
     tokio::time::sleep(context.settings.drain_notice).await;
+    context.closing.store(true, Ordering::SeqCst);
     let until = Instant::now() + context.settings.drain_timeout;
     while context.services.in_progress() > 0 && Instant::now() < until {
         tokio::time::sleep(DRAIN_POLL).await;
