--- a/crates/persimmon-e2e/tests/e2e/harness/cluster.rs
+++ b/crates/persimmon-e2e/tests/e2e/harness/cluster.rs
@@ -50,6 +50,15 @@
         control(&relay.address("control"), &json!({ "cut": cut }));
     }
 
+    /// Loses every so-manieth datagram on the way to this daemon.
+    pub(crate) fn set_mesh_loss(&self, drop_every: u64) {
+        let relay = self.mesh_relay.as_ref().expect("a cluster with relays");
+        control(
+            &relay.address("control"),
+            &json!({ "drop_every": drop_every }),
+        );
+    }
+
     pub(crate) fn tool(&self, args: &[&str]) -> (i32, String, String) {
         let variables = [
             ("PERSIMMONSHIFT_DAEMON", self.api.as_str()),
--- a/crates/persimmon-e2e/tests/e2e/store_faults.rs
+++ b/crates/persimmon-e2e/tests/e2e/store_faults.rs
@@ -100,3 +100,52 @@
     let runs = cluster.runs();
     assert_eq!(runs.len(), ids.len(), "{runs:?}");
 }
+
+/// The store is down, the owner is frozen for longer than every lease and promise, and wakes before
+/// the store does.
+#[test]
+fn store_outage_with_frozen_owner() {
+    let cluster = Cluster::ready(&Options {
+        runners: 0,
+        ..Options::default()
+    });
+    let id = cluster.daemons[0].submit("print", "outage-frozen");
+    wait_for("a running task", || {
+        (!cluster.runs().is_empty()).then_some(())
+    });
+    let owner = cluster.owner_of(&id, 0);
+    control(&cluster.store, &json!({ "down": true }));
+    sleep(Duration::from_millis(2_000));
+    cluster.daemons[owner].process.signal("STOP");
+    sleep(Duration::from_millis(5_000));
+    cluster.daemons[owner].process.signal("CONT");
+    sleep(Duration::from_millis(1_500));
+    control(&cluster.store, &json!({}));
+    cluster.daemons[(owner + 1) % 3].wait_job(&id, "done");
+    let mut runs = cluster.runs();
+    runs.sort_by_key(|run| run.started_unix_ms);
+    for pair in runs.windows(2) {
+        let ended = pair[0].ended_unix_ms.unwrap_or(u64::MAX);
+        assert!(ended <= pair[1].started_unix_ms, "two at once: {runs:?}");
+        assert!(pair[1].from_ms > 0, "not resumed: {runs:?}");
+    }
+    let done = runs
+        .iter()
+        .filter(|run| run.ended_as.as_deref() == Some("done"));
+    assert_eq!(done.count(), 1, "{runs:?}");
+}
+
+/// Every call to the store takes a third of a second.
+#[test]
+fn store_slow() {
+    let cluster = Cluster::ready(&Options::default());
+    control(&cluster.store, &json!({ "slow_ms": 300 }));
+    let ids: Vec<String> = (0..8)
+        .map(|number| cluster.daemons[number % 3].submit("short", &format!("slow-{number}")))
+        .collect();
+    cluster.apply(2);
+    for id in &ids {
+        cluster.daemons[0].wait_job(id, "done");
+    }
+    assert_eq!(cluster.runs().len(), ids.len());
+}
--- a/crates/persimmon-e2e/tests/e2e/tickets.rs
+++ b/crates/persimmon-e2e/tests/e2e/tickets.rs
@@ -124,3 +124,23 @@
     });
     assert_eq!(second.json(&["status"])["config_number"], 2);
 }
+
+/// Every third datagram between the daemons is lost.
+#[test]
+fn ticket_through_lossy_mesh() {
+    let options = Options {
+        relays: true,
+        ..Options::default()
+    };
+    let cluster = Cluster::ready(&options);
+    for daemon in &cluster.daemons {
+        daemon.set_mesh_loss(3);
+    }
+    cluster.apply(2);
+    for daemon in &cluster.daemons {
+        assert_eq!(daemon.json(&["status"])["config_number"], 2);
+    }
+    let id = cluster.daemons[1].submit("short", "lossy");
+    cluster.daemons[2].wait_job(&id, "done");
+    assert_eq!(cluster.runs().len(), 1);
+}
