fix(member,shards): count both sets of witnesses while a write is in doubt; resign before leaving

Cause, found by reading: (1) a commit whose answer was lost may have changed the witnesses in the store while the owner still counted promises of the old set; with b, c, d before and c, d after, b and c may promise while d alone may release. The owner must now be extended by both. (2) At a stop whose hand-over failed the member's record was removed while the process could still act for its shards for as long as the framework takes to stop. Test: ownership_witnesses_in_doubt (fails with the first set alone, by its second assertion). (2) has no test of its own: it needs a hand-over that fails.

--- a/crates/persimmon-lease/src/extension.rs
+++ b/crates/persimmon-lease/src/extension.rs
@@ -47,4 +47,19 @@
         let weakest = *asked.get(needed - 1)?;
         Some(limit.min(weakest + self.drift.safe_part(self.term)))
     }
+
+    /// Until when ownership is extended while a write in doubt may have changed the witnesses: by
+    /// each of the `sets`, since a taker may count any of them.
+    pub fn valid_until_all(
+        &self,
+        sets: &[Vec<String>],
+        store_heard_at: Instant,
+    ) -> Option<Instant> {
+        let mut until = None;
+        for witnesses in sets {
+            let by_set = self.valid_until(witnesses, store_heard_at)?;
+            until = Some(until.map_or(by_set, |least: Instant| least.min(by_set)));
+        }
+        until
+    }
 }
--- a/crates/persimmon-lease/tests/all/ownership.rs
+++ b/crates/persimmon-lease/tests/all/ownership.rs
@@ -302,3 +302,31 @@
         "another incarnation"
     );
 }
+
+/// A write that may have changed the witnesses: a taker may count the old ones or the new.
+#[test]
+fn ownership_witnesses_in_doubt() {
+    let (base, drift) = (Instant::now(), Drift::default());
+    let mut extension = Extension::new(TERM, LIMIT, drift);
+    let set = |names: &[&str]| {
+        names
+            .iter()
+            .map(|name| (*name).to_owned())
+            .collect::<Vec<_>>()
+    };
+    let (old, new) = (set(&["b", "c", "d"]), set(&["c", "d"]));
+    extension.confirm("b", base);
+    extension.confirm("c", base);
+    assert!(extension.valid_until(&old, base).is_some());
+    let both = [old, new];
+    assert_eq!(
+        extension.valid_until_all(&both, base),
+        None,
+        "d alone may release the new set"
+    );
+    extension.confirm("d", base + TERM / 2);
+    let until = extension
+        .valid_until_all(&both, base)
+        .expect("extended by both");
+    assert_eq!(until, base + drift.safe_part(TERM));
+}
--- a/crates/persimmonshiftd/src/member/session.rs
+++ b/crates/persimmonshiftd/src/member/session.rs
@@ -169,6 +169,8 @@
 
 /// Removes this member's record at a planned stop.
 pub(crate) async fn leave(context: &Context) {
+    // Others take its shards over once the record is gone, so it must not act for any.
+    context.standing.lock().resign();
     let key = format!("{MEMBER_PREFIX}{}", context.settings.member_id);
     let Ok(Some(entry)) = context.store.get(&key).await else {
         return;
--- a/crates/persimmonshiftd/src/member/standing.rs
+++ b/crates/persimmonshiftd/src/member/standing.rs
@@ -58,16 +58,23 @@
         self.session.valid_until()
     }
 
+    /// Gives up every claim to shards, before this member's record is removed.
+    pub(crate) fn resign(&mut self) {
+        self.session.end();
+        self.number += 1;
+        self.heard_at = None;
+    }
+
     /// Whether this daemon may act for a shard that was confirmed in session `confirmed`, with
-    /// these witnesses in its record.
-    pub(crate) fn is_owner(&self, confirmed: u64, witnesses: &[String], now: Instant) -> bool {
+    /// these sets of witnesses in its record or in a write of it that is in doubt.
+    pub(crate) fn is_owner(&self, confirmed: u64, sets: &[Vec<String>], now: Instant) -> bool {
         if confirmed == self.number && self.session.is_valid(now) {
             return true;
         }
         let Some(heard_at) = self.heard_at else {
             return false;
         };
-        let until = self.extension.valid_until(witnesses, heard_at);
+        let until = self.extension.valid_until_all(sets, heard_at);
         until.is_some_and(|until| now < until)
     }
 }
--- a/crates/persimmonshiftd/src/shards/owned.rs
+++ b/crates/persimmonshiftd/src/shards/owned.rs
@@ -67,6 +67,8 @@
     handing_over: bool,
     last_commit_at: Instant,
     witnesses_changed_at: Option<Instant>,
+    /// The witnesses of a commit that is under way.
+    witnesses_in_doubt: Option<Vec<WitnessWire>>,
     tail_bytes: usize,
     writes: u64,
     replies: Vec<Reply>,
@@ -103,6 +105,7 @@
             handing_over: false,
             last_commit_at: taken.owned_since,
             witnesses_changed_at: None,
+            witnesses_in_doubt: None,
             tail_bytes: 0,
             writes: 0,
             replies: Vec::new(),
@@ -122,11 +125,16 @@
 
     /// Whether this daemon may act for the shard now.
     pub(crate) fn is_valid(&self, context: &Context, now: Instant) -> bool {
-        let names: Vec<String> = self.record.witnesses.iter().map(name).collect();
-        context
-            .standing
-            .lock()
-            .is_owner(self.confirmed, &names, now)
+        let names = |witnesses: &Vec<WitnessWire>| witnesses.iter().map(name).collect();
+        let sets: Vec<Vec<String>> = [
+            Some(&self.record.witnesses),
+            self.witnesses_in_doubt.as_ref(),
+        ]
+        .into_iter()
+        .flatten()
+        .map(names)
+        .collect();
+        context.standing.lock().is_owner(self.confirmed, &sets, now)
     }
 
     /// One round of decisions, calls and commits.
@@ -440,6 +448,7 @@
             self.tail_bytes = 0;
         }
         self.committing = true;
+        self.witnesses_in_doubt = Some(record.witnesses.clone());
         self.last_commit_at = now;
         let expected_revision = self.revision;
         let write = Write {
@@ -463,6 +472,7 @@
         context.hear_store(self.last_commit_at);
         context.metrics.commits.inc();
         self.committing = false;
+        self.witnesses_in_doubt = None;
         self.commits += 1;
         self.revision = revision;
         self.record = done.record;
