--- a/crates/persimmonshiftd/src/start.rs
+++ b/crates/persimmonshiftd/src/start.rs
@@ -5,7 +5,7 @@
     args::Args,
     config,
     context::{Context, Parts},
-    instances, member,
+    instances, logging, member,
     peers::{self, MeshHandler},
     services::{Clients, Keys, Services},
     settings::Settings,
@@ -24,8 +24,6 @@
     time::{Duration, Instant},
 };
 
-/// What is logged unless `RUST_LOG` says otherwise; rocket tells of every request.
-const LOG_FILTER: &str = "info,rocket=warn";
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
 /// How often a stopping daemon looks whether requests have ended.
@@ -52,9 +50,7 @@
 
 /// Runs the daemon until it is told to stop.
 pub fn run(args: &Args) -> ExitCode {
-    // Rocket would set up logging of its own if none were there.
-    let filter = env_logger::Env::default().default_filter_or(LOG_FILTER);
-    env_logger::Builder::from_env(filter).init();
+    logging::init();
     let settings = match Settings::check(args, |name| std::env::var(name).ok()) {
         Ok(settings) => settings,
         Err(err) => {
