feat(lease): deal shards out evenly; live shorter sessions

Cause: with 9 shards on 8 daemons one owned three and some none, so the most loaded daemon cost twice the mean (13.1 against 6.2 % of a core at 510 jobs/s); and a dead daemon's shards waited 3.1 s, over the 2.8 s that urgent work may wait. Shards now go to the highest-ranked member that has not its part yet, and the session's default life is 2 s (1.6 store calls a second and daemon, 2 allowed). Ruled out: plain rendezvous (uneven), dealing in turn (nearly all move when a member goes).

--- a/crates/persimmon-lease/src/lib.rs
+++ b/crates/persimmon-lease/src/lib.rs
@@ -5,6 +5,7 @@
 //!   its shards be taken over.
 //! - [`Witness`]: gives promises and releases, never both for one holder.
 //! - [`Takeover`]: whether a shard whose owner has gone may be taken.
+//! - [`owners()`]: which member should own which shard.
 //! - [`TaskLease`]: until when a worker may still run what an owner started.
 //!
 //! Nothing here reads a clock or sends a message. The proof that two owners never act at once rests
@@ -15,6 +16,7 @@
 
 mod drift;
 mod extension;
+mod owners;
 mod quorum;
 mod session;
 mod takeover;
@@ -23,6 +25,7 @@
 
 pub use drift::Drift;
 pub use extension::Extension;
+pub use owners::owners;
 pub use quorum::Quorum;
 pub use session::Session;
 pub use takeover::{Decision, Takeover};
--- a/crates/persimmon-lease/tests/all/main.rs
+++ b/crates/persimmon-lease/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of ownership and leases.
 
+mod owners;
 mod ownership;
 mod quorum;
 mod task;
--- a/crates/persimmonshiftd/src/args.rs
+++ b/crates/persimmonshiftd/src/args.rs
@@ -45,7 +45,7 @@
     /// the number of shards, the same on all daemons (default 9, 1 to 4096)
     #[argh(option)]
     pub shard_count: Option<String>,
-    /// life of the member's session in the store, in ms (default 3000, 500 to 60000)
+    /// life of the member's session in the store, in ms (default 2000, 500 to 60000)
     #[argh(option)]
     pub session_ttl_ms: Option<String>,
     /// life of a promise between daemons, in ms (default 3000, 500 to 60000)
--- a/crates/persimmonshiftd/src/services/run.rs
+++ b/crates/persimmonshiftd/src/services/run.rs
@@ -11,7 +11,6 @@
     metrics::{RequestLabels, ServiceLabels},
     peers,
 };
-use persimmon_mesh::Reach;
 use persimmon_route::{Decision, EndpointKey, Outcome, Refusal, Request, Verdict};
 use persimmon_ticket::Service;
 use persimmon_wire::api::{ErrorBody, Ran};
@@ -135,13 +134,7 @@
     match context.mesh.call(member.mesh_address, &message, most).await {
         Ok(Answer::Keyed(answer)) => Ok(answer),
         Ok(_) => Err(error("key-unknown", &member.id, "odd answer", Ran::Unknown)),
-        // An earlier use of the key may have run even when this one was not sent.
-        Err(err) if err.reach == Reach::NotSent => Err(error(
-            "key-unreachable",
-            &member.id,
-            &err.to_string(),
-            Ran::Unknown,
-        )),
+        // Even when this use was not sent, an earlier one may have run.
         Err(err) => Err(error(
             "key-unreachable",
             &member.id,
--- a/crates/persimmonshiftd/src/settings/mod.rs
+++ b/crates/persimmonshiftd/src/settings/mod.rs
@@ -114,7 +114,7 @@
             from.number(name, flag, default, low..=high)
                 .map(Duration::from_millis)
         };
-        let session_ttl = ms("session-ttl-ms", &args.session_ttl_ms, 3_000, 500, 60_000);
+        let session_ttl = ms("session-ttl-ms", &args.session_ttl_ms, 2_000, 500, 60_000);
         let promise_term = ms("promise-term-ms", &args.promise_term_ms, 3_000, 500, 60_000);
         let outage_limit = ms(
             "outage-limit-ms",
--- a/crates/persimmonshiftd/src/shards/duty.rs
+++ b/crates/persimmonshiftd/src/shards/duty.rs
@@ -10,6 +10,7 @@
     context::Context,
     message::{OwnedNews, ShardAnswer, ShardQuestion},
 };
+use persimmon_lease::owners;
 use persimmon_shard::{Charts, WorkerSpec};
 use persimmon_types::{shard_of, Size};
 use persimmon_wire::instances::{Instance, Role, State};
@@ -48,6 +49,8 @@
     meter: Meter,
     budget_at: Instant,
     members: Vec<String>,
+    /// The member that should own each shard, by its place in `members`.
+    owners: Vec<Option<usize>>,
     members_since: Instant,
     /// Answered once all shards are handed over.
     stopping: Option<oneshot::Sender<()>>,
@@ -88,6 +91,7 @@
             meter: Meter::default(),
             budget_at: now,
             members: Vec::new(),
+            owners: Vec::new(),
             members_since: now,
             stopping: None,
             stopped: false,
@@ -224,6 +228,7 @@
     fn follow_members(&mut self, now: Instant) {
         let members = self.candidates();
         if members != self.members {
+            self.owners = owners(self.slots.len() as u16, &members);
             self.members = members;
             self.members_since = now;
         }
@@ -231,8 +236,9 @@
         let settled = now >= self.members_since + BALANCE_PAUSE;
         let joined = self.context.standing.lock().session(now).is_some();
         for shard in 0..self.slots.len() as u16 {
-            let wanted = best_owner(shard, &self.members);
-            let mine = wanted == Some(own.as_str());
+            let wanted = self.owners.get(usize::from(shard)).copied().flatten();
+            let wanted = wanted.map(|at| self.members[at].clone());
+            let mine = wanted.as_ref() == Some(&own);
             match &mut self.slots[usize::from(shard)] {
                 Slot::Idle { retry_at } if mine && joined && !self.stopped && *retry_at <= now => {
                     self.slots[usize::from(shard)] = Slot::Taking;
@@ -309,19 +315,6 @@
     }
 }
 
-/// The member that ranks highest for a shard, so that few shards move when members change.
-fn best_owner(shard: u16, members: &[String]) -> Option<&str> {
-    let rank = |member: &str| {
-        // A prime spreads neighbouring shards; any fixed hash does as long as all agree.
-        let name = format!("{member}/{}", u32::from(shard) * 2_654_435);
-        (shard_of(&name, u16::MAX), member.to_owned())
-    };
-    members
-        .iter()
-        .map(String::as_str)
-        .max_by_key(|member| rank(member))
-}
-
 fn used_elsewhere(shard: u16, known: &BTreeMap<u16, OwnedNews>) -> BTreeMap<String, Size> {
     let mut used: BTreeMap<String, Size> = BTreeMap::new();
     let others = known.values().filter(|news| news.shard != shard);
