feat(life): the process's life as types held to its chart; draw the charts' page from the files

A daemon whose types and chart disagree does not start; docs_drawn_from_charts holds the page to the files.

--- a/crates/persimmon-chart/src/lib.rs
+++ b/crates/persimmon-chart/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod draw;
 mod label;
 mod machine;
 mod parse;
--- a/crates/persimmon-chart/tests/all/main.rs
+++ b/crates/persimmon-chart/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of charts.
 
+mod docs;
 mod machine;
 mod parse;
--- a/crates/persimmonshiftd/src/lib.rs
+++ b/crates/persimmonshiftd/src/lib.rs
@@ -10,6 +10,7 @@
 mod config;
 mod context;
 mod instances;
+mod life;
 mod logging;
 mod member;
 mod message;
--- a/crates/persimmonshiftd/src/start.rs
+++ b/crates/persimmonshiftd/src/start.rs
@@ -5,7 +5,9 @@
     args::Args,
     config,
     context::{Context, Parts},
-    instances, logging, member,
+    instances,
+    life::{self, Life, Serving},
+    logging, member,
     peers::{self, MeshHandler},
     services::{Clients, Keys, Services},
     settings::Settings,
@@ -19,17 +21,15 @@
     future::Future,
     net::SocketAddr,
     process::ExitCode,
-    sync::{atomic::Ordering, Arc, OnceLock},
+    sync::{Arc, OnceLock},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
-/// How often a stopping daemon looks whether requests have ended.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// The longest wait for shards to be handed over at a stop.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often the address is looked for while the server starts.
+const BOUND_POLL: Duration = Duration::from_millis(20);
 
 /// The process could not start.
 #[derive(Debug, thiserror::Error)]
@@ -74,6 +74,7 @@
 }
 
 fn start(settings: Settings) -> Result<(), StartError> {
+    life::check().map_err(StartError::of("charts"))?;
     let charts = Arc::new(Charts::load().map_err(StartError::of("charts"))?);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
@@ -95,13 +96,14 @@
     });
     tokio::spawn(mesh.serve(handler));
     spawn_duties(&context, charts, shard_ring)?;
+    let life = Life::new(Arc::clone(&context));
     let bound = api::Bound::default();
     let server = api::build(Arc::clone(&context), Arc::clone(&bound));
     let server = server.ignite().await.map_err(StartError::of("api"))?;
     let shutdown = server.shutdown();
     let served = tokio::spawn(server.launch());
     announce(&context, &bound, &served).await;
-    let failed = wait_for_stop(&context, &mut terminate, served, shutdown).await;
+    let failed = wait_for_stop(&context, life.serve(), &mut terminate, served, shutdown).await;
     context.mesh.close();
     failed
 }
@@ -109,6 +111,7 @@
 /// Waits for the signal or an operator's drain, then stops gracefully.
 async fn wait_for_stop(
     context: &Arc<Context>,
+    life: Life<Serving>,
     terminate: &mut tokio::signal::unix::Signal,
     mut served: tokio::task::JoinHandle<Result<rocket::Rocket<rocket::Ignite>, rocket::Error>>,
     shutdown: rocket::Shutdown,
@@ -125,7 +128,8 @@
             return Err(StartError { step: "api.listen", reason });
         }
     }
-    drain(context).await;
+    let closing = life.drain().await.close().await;
+    closing.leave().await;
     shutdown.notify();
     let _ = served.await;
     Ok(())
@@ -218,34 +222,10 @@
         match bound.get() {
             Some(address) => break *address,
             None if served.is_finished() => return,
-            None => tokio::time::sleep(DRAIN_POLL).await,
+            None => tokio::time::sleep(BOUND_POLL).await,
         }
     };
     let member = &context.settings.member_id;
     let mesh = context.mesh_address;
     println!("{{\"member\":\"{member}\",\"api\":\"{address}\",\"mesh\":\"{mesh}\"}}");
 }
-
-/// A planned stop: new work goes elsewhere, what is in progress ends, shards are handed over.
-async fn drain(context: &Arc<Context>) {
-    log::info!("step=drain.begin object={}", context.settings.member_id);
-    context.draining.store(true, Ordering::SeqCst);
-    context.gossip_now.notify_one();
-    let handing_over = tokio::time::timeout(HAND_OVER_TIMEOUT, context.shards.hand_over());
-    if handing_over.await.is_err() {
-        log::warn!("step=drain.hand-over reason=\"not done in time; leases will lapse instead\"");
-    }
-    context.gossip_now.notify_one();
-    tokio::time::sleep(context.settings.drain_notice).await;
-    context.closing.store(true, Ordering::SeqCst);
-    let until = Instant::now() + context.settings.drain_timeout;
-    while context.services.in_progress() > 0 && Instant::now() < until {
-        tokio::time::sleep(DRAIN_POLL).await;
-    }
-    member::leave(context).await;
-    log::info!(
-        "step=drain.end object={} attempt={}",
-        context.settings.member_id,
-        context.services.in_progress()
-    );
-}
