--- a/crates/persimmon-e2e/tests/e2e/requests.rs
+++ b/crates/persimmon-e2e/tests/e2e/requests.rs
@@ -147,6 +147,8 @@
         workers: 0,
         runners: 2,
         runner_work_ms: 60,
+        // A daemon that stalled and left would change the others' parts.
+        settings: vec![("session-ttl-ms", "15000")],
         ..Options::default()
     };
     let cluster = Cluster::ready(&options);
