--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -129,7 +129,7 @@
 fi
 # Waits until all shards have owners and none of them is $1.
 wait_owned() {
-    until status=$("$bin/persimmonshift" --timeout-ms 1500 --daemon "${apis[0]}" --json status 2>/dev/null) &&
+    until status=$("$bin/persimmonshift" --timeout-ms 300 --daemon "${apis[0]}" --json status 2>/dev/null) &&
         ! grep -q "\"owner\": \"$1\"" <<<"$status" && grep -q '"missing_shards": \[\]' <<<"$status"; do
         sleep 0.02
     done
