fix(session,settings): a hung renewal leaves time for another; settings are checked together

Cause: the store's time limit (1.5 s) is most of a session's life (2 s), so one lost answer would have ended the session; a renewal now takes a quarter of it at most. Settings that contradict each other (calls to workers rarer than half a lease, a store limit above the session) were accepted.

--- a/crates/persimmon-e2e/tests/e2e/bad_input.rs
+++ b/crates/persimmon-e2e/tests/e2e/bad_input.rs
@@ -33,6 +33,53 @@
     assert!(!text.contains("short"), "a secret is shown:\n{text}");
 }
 
+#[test]
+fn settings_that_do_not_go_together() {
+    let folder = std::env::temp_dir().join(format!("persimmon-keys-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let out = folder.to_str().expect("text");
+    assert!(run(
+        "persimmonshift",
+        &["keys", "create", "--out", out, "--member", "d0"],
+        &[]
+    )
+    .status
+    .success());
+    let file = |name: &str| folder.join(name).to_str().expect("text").to_owned();
+    let (authorities, certificate, key) = (file("authority.pem"), file("d0.pem"), file("d0.key"));
+    let variables = [
+        ("PERSIMMONSHIFT_MEMBER_ID", "d0"),
+        ("PERSIMMONSHIFT_DATA_CENTRE", "dc1"),
+        ("PERSIMMONSHIFT_STORE", "127.0.0.1:1"),
+        ("PERSIMMONSHIFT_INSTANCES", "127.0.0.1:2"),
+        ("PERSIMMONSHIFT_TOKEN", TOKEN),
+        ("PERSIMMONSHIFT_MESH_AUTHORITIES", &authorities),
+        ("PERSIMMONSHIFT_MESH_CERTIFICATE", &certificate),
+        ("PERSIMMONSHIFT_MESH_PRIVATE_KEY", &key),
+    ];
+    let sound = run("persimmonshiftd", &["--check-settings"], &variables);
+    assert!(sound.status.success(), "{}", stderr(&sound));
+    let args = [
+        "--check-settings",
+        "--sync-interval-ms",
+        "6000",
+        "--store-timeout-ms",
+        "2000",
+    ];
+    let output = run("persimmonshiftd", &args, &variables);
+    assert_eq!(output.status.code(), Some(2));
+    let text = stderr(&output);
+    assert!(
+        text.contains("\"6000\" is not at most half of --lease-term-ms"),
+        "{text}"
+    );
+    assert!(
+        text.contains("\"2000\" is not less than --session-ttl-ms"),
+        "{text}"
+    );
+    std::fs::remove_dir_all(&folder).expect("the folder");
+}
+
 #[test]
 fn settings_unknown_flag() {
     let output = run("persimmonshiftd", &["--no-such-flag"], &[]);
--- a/crates/persimmonshiftd/src/member/session.rs
+++ b/crates/persimmonshiftd/src/member/session.rs
@@ -10,6 +10,8 @@
 
 /// The part of a session's life after which it is renewed.
 const RENEWALS_PER_TTL: u32 = 3;
+/// The part of a session's life that one renewal may take.
+const RENEWAL_LIMIT_PART: u32 = 4;
 const PROMISE_TIMEOUT: Duration = Duration::from_millis(700);
 /// The pause before another try to join.
 const JOIN_PAUSE: Duration = Duration::from_millis(250);
@@ -40,7 +42,14 @@
 /// Renews; `None` when the session has ended.
 async fn renew(context: &Arc<Context>, lease: Lease) -> Option<Lease> {
     let asked_at = context.now();
-    match context.store.renew(lease).await {
+    // A call that hangs must leave time for another before the session lapses.
+    let limit = context.settings.session_ttl / RENEWAL_LIMIT_PART;
+    let Ok(renewed) = tokio::time::timeout(limit, context.store.renew(lease)).await else {
+        log::warn!("step=session.renew peer=store reason=\"no answer in time\"");
+        ask_promises_if_needed(context).await;
+        return Some(lease);
+    };
+    match renewed {
         Ok(true) => {
             context.hear_store(asked_at);
             context.standing.lock().confirm(asked_at);
--- a/crates/persimmonshiftd/src/settings/mod.rs
+++ b/crates/persimmonshiftd/src/settings/mod.rs
@@ -89,12 +89,28 @@
     pub fn check(args: &Args, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Error> {
         let mut source = Source::new(variable);
         let settings = Self::read(args, &mut source);
+        if let Some(settings) = &settings {
+            settings.check_together(&mut source);
+        }
         let faults = source.into_faults();
         settings
             .filter(|_| faults.is_empty())
             .ok_or(Error { faults })
     }
 
+    /// Settings that are sound alone and not beside each other.
+    fn check_together<V: Fn(&str) -> Option<String>>(&self, source: &mut Source<V>) {
+        let ms = |duration: Duration| duration.as_millis().to_string();
+        if self.sync_interval * 2 > self.lease_term {
+            let allowed = "at most half of --lease-term-ms";
+            source.fault("sync-interval-ms", Some(ms(self.sync_interval)), allowed);
+        }
+        if self.store_timeout >= self.session_ttl {
+            let allowed = "less than --session-ttl-ms";
+            source.fault("store-timeout-ms", Some(ms(self.store_timeout)), allowed);
+        }
+    }
+
     fn read<V: Fn(&str) -> Option<String>>(args: &Args, from: &mut Source<V>) -> Option<Self> {
         let name = "1 to 64 letters, digits, '-', '_' or '.'";
         let is_name = persimmon_ticket::check_name;
--- a/crates/persimmonshiftd/src/settings/source.rs
+++ b/crates/persimmonshiftd/src/settings/source.rs
@@ -122,7 +122,7 @@
             .or_else(|| (self.variable)(&variable_name(name)))
     }
 
-    fn fault(&mut self, name: &str, value: Option<String>, allowed: &str) {
+    pub(super) fn fault(&mut self, name: &str, value: Option<String>, allowed: &str) {
         self.faults.push(Fault {
             flag: format!("--{name}"),
             variable: variable_name(name),
