test(standin): let half an answer out before it breaks

Cause: the mutation 'an answer that was cut is passed on' survived, since the stand-in's connection broke before any byte of the answer had left, so the test never saw a cut body. With a pause between the halves the test passes on the code and fails with the change ('EOF while parsing a value').

--- a/crates/persimmonshift-standin/src/runner.rs
+++ b/crates/persimmonshift-standin/src/runner.rs
@@ -16,6 +16,7 @@
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
+use tokio::sync::mpsc;
 
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -180,22 +181,31 @@
     }
 }
 
+/// The pause that lets the first half of a body out before the connection breaks.
+const CUT_PAUSE: Duration = Duration::from_millis(50);
+
 /// The first half of a body, then a broken connection.
 fn truncated(bytes: &Bytes) -> Body {
     let half = bytes.slice(..bytes.len() / 2);
-    let frames = [Ok(Frame::data(half)), Err(std::io::Error::other("cut"))];
-    BodyExt::boxed(StreamBody::new(Frames(frames.into_iter().collect())))
+    let (frames, receiver) = mpsc::channel(1);
+    tokio::spawn(async move {
+        // A client that went away needs no more.
+        let _ = frames.send(Ok(Frame::data(half))).await;
+        tokio::time::sleep(CUT_PAUSE).await;
+        let _ = frames.send(Err(std::io::Error::other("cut"))).await;
+    });
+    BodyExt::boxed(StreamBody::new(Frames(receiver)))
 }
 
-struct Frames(std::collections::VecDeque<Result<Frame<Bytes>, std::io::Error>>);
+struct Frames(mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
 
 impl futures_core::Stream for Frames {
     type Item = Result<Frame<Bytes>, std::io::Error>;
 
     fn poll_next(
         mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
+        task: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Self::Item>> {
-        std::task::Poll::Ready(self.0.pop_front())
+        self.0.poll_recv(task)
     }
 }
