--- a/crates/persimmon-route/tests/all/router.rs
+++ b/crates/persimmon-route/tests/all/router.rs
@@ -160,3 +160,37 @@
     // The chart file and the code name the same states; a broken file is told by line.
     assert!(Router::new(Options::default()).is_ok());
 }
+
+/// Endpoints that fail fast are always free, and must not draw requests by that.
+#[test]
+fn router_fast_failures_draw_no_requests() {
+    let names: Vec<String> = (0..10).map(|number| format!("e{number}")).collect();
+    let options = Options {
+        // Nothing is ejected here, so that the choice alone is seen.
+        ejected_max_percent: 0,
+        ..Options::default()
+    };
+    let mut router = Router::new(options).expect("a sound chart");
+    router.set_endpoints(names.iter().map(|id| spec(id, 4)).collect());
+    let (mut now, mut failed) = (Instant::now(), 0);
+    for number in 0..2_000 {
+        now += MS;
+        let wanted = request(number, now);
+        let Decision::Send(key) = router.request(wanted, now) else {
+            continue;
+        };
+        let bad = router.endpoint_id(key).is_some_and(|id| id < "e3");
+        failed += u32::from(bad);
+        let outcome = if bad {
+            Outcome::Broken
+        } else {
+            Outcome::Answered
+        };
+        router.finish(&wanted, key, outcome, MS * 20, now);
+    }
+    // A blind choice would send 600 there.
+    assert!(
+        failed < 300,
+        "{failed} of 2000 were sent to endpoints that always fail"
+    );
+}
