refactor: drop what nothing calls; ask once a round whether ownership is valid

Cause: reading the whole change once more. largest_room, largest and next_due had no caller left; a round asked for validity, and built the lists of witnesses for it, once a call to a worker. Behaviour is the same: it is asked again after the commit, which can put the witnesses in doubt.

--- a/crates/persimmon-place/src/index.rs
+++ b/crates/persimmon-place/src/index.rs
@@ -39,11 +39,6 @@
         self.descend(1, 0, self.leaves, from, size)
     }
 
-    /// The largest room in each dimension, over all workers.
-    pub(crate) fn largest(&self) -> Size {
-        self.nodes[1]
-    }
-
     fn descend(
         &self,
         node: usize,
--- a/crates/persimmon-place/src/ledger.rs
+++ b/crates/persimmon-place/src/ledger.rs
@@ -250,11 +250,6 @@
             .map(|position| WorkerKey(position as u32))
     }
 
-    /// The largest room of open workers, in each dimension on its own.
-    pub fn largest_room(&self, kind: Kind) -> Size {
-        self.rooms[kind as usize].largest()
-    }
-
     fn insert(&mut self, worker: WorkerKey, kind: Kind, size: Size) -> ClaimKey {
         let position = self.free_slots.pop().unwrap_or_else(|| {
             self.slots.push(Slot {
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -14,12 +14,6 @@
             .collect()
     }
 
-    /// When the next worker is due, or a lease lapses, with nothing else happening.
-    pub fn next_due(&self) -> Option<Instant> {
-        let idle = self.workers.iter().filter(|worker| !worker.in_flight);
-        idle.map(|worker| worker.next_sync).min()
-    }
-
     /// Makes up the call to a worker. `valid` tells whether ownership is valid at this moment;
     /// without it nothing is renewed and nothing commanded.
     pub fn begin_sync(&mut self, position: usize, valid: bool) -> SyncCall {
--- a/crates/persimmonshiftd/src/shards/owned/mod.rs
+++ b/crates/persimmonshiftd/src/shards/owned/mod.rs
@@ -134,8 +134,10 @@
             context.metrics.placements.inc_by(placed as u64);
         }
         self.commit_if_due(context, now);
+        // Asked again, since the commit may have put the witnesses in doubt.
+        let valid = self.is_valid(context, now);
         for position in self.core.due(now) {
-            let call = self.core.begin_sync(position, self.is_valid(context, now));
+            let call = self.core.begin_sync(position, valid);
             worker::spawn(Arc::clone(context), self.shard, self.record.epoch, call);
         }
     }
