feat(platform,sched,entry): the whole path on the users' platform

Ownership of a group, its jobs and their records lie in the platform's store; a start is ordered only after its record is committed.

Before: nothing ran there.

--- /dev/null
+++ b/crates/persimmon-entry/src/node.rs
@@ -0,0 +1,140 @@
+use crate::{
+    front::Calls,
+    mirror, owners,
+    platform::{Change, Item, Platform, Txn},
+    session,
+    state::Shared,
+};
+use persimmon_types::Clock;
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+/// How often readiness is worked out anew.
+const READY_EVERY: Duration = Duration::from_millis(50);
+/// A stopping process still answers for this long: the balancer needs two misses of a check a second.
+const DRAIN: Duration = Duration::from_millis(2_600);
+/// The longest wait for the hand-over of groups at a stop.
+const HAND_OVER: Duration = Duration::from_millis(600);
+
+/// Settings of a process.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The instance's name.
+    pub name: String,
+    /// Tells this incarnation of the process from earlier ones.
+    pub incarnation: u64,
+    /// The number of groups; the same everywhere.
+    pub group_count: u16,
+    /// Limits of the engine.
+    pub engine: persimmon_sched::Options,
+}
+
+/// Runs the process on this thread until `stop` completes and the drain is over.
+///
+/// Must be called on a [`tokio::task::LocalSet`].
+pub async fn run<P: Platform>(
+    platform: P,
+    options: Options,
+    clock: Arc<dyn Clock>,
+    mut calls: Calls,
+    stop: impl Future<Output = ()>,
+) {
+    log::info!(
+        "event=process.start name={} incarnation={} groups={}",
+        options.name,
+        options.incarnation,
+        options.group_count
+    );
+    let shared = Rc::new(Shared {
+        platform,
+        options,
+        clock,
+        policy: RefCell::default(),
+        policy_changed: tokio::sync::Notify::new(),
+        lease: Cell::default(),
+        store_heard_at: Cell::default(),
+        groups: RefCell::default(),
+        draining: Cell::default(),
+    });
+    let (is_ready, is_draining) = calls.flags();
+    calls.show(false, false);
+    tokio::task::spawn_local(session::keep(Rc::clone(&shared)));
+    tokio::task::spawn_local(follow_policy(Rc::clone(&shared)));
+    tokio::task::spawn_local(owners::contest(Rc::clone(&shared)));
+    let for_calls = Rc::clone(&shared);
+    tokio::task::spawn_local(async move { calls.serve(&for_calls).await });
+    let show = async {
+        loop {
+            let order = std::sync::atomic::Ordering::Relaxed;
+            is_ready.store(shared.is_ready(), order);
+            is_draining.store(shared.draining.get(), order);
+            tokio::time::sleep(READY_EVERY).await;
+        }
+    };
+    tokio::select! {
+        () = show => {}
+        () = stop => {}
+    }
+    is_ready.store(false, std::sync::atomic::Ordering::Relaxed);
+    is_draining.store(true, std::sync::atomic::Ordering::Relaxed);
+    shared.draining.set(true);
+    log::info!("event=process.drain");
+    let _ = tokio::time::timeout(HAND_OVER, hand_over(&shared)).await;
+    tokio::time::sleep(DRAIN).await;
+    log::info!("event=process.stop");
+}
+
+/// Gives all groups up, so that others take them at once.
+async fn hand_over<P: Platform>(shared: &Shared<P>) {
+    let groups: Vec<_> = shared.groups.borrow().values().map(Rc::clone).collect();
+    let mut txn = Txn::default();
+    for group in groups {
+        group.lose("the process stops");
+        txn.expected.push(crate::Expected {
+            key: crate::keys::owner(group.id),
+            revision: group.fence,
+        });
+        txn.remove.push(crate::keys::owner(group.id));
+    }
+    if !txn.remove.is_empty() {
+        if let Err(fault) = shared.platform.txn(&txn).await {
+            log::warn!("event=group.hand_over fault=\"{fault}\"");
+        }
+    }
+}
+
+async fn follow_policy<P: Platform>(shared: Rc<Shared<P>>) {
+    let key = shared.platform.policy_key().to_owned();
+    mirror::follow(&shared, &key, None, |change| {
+        if let Change::Put(item) = change {
+            take_policy(&shared, &key, &item);
+        }
+    })
+    .await;
+}
+
+fn take_policy<P: Platform>(shared: &Shared<P>, key: &str, item: &Item) {
+    if item.key != key {
+        return;
+    }
+    match shared.platform.policy(&item.value) {
+        Ok(policy) => {
+            let mut current = shared.policy.borrow_mut();
+            let known = current.as_ref().map_or(0, |it| it.version);
+            if current.is_none() || policy.version > known {
+                log::info!(
+                    "event=policy.apply version={} known={known}",
+                    policy.version
+                );
+                *current = Some(policy);
+                shared.policy_changed.notify_waiters();
+            }
+        }
+        Err(fault) => log::error!("event=policy.broken fault=\"{fault}\""),
+    }
+}
--- /dev/null
+++ b/crates/persimmon-entry/src/owners.rs
@@ -0,0 +1,147 @@
+//! Contests for groups without an owner.
+
+use crate::{
+    group::Group,
+    keys::{self, GroupId},
+    mirror,
+    platform::{Change, Expected, Platform, Txn, TxnOutcome, Write},
+    state::Shared,
+};
+use persimmon_types::shard_of;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// How often groups without an owner are looked for.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// A process waits this long for each better candidate before it takes a group.
+const STAGGER: Duration = Duration::from_millis(120);
+
+#[derive(Default)]
+struct View {
+    nodes: BTreeSet<String>,
+    owned: BTreeMap<GroupId, Owner>,
+}
+
+/// Who holds a group's key, and since which revision.
+struct Owner {
+    name: String,
+    revision: u64,
+}
+
+/// Takes groups that have no owner and serves them, for good.
+pub(crate) async fn contest<P: Platform>(shared: Rc<Shared<P>>) {
+    let view = Rc::new(RefCell::new(View::default()));
+    let nodes = mirror::follow(&shared, keys::NODES, None, |change| {
+        let mut view = view.borrow_mut();
+        match change {
+            Change::Put(item) => view.nodes.insert(item.key),
+            Change::Gone { key, .. } => view.nodes.remove(&key),
+        };
+    });
+    let owners = mirror::follow(&shared, keys::OWNERS, None, |change| {
+        take_owner(&shared, &mut view.borrow_mut(), change);
+    });
+    tokio::join!(nodes, owners, take_free(&shared, &view));
+}
+
+fn take_owner<P>(shared: &Shared<P>, view: &mut View, change: Change) {
+    let (key, revision, holder) = match change {
+        Change::Put(item) => {
+            let name = String::from_utf8_lossy(&item.value).into_owned();
+            (item.key, item.revision, Some(name))
+        }
+        Change::Gone { key, revision } => (key, revision, None),
+    };
+    let id = key.strip_prefix(keys::OWNERS);
+    let Some(group) = id.and_then(|id| id.parse().ok()).map(GroupId) else {
+        return;
+    };
+    if let Some(it) = shared.groups.borrow().get(&group) {
+        if revision > it.fence {
+            it.lose("its key was taken away");
+        }
+    }
+    match holder {
+        Some(name) => view.owned.insert(group, Owner { name, revision }),
+        None => view.owned.remove(&group),
+    };
+}
+
+async fn take_free<P: Platform>(shared: &Rc<Shared<P>>, view: &Rc<RefCell<View>>) {
+    let mut free_since: BTreeMap<GroupId, Instant> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        let now = shared.now();
+        for number in 0..shared.options.group_count {
+            let group = GroupId(number);
+            let is_served = shared.groups.borrow().contains_key(&group);
+            if is_served || shared.draining.get() {
+                free_since.remove(&group);
+                continue;
+            }
+            if let Some(owner) = view.borrow().owned.get(&group) {
+                // A write whose answer was lost may make this process the owner later.
+                if owner.name == own_name(shared) {
+                    Group::serve(Rc::clone(shared), group, owner.revision);
+                }
+                free_since.remove(&group);
+                continue;
+            }
+            let since = *free_since.entry(group).or_insert(now);
+            let better = better_candidates(shared, &view.borrow(), group);
+            let policy_is_known = shared.policy.borrow().is_some();
+            if now < since + STAGGER * better || shared.store_is_silent() || !policy_is_known {
+                continue;
+            }
+            free_since.remove(&group);
+            take(shared, group).await;
+        }
+    }
+}
+
+/// The processes that should rather own a group: rendezvous hashing over those with a session.
+fn better_candidates<P>(shared: &Shared<P>, view: &View, group: GroupId) -> u32 {
+    let weight = |key: &str| shard_of(&format!("{key}#{}", group.0), u16::MAX);
+    let own = keys::node(&shared.options.name);
+    let mine = weight(&own);
+    let better = view.nodes.iter().filter(|key| weight(key) > mine);
+    better.count() as u32
+}
+
+fn own_name<P>(shared: &Shared<P>) -> String {
+    format!("{}#{}", shared.options.name, shared.options.incarnation)
+}
+
+async fn take<P: Platform>(shared: &Rc<Shared<P>>, group: GroupId) {
+    let Some(lease) = shared.lease.get() else {
+        return;
+    };
+    let key = keys::owner(group);
+    let txn = Txn {
+        expected: vec![Expected {
+            key: key.clone(),
+            revision: 0,
+        }],
+        writes: vec![Write {
+            key,
+            value: own_name(shared).into_bytes(),
+            lease: Some(lease),
+        }],
+        remove: Vec::new(),
+    };
+    match shared.platform.txn(&txn).await {
+        Ok(TxnOutcome::Done { revision }) => {
+            shared.store_heard();
+            log::info!("event=group.take group={} fence={revision}", group.0);
+            Group::serve(Rc::clone(shared), group, revision);
+        }
+        Ok(TxnOutcome::Conflict { .. } | TxnOutcome::NoLease) => {
+            log::debug!("event=group.taken group={}", group.0);
+        }
+        Err(fault) => log::warn!("event=group.take group={} fault=\"{fault}\"", group.0),
+    }
+}
--- /dev/null
+++ b/crates/persimmon-entry/src/state.rs
@@ -0,0 +1,60 @@
+//! What the duties of the process share. All of it lives on one thread.
+
+use crate::{group::Group, keys::GroupId, platform::Lease, Options};
+use persimmon_sched::{JobId, Policy};
+use persimmon_types::{shard_of, Clock};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::sync::Notify;
+
+/// The store counts as silent when nothing was heard of it for this long: three renewals of a session.
+const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+
+pub(crate) struct Shared<P> {
+    pub(crate) platform: P,
+    pub(crate) options: Options,
+    pub(crate) clock: Arc<dyn Clock>,
+    /// The policy in force; `None` before the first.
+    pub(crate) policy: RefCell<Option<Policy>>,
+    pub(crate) policy_changed: Notify,
+    /// The session's lease, while it is believed to hold.
+    pub(crate) lease: Cell<Option<Lease>>,
+    /// When the store last answered.
+    pub(crate) store_heard_at: Cell<Option<Instant>>,
+    pub(crate) groups: RefCell<BTreeMap<GroupId, Rc<Group<P>>>>,
+    pub(crate) draining: Cell<bool>,
+}
+
+impl<P> Shared<P> {
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn wall_ms(&self) -> u64 {
+        persimmon_types::unix_ms(self.clock.wall())
+    }
+
+    /// The group that a job is homed to.
+    pub(crate) fn home(&self, job: JobId) -> GroupId {
+        GroupId(shard_of(&job.to_string(), self.options.group_count))
+    }
+
+    pub(crate) fn store_heard(&self) {
+        self.store_heard_at.set(Some(self.now()));
+    }
+
+    pub(crate) fn store_is_silent(&self) -> bool {
+        let heard_at = self.store_heard_at.get();
+        heard_at.is_none_or(|at| self.now() >= at + SILENT_AFTER)
+    }
+
+    /// Tells whether callers should come here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.policy.borrow().is_some() && !self.draining.get()
+    }
+}
--- /dev/null
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -0,0 +1,128 @@
+use super::{Commit, Engine, Job, Order, Stage, State, Task};
+use crate::{JobId, Mark, Record, TaskRecord};
+use std::{collections::HashMap, sync::Arc};
+
+impl Engine {
+    /// Up to `max` records that the store must learn of, one at a time for each job.
+    pub fn commits(&mut self, max: usize) -> Vec<Commit> {
+        let in_flight = |id: &JobId| self.jobs.get(id).is_none_or(|job| job.in_flight);
+        let ids: Vec<_> = self.dirty.iter().filter(|id| !in_flight(id)).collect();
+        let ids: Vec<_> = ids.into_iter().take(max).copied().collect();
+        let mut commits = Vec::with_capacity(ids.len());
+        for id in ids {
+            self.dirty.remove(&id);
+            let record = self.record(id);
+            if let (Some(job), Some(record)) = (self.jobs.get_mut(&id), record) {
+                job.in_flight = true;
+                commits.push(Commit {
+                    job: id,
+                    version: job.version,
+                    revision: job.revision,
+                    record,
+                });
+            }
+        }
+        commits
+    }
+
+    fn record(&self, id: JobId) -> Option<Record> {
+        let job = self.jobs.get(&id)?;
+        let mut runners = Vec::new();
+        let mut indexes = HashMap::new();
+        let mut write = |task: &Task| {
+            let mark = match task.state {
+                State::Waiting { .. } => Mark::Waiting,
+                State::Done => Mark::Done,
+                State::Placed { runner, .. } => {
+                    let at = *indexes.entry(runner).or_insert_with(|| {
+                        runners.push(self.runner(runner).info.id.clone());
+                        runners.len() - 1
+                    });
+                    Mark::Placed(at as u16)
+                }
+            };
+            TaskRecord {
+                mark,
+                run: task.run,
+                failures: task.failures,
+                saved: task.saved.clone(),
+            }
+        };
+        let mut tasks = Vec::with_capacity(job.tasks.len());
+        for occurrence in &job.tasks {
+            let steps = occurrence.iter();
+            tasks.push(
+                steps
+                    .map(|step| step.tasks.iter().map(&mut write).collect())
+                    .collect(),
+            );
+        }
+        Some(Record {
+            phase: job.phase,
+            runners,
+            tasks,
+        })
+    }
+
+    /// Takes note that a record is in the store; the starts that waited for it become orders.
+    pub fn committed(&mut self, id: JobId, version: u64, revision: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.in_flight = false;
+        job.revision = revision;
+        job.committed = version;
+        if job.version > version {
+            self.dirty.insert(id);
+        }
+        for task in self.tasks_of(id) {
+            self.order_start(task, version);
+        }
+        self.acknowledge(id);
+    }
+
+    fn order_start(&mut self, id: crate::TaskId, version: u64) {
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        let State::Placed {
+            runner,
+            stage: Stage::Committing(needed),
+        } = task.state
+        else {
+            return;
+        };
+        if needed > version {
+            return;
+        }
+        task.state = State::Placed {
+            runner,
+            stage: Stage::Ordered,
+        };
+        let (run, saved) = (task.run, task.saved.clone());
+        let it = self.runner(runner);
+        let order = Order::Start {
+            runner: it.info.id.clone(),
+            task: id,
+            run,
+            job: Arc::clone(&self.jobs[&id.job].spec),
+            saved,
+        };
+        self.orders.push(order);
+    }
+
+    /// Raises what may be acknowledged on the runners whose ends waited for this job.
+    fn acknowledge(&mut self, _id: JobId) {
+        let jobs = &self.jobs;
+        for runner in &mut self.runners {
+            while let Some(&end) = runner.ends.front() {
+                let committed = |job: &Job| job.committed >= end.version;
+                if !jobs.get(&end.job).is_none_or(committed) {
+                    break;
+                }
+                runner.acknowledged = end.number;
+                runner.ends.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -0,0 +1,224 @@
+use super::{claim_of, Engine, Rank, Stage, State};
+use crate::{
+    fleet::{Runner, RunnerKey},
+    Phase, RunnerState, StepSpec, TaskId,
+};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Instant,
+};
+
+/// Share of its declared processor time that a serving task uses, in percent, where nothing is known.
+const SERVING_USE_PERCENT: i64 = 50;
+
+impl Engine {
+    /// Places ready tasks in order of rank. A step that found no room is not tried again this time.
+    pub(crate) fn place_ready(&mut self, now: Instant) {
+        let ranks: Vec<_> = self.ready.iter().copied().collect();
+        let mut stuck = HashSet::new();
+        for rank in ranks {
+            let id = rank.task;
+            let step = (id.job, id.occurrence, id.step);
+            if stuck.contains(&step) || !self.may_place(id, now) {
+                continue;
+            }
+            let placed = if self.step_of(id).is_some_and(|it| it.gang) {
+                self.place_gang(id, now)
+            } else {
+                self.place(rank, now)
+            };
+            if !placed {
+                stuck.insert(step);
+            }
+        }
+    }
+
+    fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
+        self.jobs.get(&id.job)?.spec.steps.get(usize::from(id.step))
+    }
+
+    fn may_place(&self, id: TaskId, now: Instant) -> bool {
+        let state = self.task(id).map(|task| task.state);
+        match state {
+            Some(State::Waiting { not_before }) => not_before.is_none_or(|at| now >= at),
+            _ => false,
+        }
+    }
+
+    /// Places one task; `false` if no runner has room.
+    fn place(&mut self, rank: Rank, now: Instant) -> bool {
+        let id = rank.task;
+        let Some(key) = self.choose(id, now) else {
+            return false;
+        };
+        self.assign(id, key, None);
+        true
+    }
+
+    /// Places all tasks of a gang or none: they share the run's number and the checkpoint.
+    fn place_gang(&mut self, id: TaskId, now: Instant) -> bool {
+        let job = &self.jobs[&id.job];
+        let tasks = &job.tasks[id.occurrence as usize][usize::from(id.step)].tasks;
+        let waiting = |state| matches!(state, State::Waiting { .. });
+        if !tasks.iter().all(|task| waiting(task.state)) {
+            return false;
+        }
+        let run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
+        let saved = tasks.iter().map(|task| task.saved.clone()).max();
+        let saved = saved.unwrap_or_default();
+        let members: Vec<_> = (0..tasks.len())
+            .map(|index| TaskId {
+                index: index as u16,
+                ..id
+            })
+            .collect();
+        for (at, &member) in members.iter().enumerate() {
+            let Some(key) = self.choose(member, now) else {
+                for &placed in &members[..at] {
+                    self.end_run(placed, now);
+                    self.ready_again(placed);
+                }
+                return false;
+            };
+            if let Some(task) = self.task_mut(member) {
+                task.saved.clone_from(&saved);
+            }
+            self.assign(member, key, Some(run));
+        }
+        true
+    }
+
+    fn ready_again(&mut self, id: TaskId) {
+        let job = &self.jobs[&id.job];
+        self.ready.insert(Rank {
+            priority: job.priority,
+            due_ms: job.due_ms,
+            task: id,
+        });
+    }
+
+    fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        job.version += 1;
+        if job.phase == Phase::Queued {
+            job.phase = Phase::Active;
+        }
+        let version = job.version;
+        let claim = claim_of(&job.spec, id);
+        let rank = Rank {
+            priority: job.priority,
+            due_ms: job.due_ms,
+            task: id,
+        };
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        task.run = run.unwrap_or(task.run + 1);
+        task.state = State::Placed {
+            runner: key,
+            stage: Stage::Committing(version),
+        };
+        let run = task.run;
+        self.runner_mut(key).claim(id, run, claim);
+        self.ready.remove(&rank);
+        self.dirty.insert(id.job);
+        log::debug!(
+            "event=task.place task={id} run={run} runner={} room={}",
+            self.runner(key).info.id,
+            self.runner(key).room()
+        );
+    }
+
+    /// The best runner for a task, if any has room.
+    fn choose(&self, id: TaskId, now: Instant) -> Option<RunnerKey> {
+        let job = self.jobs.get(&id.job)?;
+        let step = &job.spec.steps[usize::from(id.step)];
+        let siblings = self.siblings(id);
+        let rack = self.rack_of_siblings(step, &siblings);
+        let mut best: Option<(i64, RunnerKey)> = None;
+        for (at, runner) in self.runners.iter().enumerate() {
+            let key = RunnerKey(at as u32);
+            let beside = siblings.get(&key).copied().unwrap_or(0);
+            if runner.info.service != job.service
+                || !self.is_open(runner, now)
+                || !allows(step, runner, beside)
+            {
+                continue;
+            }
+            let score = score(step, runner, rack.as_deref());
+            if best.is_none_or(|(known, _)| score > known) {
+                best = Some((score, key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Tells whether a runner may get new tasks.
+    fn is_open(&self, runner: &Runner, now: Instant) -> bool {
+        let heard = |at: Instant| now < at + self.options.heard_within;
+        runner.listed
+            && runner.info.state == RunnerState::Ready
+            && runner.heard_at.is_some_and(heard)
+            && runner.avoid_until.is_none_or(|until| now >= until)
+    }
+
+    /// Tasks of the same step and occurrence by runner.
+    fn siblings(&self, id: TaskId) -> HashMap<RunnerKey, u32> {
+        let mut counts = HashMap::new();
+        let Some(job) = self.jobs.get(&id.job) else {
+            return counts;
+        };
+        let step = &job.tasks[id.occurrence as usize][usize::from(id.step)];
+        for task in &step.tasks {
+            if let State::Placed { runner, .. } = task.state {
+                *counts.entry(runner).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    fn rack_of_siblings(
+        &self,
+        step: &StepSpec,
+        siblings: &HashMap<RunnerKey, u32>,
+    ) -> Option<String> {
+        if let Some(rack) = &step.affinity {
+            return Some(rack.clone());
+        }
+        if !step.rack_local {
+            return None;
+        }
+        let (&key, _) = siblings.iter().max_by_key(|&(_, &count)| count)?;
+        self.runner(key).info.labels.get(1).cloned()
+    }
+}
+
+fn allows(step: &StepSpec, runner: &Runner, beside: u32) -> bool {
+    let labelled = step
+        .constraint
+        .as_ref()
+        .is_none_or(|label| runner.has_label(label));
+    labelled
+        && (step.spread_max == 0 || beside < step.spread_max)
+        && step.claim().fits(runner.room())
+}
+
+/// Weight of the right rack: work on another takes several times as long.
+const RACK_WEIGHT: i64 = 1_000_000;
+
+/// Higher is better: the fullest runner for a claim on processors, the idlest for what fills.
+fn score(step: &StepSpec, runner: &Runner, rack: Option<&str>) -> i64 {
+    let near = rack.is_some_and(|rack| runner.has_label(rack));
+    let rack_score = if near { RACK_WEIGHT } else { 0 };
+    if !step.fills {
+        return rack_score - i64::from(runner.room().cpu_millis);
+    }
+    let serving = i64::from(runner.serving_cpu_millis);
+    let others = i64::from(runner.used.cpu_millis) - serving;
+    let busy = others + serving * SERVING_USE_PERCENT / 100;
+    let idle = i64::from(runner.info.capacity.cpu_millis) - busy;
+    let left = idle * i64::from(runner.pace.percent) / 100;
+    rack_score + left - i64::from(runner.fill_cpu_millis)
+}
