feat(sched,interference): place, move and pause what fills by learned disturbance

Cause: every task that fills was slowed beside any high tail, so batch jobs stood still. Figures without any pacing show that tails rise with the processor use of some images only, and differ by pair. A weight for each pair is learned from reports.

--- a/crates/persimmon-interference/src/lib.rs
+++ b/crates/persimmon-interference/src/lib.rs
@@ -9,8 +9,10 @@
 mod controller;
 mod estimate;
 pub mod naive;
+mod pressure;
 mod sample;
 
 pub use controller::{Action, Controller, Options};
 pub use estimate::{Estimates, Pairing};
+pub use pressure::Pressure;
 pub use sample::{Band, ClassKey, Sample, ServiceKey, Task, TaskKey, WorkerKey};
--- /dev/null
+++ b/crates/persimmon-interference/src/pressure.rs
@@ -0,0 +1,64 @@
+use crate::{ClassKey, ServiceKey};
+use std::collections::BTreeMap;
+
+/// The part of a prediction's error that one sample corrects.
+const GAIN: f64 = 0.15;
+/// Use below this share of a worker says nothing about a class.
+const USE_MIN: f64 = 0.01;
+/// The logarithm of a service's ratio of tail latency to target while nothing is known of it.
+const UNKNOWN_ALONE: f64 = -0.7;
+/// Samples are cut to this range of logarithms, so that a few of them can't swing an estimate.
+const RATIO_MIN: f64 = -2.0;
+const RATIO_MAX: f64 = 1.5;
+/// A weight at most; more would follow from a single sample with little use.
+const WEIGHT_MAX: f64 = 12.0;
+/// Weight of the part that is not the batch classes': a service's own load moves its tail too.
+const ALONE_PART: f64 = 0.3;
+
+/// How strongly the processor use of a batch class raises a service's tail latency, learned from
+/// samples of services whose load is not known.
+///
+/// The logarithm of the tail's ratio to its target is taken to rise by a weight times the class's use,
+/// as a share of the worker. Each sample spreads its error over what ran (normalised least mean
+/// squares); weights are never negative, since batch work helps no service.
+#[derive(Debug, Clone, Default)]
+pub struct Pressure {
+    weights: BTreeMap<(ServiceKey, ClassKey), f64>,
+    alone: BTreeMap<ServiceKey, f64>,
+}
+
+impl Pressure {
+    /// Learns that `service` had a tail of `ratio` times its target while each class of `used` had
+    /// that share of the worker's processors.
+    pub fn learn(&mut self, service: ServiceKey, ratio: f64, used: &[(ClassKey, f64)]) {
+        let measured = ratio
+            .max(f64::MIN_POSITIVE)
+            .ln()
+            .clamp(RATIO_MIN, RATIO_MAX);
+        let alone = self.alone.get(&service).copied().unwrap_or(UNKNOWN_ALONE);
+        let parts = used.iter().filter(|(_, part)| *part >= USE_MIN);
+        let parts: Vec<_> = parts.copied().collect();
+        let predicted = alone + self.rise(service, &parts);
+        let squares: f64 = parts.iter().map(|(_, part)| part * part).sum();
+        let step = GAIN * (measured - predicted) / (ALONE_PART * ALONE_PART + squares);
+        self.alone
+            .insert(service, alone + step * ALONE_PART * ALONE_PART);
+        for (class, part) in parts {
+            let weight = self.weights.entry((service, class)).or_default();
+            *weight = (*weight + step * part).clamp(0.0, WEIGHT_MAX);
+        }
+    }
+
+    /// What a whole worker's use by `class` adds to the logarithm of `service`'s ratio; 0 if unknown.
+    pub fn weight(&self, service: ServiceKey, class: ClassKey) -> f64 {
+        let weight = self.weights.get(&(service, class));
+        weight.copied().unwrap_or(0.0)
+    }
+
+    /// What several classes add together.
+    pub fn rise(&self, service: ServiceKey, used: &[(ClassKey, f64)]) -> f64 {
+        let each = used.iter();
+        each.map(|&(class, part)| self.weight(service, class) * part)
+            .sum()
+    }
+}
--- a/crates/persimmon-sched/src/engine/lost.rs
+++ b/crates/persimmon-sched/src/engine/lost.rs
@@ -51,7 +51,7 @@
         runner.processed = 0;
         runner.acknowledged = 0;
         runner.ends.clear();
-        runner.lease.deadline_ms = 0;
+        runner.lease.forget();
         let unsure = |stage| matches!(stage, Stage::Ordered | Stage::Doubt { .. });
         self.lose_runs(key, |stage| !unsure(stage));
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,13 +1,15 @@
 mod commit;
+mod disturb;
 mod lost;
 mod place;
 mod report;
 mod start;
 
 use crate::{
-    fleet::{Claim, Runner, RunnerKey},
-    JobId, JobSpec, Mark, Phase, Policy, Record, RunnerInfo, TaskId, TaskRecord,
+    fleet::{Claim, Image, Runner, RunnerKey},
+    JobId, JobSpec, Mark, Phase, Policy, Record, RunnerInfo, StepSpec, TaskId, TaskRecord,
 };
+use persimmon_interference::Pressure;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -130,6 +132,8 @@
     timers: BTreeMap<(u64, JobId, u32), ()>,
     dirty: BTreeSet<JobId>,
     orders: Vec<Order>,
+    images: HashMap<String, Image>,
+    pressure: Pressure,
     began_at: Instant,
     fenced: bool,
 }
@@ -217,6 +221,8 @@
             timers: BTreeMap::new(),
             dirty: BTreeSet::new(),
             orders: Vec::new(),
+            images: HashMap::new(),
+            pressure: Pressure::default(),
             began_at: now,
             fenced: false,
         }
@@ -268,13 +274,13 @@
             job.revision = stored.revision;
             job.phase = stored.record.phase;
             job.finished_at = job.phase.is_final().then_some(now);
-            self.restore(&mut job, &stored.record);
+            self.restore(&mut job, &stored.record, now);
         }
         self.jobs.insert(id, job);
         self.open_occurrences(id, wall_ms);
     }
 
-    fn restore(&mut self, job: &mut Job, record: &Record) {
+    fn restore(&mut self, job: &mut Job, record: &Record, now: Instant) {
         let spec = Arc::clone(&job.spec);
         for (occurrence, steps) in record.tasks.iter().enumerate() {
             let mut restored = Vec::with_capacity(steps.len());
@@ -288,7 +294,7 @@
                         index: index as u16,
                     };
                     into.done += u32::from(task.mark == Mark::Done);
-                    let state = self.restore_task(&spec, id, task, record);
+                    let state = self.restore_task(&spec, id, task, record, now);
                     into.tasks.push(Task {
                         state,
                         run: task.run,
@@ -308,6 +314,7 @@
         id: TaskId,
         task: &TaskRecord,
         record: &Record,
+        now: Instant,
     ) -> State {
         let Some(runner) = record.runner(task.mark) else {
             return if task.mark == Mark::Done {
@@ -317,7 +324,7 @@
             };
         };
         let key = self.runner_key(runner);
-        let claim = claim_of(spec, id);
+        let claim = self.claim_of_step(&spec.steps[usize::from(id.step)], now);
         self.runner_mut(key).claim(id, task.run, claim);
         State::Placed {
             runner: key,
@@ -530,6 +537,25 @@
         ids
     }
 
+    /// What a run of a task claims; `None` for a task of a job that is not here.
+    fn claim_of(&mut self, id: TaskId, now: Instant) -> Option<Claim> {
+        let spec = Arc::clone(&self.jobs.get(&id.job)?.spec);
+        let step = spec.steps.get(usize::from(id.step))?;
+        Some(self.claim_of_step(step, now))
+    }
+
+    fn claim_of_step(&mut self, step: &StepSpec, now: Instant) -> Claim {
+        let fill_cpu_millis = if step.fills { step.size.cpu_millis } else { 0 };
+        Claim {
+            size: step.claim(),
+            fill_cpu_millis,
+            serves: step.serves(),
+            image: self.image(&step.image),
+            percent: 100,
+            placed_at: now,
+        }
+    }
+
     fn runner_key(&mut self, id: &str) -> RunnerKey {
         if let Some(&key) = self.runner_keys.get(id) {
             return key;
@@ -591,12 +617,3 @@
         self.done as usize == self.tasks.len()
     }
 }
-
-fn claim_of(spec: &JobSpec, id: TaskId) -> Claim {
-    let step = &spec.steps[usize::from(id.step)];
-    Claim {
-        size: step.claim(),
-        fill_cpu_millis: if step.fills { step.size.cpu_millis } else { 0 },
-        serves: step.serves(),
-    }
-}
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -1,6 +1,6 @@
-use super::{claim_of, Engine, Rank, Stage, State};
+use super::{Engine, Rank, Stage, State};
 use crate::{
-    fleet::{Runner, RunnerKey},
+    fleet::{Claim, Runner, RunnerKey},
     Phase, RunnerState, StepSpec, TaskId,
 };
 use std::{
@@ -51,7 +51,7 @@
         let Some(key) = self.choose(id, now) else {
             return false;
         };
-        self.assign(id, key, None);
+        self.assign(id, key, None, now);
         true
     }
 
@@ -83,7 +83,7 @@
             if let Some(task) = self.task_mut(member) {
                 task.saved.clone_from(&saved);
             }
-            self.assign(member, key, Some(run));
+            self.assign(member, key, Some(run), now);
         }
         true
     }
@@ -97,7 +97,10 @@
         });
     }
 
-    fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>) {
+    fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>, now: Instant) {
+        let Some(claim) = self.claim_of(id, now) else {
+            return;
+        };
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -106,7 +109,6 @@
             job.phase = Phase::Active;
         }
         let version = job.version;
-        let claim = claim_of(&job.spec, id);
         let rank = Rank {
             priority: job.priority,
             due_ms: job.due_ms,
@@ -132,7 +134,8 @@
     }
 
     /// The best runner for a task, if any has room.
-    fn choose(&self, id: TaskId, now: Instant) -> Option<RunnerKey> {
+    fn choose(&mut self, id: TaskId, now: Instant) -> Option<RunnerKey> {
+        let claim = self.claim_of(id, now)?;
         let job = self.jobs.get(&id.job)?;
         let step = &job.spec.steps[usize::from(id.step)];
         let siblings = self.siblings(id);
@@ -147,7 +150,10 @@
             {
                 continue;
             }
-            let score = score(step, runner, rack.as_deref());
+            let Some(disturbance) = self.disturbance(runner, &claim) else {
+                continue;
+            };
+            let score = score(step, &claim, runner, rack.as_deref()) - disturbance;
             if best.is_none_or(|(known, _)| score > known) {
                 best = Some((score, key));
             }
@@ -209,7 +215,7 @@
 const RACK_WEIGHT: i64 = 1_000_000;
 
 /// Higher is better: the fullest runner for a claim on processors, the idlest for what fills.
-fn score(step: &StepSpec, runner: &Runner, rack: Option<&str>) -> i64 {
+fn score(step: &StepSpec, claim: &Claim, runner: &Runner, rack: Option<&str>) -> i64 {
     let near = rack.is_some_and(|rack| runner.has_label(rack));
     let rack_score = if near { RACK_WEIGHT } else { 0 };
     if !step.fills {
@@ -219,6 +225,5 @@
     let others = i64::from(runner.used.cpu_millis) - serving;
     let busy = others + serving * SERVING_USE_PERCENT / 100;
     let idle = i64::from(runner.info.capacity.cpu_millis) - busy;
-    let left = idle * i64::from(runner.pace.percent) / 100;
-    rack_score + left - i64::from(runner.fill_cpu_millis)
+    rack_score + idle - i64::from(runner.fill_cpu_millis) - i64::from(claim.fill_cpu_millis)
 }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -1,6 +1,6 @@
-use super::{Engine, Order, Stage, State};
+use super::{Engine, Stage, State};
 use crate::{
-    fleet::{Claim, PendingEnd, RunnerKey},
+    fleet::{PendingEnd, RunnerKey},
     End, EndKind, Listed, Phase, Report, TaskId,
 };
 use std::{
@@ -12,12 +12,6 @@
 const FAILED_BACKOFF: Duration = Duration::from_millis(30);
 /// Runs that fail in a row before a runner is avoided: one may be the job's own fault.
 const FAILURES_BEFORE_AVOID: u32 = 2;
-/// Room that an unknown run is taken to use until it has ended.
-const STRAY: Claim = Claim {
-    size: persimmon_types::Size::ZERO,
-    fill_cpu_millis: 0,
-    serves: false,
-};
 
 impl Engine {
     /// The highest end on `runner` that is committed and may be acknowledged.
@@ -61,21 +55,20 @@
     pub fn heard(&mut self, runner: &str, report: &Report, asked_at: Instant, now: Instant) {
         let key = self.runner_key(runner);
         self.reborn(key, report.born_ms, now);
+        let longest = self.options.lease;
         let it = self.runner_mut(key);
         it.heard_at = Some(now);
-        it.lease.sample = Some((report.clock_ms, now));
+        it.lease.hear(report.clock_ms, longest, now);
         for end in &report.ended {
             self.take_end(key, end, now);
         }
         let mut listed = HashSet::with_capacity(report.running.len());
-        let mut tail_percent = None;
         for run in &report.running {
             listed.insert((run.task, run.run));
-            let percent = self.take_listed(key, run, now);
-            tail_percent = tail_percent.max(percent);
+            self.take_listed(key, run, now);
         }
         self.drop_unlisted(key, &listed, asked_at);
-        self.pace(key, tail_percent, now);
+        self.take_figures(key, &report.running, now);
     }
 
     fn take_end(&mut self, key: RunnerKey, end: &End, now: Instant) {
@@ -179,15 +172,15 @@
         }
     }
 
-    /// Takes a run that is listed as running. Returns a serving task's tail in percent of its target.
-    fn take_listed(&mut self, key: RunnerKey, run: &Listed, now: Instant) -> Option<u64> {
+    /// Takes a run that is listed as running.
+    fn take_listed(&mut self, key: RunnerKey, run: &Listed, now: Instant) {
         let placed = |state| matches!(state, State::Placed { runner, .. } if runner == key);
         let current = self
             .task_mut(run.task)
             .filter(|task| task.run == run.run && placed(task.state));
         let Some(task) = current else {
-            self.stop_stray(key, run);
-            return None;
+            self.stop_stray(key, run, now);
+            return;
         };
         if !run.saved.is_empty() {
             task.saved.clone_from(&run.saved);
@@ -203,26 +196,19 @@
                 task.state = State::Placed { runner, stage };
             }
         }
-        let job = self.jobs.get(&run.task.job)?;
-        let step = &job.spec.steps[usize::from(run.task.step)];
-        step.serves()
-            .then(|| run.figure * 100 / step.tail_target_ms)
     }
 
     /// Stops a run that no record names: an earlier owner's, or one that came late.
-    fn stop_stray(&mut self, key: RunnerKey, run: &Listed) {
+    fn stop_stray(&mut self, key: RunnerKey, run: &Listed, now: Instant) {
         log::warn!(
             "event=run.stray task={} run={} runner={}",
             run.task,
             run.run,
             self.runner(key).info.id
         );
-        let claim = self
-            .jobs
-            .get(&run.task.job)
-            .filter(|job| usize::from(run.task.step) < job.spec.steps.len())
-            .map_or(STRAY, |job| super::claim_of(&job.spec, run.task));
-        self.runner_mut(key).claim(run.task, run.run, claim);
+        if let Some(claim) = self.claim_of(run.task, now) {
+            self.runner_mut(key).claim(run.task, run.run, claim);
+        }
         self.order_stop(key, run.task, run.run);
     }
 
@@ -265,31 +251,4 @@
             }
         }
     }
-
-    /// Slows or speeds what fills a runner, by the tails of what serves there.
-    fn pace(&mut self, key: RunnerKey, tail_percent: Option<u64>, now: Instant) {
-        let tail_percent = tail_percent.unwrap_or(0);
-        let runner = self.runner_mut(key);
-        if !runner.pace.observe(tail_percent, now) {
-            return;
-        }
-        let percent = runner.pace.percent;
-        let id = runner.info.id.clone();
-        let fills = runner
-            .claims
-            .iter()
-            .filter(|(_, claim)| claim.fill_cpu_millis > 0);
-        let runs: Vec<_> = fills.map(|(&run, _)| run).collect();
-        if !runs.is_empty() {
-            log::info!("event=pace runner={id} tail_percent={tail_percent} percent={percent}");
-        }
-        for (task, run) in runs {
-            self.orders.push(Order::Pace {
-                runner: id.clone(),
-                task,
-                run,
-                percent,
-            });
-        }
-    }
 }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -1,4 +1,4 @@
-use super::{Answer, Engine, Order, Stage, State};
+use super::{Answer, Engine, Stage, State};
 use crate::{fleet::RunnerKey, TaskId};
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,6 @@
                     runner,
                     stage: Stage::Running(now),
                 };
-                self.pace_started(runner, id, run);
             }
             Answer::Unknown => {
                 task.state = State::Placed {
@@ -54,22 +53,6 @@
         }
     }
 
-    /// A new run works at its full share; slows it where what fills must be slow.
-    fn pace_started(&mut self, key: RunnerKey, task: TaskId, run: u32) {
-        let runner = self.runner(key);
-        let fills = |it: &crate::fleet::Claim| it.fill_cpu_millis > 0;
-        let percent = runner.pace.percent;
-        if percent < 100 && runner.claims.get(&(task, run)).is_some_and(fills) {
-            let runner = runner.info.id.clone();
-            self.orders.push(Order::Pace {
-                runner,
-                task,
-                run,
-                percent,
-            });
-        }
-    }
-
     /// Keeps new tasks off a runner for a while.
     pub(crate) fn avoid(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner_mut(key);
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -96,6 +96,25 @@
     /// Processor time that a run takes from what others leave idle.
     pub(crate) fill_cpu_millis: u32,
     pub(crate) serves: bool,
+    pub(crate) image: Image,
+    /// The share at which it may work.
+    pub(crate) percent: u8,
+    pub(crate) placed_at: Instant,
+}
+
+/// A key for the name of what tasks run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Image(pub(crate) u32);
+
+/// A serving run's tail latency, as last reported.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Tail {
+    pub(crate) run: (TaskId, u32),
+    pub(crate) image: Image,
+    /// Its ratio to the target.
+    pub(crate) ratio: f64,
+    /// Since when it has been near or over the target.
+    pub(crate) over_since: Option<Instant>,
 }
 
 /// An end that may be acknowledged once its job's version is committed.
@@ -126,13 +145,15 @@
     /// Runs that failed or never answered since one was done.
     pub(crate) failures: u32,
     pub(crate) avoid_until: Option<Instant>,
-    pub(crate) pace: crate::pace::Pace,
+    pub(crate) tails: Vec<Tail>,
+    /// When runs were last slowed, moved or sped up.
+    pub(crate) paced_at: Option<Instant>,
 }
 
 /// How long a runner's runs may live without hearing from us.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Lease {
-    /// The latest deadline ever sent, on the runner's clock.
+    /// The latest deadline that may have been sent, by anyone, on the runner's clock.
     pub(crate) deadline_ms: u64,
     /// The runner's clock when it was last heard, and when that was.
     pub(crate) sample: Option<(u64, Instant)>,
@@ -146,6 +167,20 @@
 const LAPSE_MARGIN: Duration = Duration::from_millis(300);
 
 impl Lease {
+    /// Takes the runner's clock. Earlier owners may have sent deadlines up to `longest` after it.
+    pub(crate) fn hear(&mut self, clock_ms: u64, longest: Duration, now: Instant) {
+        if self.sample.is_none() {
+            self.deadline_ms = clock_ms + longest.as_millis() as u64;
+        }
+        self.sample = Some((clock_ms, now));
+    }
+
+    /// Forgets the clock of an earlier incarnation.
+    pub(crate) fn forget(&mut self) {
+        self.deadline_ms = 0;
+        self.sample = None;
+    }
+
     /// When everything on the runner has ended unless it is heard again.
     pub(crate) fn lapses_at(&self) -> Instant {
         let Some((clock_ms, at)) = self.sample else {
@@ -178,7 +213,8 @@
             acknowledged: 0,
             failures: 0,
             avoid_until: None,
-            pace: crate::pace::Pace::default(),
+            tails: Vec::new(),
+            paced_at: None,
         }
     }
 
--- a/crates/persimmon-sched/src/lib.rs
+++ b/crates/persimmon-sched/src/lib.rs
@@ -10,7 +10,6 @@
 mod engine;
 mod fleet;
 mod id;
-mod pace;
 mod policy;
 mod record;
 mod spec;
