test(sched): owners and runners under faults against what really runs

Found by it: a deadline that was worked out for an earlier incarnation of a runner is carried to the next, which shortens it to the longest lease; the engine then took the lease to end two seconds early. It now counts the longest lease at a first report.

--- a/crates/persimmon-entry/src/group/intake.rs
+++ b/crates/persimmon-entry/src/group/intake.rs
@@ -38,7 +38,7 @@
         let known = keys.filter(|key| key.starts_with(&inbox)).collect();
         let mut found: HashMap<JobId, Found> = HashMap::new();
         for item in items {
-            self.sort(item, &mut found);
+            self.sort(&item, &mut found);
         }
         log::info!(
             "event=group.load group={} jobs={} revision={revision}",
@@ -59,10 +59,10 @@
         (known, revision)
     }
 
-    fn sort(&self, item: Item, found: &mut HashMap<JobId, Found>) {
+    fn sort(&self, item: &Item, found: &mut HashMap<JobId, Found>) {
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                found.entry(id).or_default().spec = self.read_submission(&item);
+                found.entry(id).or_default().spec = self.read_submission(item);
             }
             Some(JobKey::Cancellation(id)) => found.entry(id).or_default().is_cancelled = true,
             Some(JobKey::Record(id)) => match Record::decode(&item.value) {
--- a/crates/persimmon-entry/src/group/watch.rs
+++ b/crates/persimmon-entry/src/group/watch.rs
@@ -92,9 +92,7 @@
             match self.shared.platform.hold(&info, hold).await {
                 Ok(report) => {
                     let now = self.shared.now();
-                    let mut engine = self.engine.borrow_mut();
-                    engine.heard(&id, &report, asked_at, now);
-                    drop(engine);
+                    self.engine.borrow_mut().heard(&id, &report, asked_at, now);
                     (is_heard, retry) = (true, RETRY_FIRST);
                     self.wake.notify_one();
                     self.await_commit(&id).await;
--- a/crates/persimmon-entry/src/mirror.rs
+++ b/crates/persimmon-entry/src/mirror.rs
@@ -40,10 +40,7 @@
 ) {
     let mut start = start;
     loop {
-        let (mut known, mut revision) = match start.take() {
-            Some(start) => start,
-            None => (BTreeSet::new(), 0),
-        };
+        let (mut known, mut revision) = start.take().unwrap_or_default();
         if revision == 0 {
             match list(shared, prefix).await {
                 Ok((items, from)) => {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -21,8 +21,10 @@
 pub struct Options {
     /// A runner gets no new task unless it was heard within this time.
     pub heard_within: Duration,
-    /// How long a run lives at most without a renewal of its lease.
+    /// How long a run lives without a renewal of its lease.
     pub lease: Duration,
+    /// What runners shorten longer leases to, whoever asks for them.
+    pub lease_max: Duration,
     /// How long runs of an earlier owner may live on a runner that can't be reached.
     pub orphans: Duration,
     /// How long an ended job's state is kept.
@@ -34,6 +36,7 @@
         Self {
             heard_within: Duration::from_millis(1_800),
             lease: Duration::from_secs(8),
+            lease_max: Duration::from_secs(10),
             orphans: Duration::from_secs(20),
             retention: Duration::from_secs(130),
         }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -55,7 +55,7 @@
     pub fn heard(&mut self, runner: &str, report: &Report, asked_at: Instant, now: Instant) {
         let key = self.runner_key(runner);
         self.reborn(key, report.born_ms, now);
-        let longest = self.options.lease;
+        let longest = self.options.lease_max;
         let it = self.runner_mut(key);
         it.heard_at = Some(now);
         it.lease.hear(report.clock_ms, longest, now);
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -0,0 +1,336 @@
+use crate::support::{job, listed, report, runner, starts, step, stops, task, Bench};
+use persimmon_sched::{
+    Answer, End, EndKind, JobId, Mark, Phase, Record, Schedule, StepSpec, Stored, TaskRecord,
+};
+
+fn end(number: u64, kind: EndKind) -> End {
+    End {
+        number,
+        task: task(1, 0, 0),
+        run: 1,
+        kind,
+        saved: String::new(),
+    }
+}
+
+fn hear_end(bench: &mut Bench, runner: &str, end: End) {
+    let mut report = report(bench.clock_ms(), vec![]);
+    report.ended.push(end);
+    bench.engine.heard(runner, &report, bench.now, bench.now);
+}
+
+fn placed(runner: &str) -> Stored {
+    Stored {
+        revision: 7,
+        record: Record {
+            phase: Phase::Active,
+            runners: vec![runner.to_owned()],
+            tasks: vec![vec![vec![TaskRecord {
+                mark: Mark::Placed(0),
+                run: 1,
+                failures: 0,
+                saved: String::new(),
+            }]]],
+        },
+    }
+}
+
+#[test]
+fn start_waits_for_commit() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    bench.engine.step(0, bench.now);
+    assert!(starts(&bench.engine.orders()).is_empty());
+    bench.commit();
+    let orders = bench.engine.orders();
+    assert_eq!(starts(&orders), [("a".to_owned(), task(1, 0, 0), 1)]);
+}
+
+#[test]
+fn steps_follow_those_before() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    bench.submit(job(1, vec![step(1), second]));
+    assert_eq!(starts(&bench.round()).len(), 1);
+    bench
+        .engine
+        .answered(task(1, 0, 0), 1, Answer::Started, bench.now);
+    assert!(starts(&bench.round()).is_empty());
+    hear_end(&mut bench, "a", end(1, EndKind::Done));
+    let next = starts(&bench.round());
+    assert_eq!(next, [("a".to_owned(), task(1, 1, 0), 1)]);
+}
+
+#[test]
+fn end_is_acknowledged_after_commit() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    bench.round();
+    bench
+        .engine
+        .answered(task(1, 0, 0), 1, Answer::Started, bench.now);
+    hear_end(&mut bench, "a", end(1, EndKind::Done));
+    assert_eq!(bench.engine.acknowledged("a"), 0);
+    assert_eq!(bench.engine.phase(JobId(1)), Some(Phase::Active));
+    bench.commit();
+    assert_eq!(bench.engine.acknowledged("a"), 1);
+    assert_eq!(bench.engine.phase(JobId(1)), Some(Phase::Completed));
+}
+
+#[test]
+fn job_fails_after_its_attempts() {
+    let mut bench = Bench::with_runners(&["a", "b"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    for run in 1..=2 {
+        let started = starts(&bench.round());
+        assert_eq!(started.len(), 1);
+        assert_eq!(started[0].2, run);
+        bench
+            .engine
+            .answered(task(1, 0, 0), run, Answer::Started, bench.now);
+        let failed = End {
+            run,
+            ..end(u64::from(run), EndKind::Failed)
+        };
+        hear_end(&mut bench, &started[0].0, failed);
+        bench.pass(100);
+    }
+    assert!(starts(&bench.round()).is_empty());
+    assert_eq!(bench.engine.phase(JobId(1)), Some(Phase::Failed));
+}
+
+#[test]
+fn doubtful_start_is_stopped_before_another() {
+    let mut bench = Bench::with_runners(&["a", "b"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    let first = starts(&bench.round());
+    bench
+        .engine
+        .answered(task(1, 0, 0), 1, Answer::Unknown, bench.now);
+    bench.pass(300);
+    let orders = bench.round();
+    assert_eq!(stops(&orders), [(task(1, 0, 0), 1)]);
+    assert!(starts(&orders).is_empty());
+    bench.engine.stopped(task(1, 0, 0), 1, bench.now);
+    bench.pass(10);
+    assert!(
+        starts(&bench.round()).is_empty(),
+        "no report since the stop"
+    );
+    for id in ["a", "b"] {
+        bench.hear(id, vec![]);
+    }
+    bench.pass(700);
+    let second = starts(&bench.round());
+    assert_eq!(second.len(), 1);
+    assert_eq!(second[0].2, 2);
+    assert_eq!(first[0].2, 1);
+}
+
+#[test]
+fn doubtful_start_that_shows_up_goes_on() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    bench.round();
+    bench
+        .engine
+        .answered(task(1, 0, 0), 1, Answer::Unknown, bench.now);
+    bench.pass(100);
+    bench.hear("a", vec![listed(task(1, 0, 0), 1)]);
+    bench.pass(1_000);
+    let orders = bench.round();
+    assert!(stops(&orders).is_empty() && starts(&orders).is_empty());
+}
+
+/// A taker does not know which lease the owner before it gave.
+#[test]
+fn taker_grants_an_earlier_owners_lease() {
+    let mut bench = Bench::new();
+    bench.engine.list(runner("a", 4_000));
+    bench.engine.list(runner("b", 4_000));
+    bench
+        .engine
+        .adopt(job(1, vec![step(1)]), Some(placed("a")), 0, bench.now);
+    bench.hear("a", vec![listed(task(1, 0, 0), 1)]);
+    for _ in 0..15 {
+        bench.pass(500);
+        bench.hear("b", vec![]);
+        assert!(starts(&bench.round()).is_empty(), "its lease holds");
+    }
+    for _ in 0..4 {
+        bench.pass(500);
+        bench.hear("b", vec![]);
+        bench.round();
+    }
+    bench.submit(job(2, vec![step(1)]));
+    let orders = bench.round();
+    let again = starts(&orders);
+    assert!(again.iter().all(|(runner, ..)| runner == "b"));
+}
+
+#[test]
+fn taker_waits_for_a_runner_it_can_not_reach() {
+    let mut bench = Bench::new();
+    bench.engine.list(runner("a", 4_000));
+    bench.engine.list(runner("b", 4_000));
+    bench.hear("b", vec![]);
+    bench
+        .engine
+        .adopt(job(1, vec![step(1)]), Some(placed("a")), 0, bench.now);
+    for _ in 0..39 {
+        bench.pass(500);
+        bench.hear("b", vec![]);
+        assert!(starts(&bench.round()).is_empty(), "it may run on a");
+    }
+    bench.pass(1_000);
+    bench.hear("b", vec![]);
+    let again = starts(&bench.round());
+    assert_eq!(again, [("b".to_owned(), task(1, 0, 0), 2)]);
+}
+
+#[test]
+fn taker_places_what_its_runner_does_not_list() {
+    let mut bench = Bench::new();
+    bench.engine.list(runner("a", 4_000));
+    bench
+        .engine
+        .adopt(job(1, vec![step(1)]), Some(placed("a")), 0, bench.now);
+    bench.hear("a", vec![]);
+    let again = starts(&bench.round());
+    assert_eq!(again, [("a".to_owned(), task(1, 0, 0), 2)]);
+}
+
+#[test]
+fn stray_run_is_stopped() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.hear("a", vec![listed(task(9, 0, 0), 3)]);
+    assert_eq!(stops(&bench.round()), [(task(9, 0, 0), 3)]);
+}
+
+#[test]
+fn cancelled_job_stops_its_runs() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.submit(job(1, vec![step(2)]));
+    bench.round();
+    assert!(bench.engine.cancel(JobId(1), bench.now));
+    let orders = bench.round();
+    assert_eq!(stops(&orders).len(), 2);
+    assert_eq!(bench.engine.phase(JobId(1)), Some(Phase::Cancelled));
+    bench.pass(700);
+    assert_eq!(stops(&bench.round()).len(), 2, "without an answer, again");
+}
+
+#[test]
+fn spread_limits_tasks_on_a_runner() {
+    let mut bench = Bench::with_runners(&["a", "b"], 40_000);
+    let apart = StepSpec {
+        spread_max: 2,
+        ..step(5)
+    };
+    bench.submit(job(1, vec![apart]));
+    let placed = starts(&bench.round());
+    assert_eq!(placed.len(), 4);
+    let on_a = placed.iter().filter(|(runner, ..)| runner == "a");
+    assert_eq!(on_a.count(), 2);
+}
+
+#[test]
+fn constraint_names_a_label() {
+    let mut bench = Bench::with_runners(&["a"], 40_000);
+    let needs = |label: &str| StepSpec {
+        constraint: Some(label.to_owned()),
+        ..step(1)
+    };
+    bench.submit(job(1, vec![needs("b")]));
+    bench.submit(job(2, vec![needs("a")]));
+    let placed = starts(&bench.round());
+    assert_eq!(placed, [("a".to_owned(), task(2, 0, 0), 1)]);
+}
+
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let mut bench = Bench::with_runners(&["a"], 2_500);
+    let gang = |count| StepSpec {
+        gang: true,
+        ..step(count)
+    };
+    bench.submit(job(1, vec![gang(3)]));
+    assert!(starts(&bench.round()).is_empty(), "two of three have room");
+    bench.submit(job(2, vec![gang(2)]));
+    let placed = starts(&bench.round());
+    assert_eq!(placed.len(), 2);
+    assert!(placed
+        .iter()
+        .all(|&(_, task, run)| task.job == JobId(2) && run == 1));
+}
+
+#[test]
+fn occurrences_open_when_due() {
+    let mut bench = Bench::with_runners(&["a"], 40_000);
+    let mut spec = job(1, vec![step(1)]);
+    spec.schedule = Some(Schedule {
+        first_at_ms: 1_000,
+        interval_ms: 500,
+        count: 2,
+    });
+    bench.submit(spec);
+    let mut opened = Vec::new();
+    for wall_ms in [0, 999, 1_000, 1_499, 1_500, 9_000] {
+        bench.engine.step(wall_ms, bench.now);
+        bench.commit();
+        for (_, task, _) in starts(&bench.engine.orders()) {
+            opened.push((wall_ms, task.occurrence));
+        }
+    }
+    assert_eq!(opened, [(1_000, 0), (1_500, 1)]);
+}
+
+#[test]
+fn capacity_is_never_exceeded() {
+    let mut bench = Bench::with_runners(&["a"], 2_500);
+    bench.submit(job(1, vec![step(5)]));
+    assert_eq!(starts(&bench.round()).len(), 2);
+    assert!(starts(&bench.round()).is_empty());
+}
+
+#[test]
+fn what_fills_claims_no_processors() {
+    let mut bench = Bench::with_runners(&["a"], 2_500);
+    bench.submit(job(1, vec![step(2)]));
+    bench.round();
+    let fills = StepSpec {
+        fills: true,
+        ..step(3)
+    };
+    bench.submit(job(2, vec![fills]));
+    assert_eq!(starts(&bench.round()).len(), 3);
+}
+
+#[test]
+fn draining_runner_gets_no_task() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    let mut leaving = runner("a", 4_000);
+    leaving.state = persimmon_sched::RunnerState::Draining;
+    bench.engine.list(leaving);
+    bench.submit(job(1, vec![step(1)]));
+    assert!(starts(&bench.round()).is_empty());
+}
+
+#[test]
+fn reborn_runner_frees_its_runs() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    bench.round();
+    bench
+        .engine
+        .answered(task(1, 0, 0), 1, Answer::Started, bench.now);
+    bench.pass(100);
+    let mut report = report(5, vec![]);
+    report.born_ms = 2;
+    bench.engine.heard("a", &report, bench.now, bench.now);
+    let again = starts(&bench.round());
+    assert_eq!(again, [("a".to_owned(), task(1, 0, 0), 2)]);
+}
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the scheduler, without input or output.
+
+mod engine;
+mod id;
+mod policy;
+mod spec;
+mod support;
+mod world;
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/spec.rs
@@ -0,0 +1,37 @@
+use crate::support::{job, step};
+use persimmon_sched::{SpecError, StepSpec};
+
+#[test]
+fn check_bounds() {
+    assert_eq!(job(1, vec![step(2)]).check(), Ok(()));
+    assert_eq!(job(1, vec![]).check(), Err(SpecError::Steps { steps: 0 }));
+    let empty = SpecError::Tasks { step: 0, count: 0 };
+    assert_eq!(job(1, vec![step(0)]).check(), Err(empty));
+    let mut long = job(1, vec![step(1)]);
+    long.payload = "x".repeat(4_001);
+    assert_eq!(long.check(), Err(SpecError::Payload { bytes: 4_001 }));
+}
+
+#[test]
+fn check_order_of_steps() {
+    let after = |after| StepSpec {
+        after: vec![after],
+        ..step(1)
+    };
+    assert_eq!(job(1, vec![step(1), after(0)]).check(), Ok(()));
+    let own = SpecError::After { step: 0, after: 0 };
+    assert_eq!(job(1, vec![after(0)]).check(), Err(own));
+    let late = SpecError::After { step: 0, after: 1 };
+    assert_eq!(job(1, vec![after(1), step(1)]).check(), Err(late));
+}
+
+#[test]
+fn chain_is_the_longest_path() {
+    let with = |estimate_ms, after| StepSpec {
+        estimate_ms,
+        after,
+        ..step(1)
+    };
+    let steps = vec![with(100, vec![]), with(900, vec![]), with(50, vec![0, 1])];
+    assert_eq!(job(1, steps).chain_ms(), 950);
+}
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -0,0 +1,177 @@
+//! Jobs, runners and reports for tests.
+
+use persimmon_sched::{
+    Engine, JobId, JobSpec, Listed, Options, Order, Policy, Queue, Report, RunnerInfo, RunnerState,
+    StepSpec, TaskId,
+};
+use persimmon_types::Size;
+use std::time::{Duration, Instant};
+
+pub(crate) const QUEUE: &str = "quotes";
+pub(crate) const SERVICE: &str = "bookings";
+
+pub(crate) fn size(cpu_millis: u32) -> Size {
+    Size {
+        cpu_millis,
+        memory_mib: 100,
+        accelerators: 0,
+    }
+}
+
+pub(crate) fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        size: size(1_000),
+        estimate_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+pub(crate) fn job(id: u64, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        id: JobId(id),
+        queue: QUEUE.to_owned(),
+        payload: "work".to_owned(),
+        submitted_at_ms: 0,
+        steps,
+        schedule: None,
+    }
+}
+
+pub(crate) fn task(job: u64, step: u16, index: u16) -> TaskId {
+    TaskId {
+        job: JobId(job),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+pub(crate) fn policy() -> Policy {
+    Policy {
+        version: 1,
+        queues: vec![Queue {
+            name: QUEUE.to_owned(),
+            service: SERVICE.to_owned(),
+            attempts_max: 2,
+            stretch: 2.0,
+            target_ms: 1_000,
+            ..Queue::default()
+        }],
+        ..Policy::default()
+    }
+}
+
+pub(crate) fn runner(id: &str, cpu_millis: u32) -> RunnerInfo {
+    RunnerInfo {
+        id: id.to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        service: SERVICE.to_owned(),
+        state: RunnerState::Ready,
+        capacity: Size {
+            memory_mib: 100_000,
+            ..size(cpu_millis)
+        },
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+    }
+}
+
+pub(crate) fn report(clock_ms: u64, running: Vec<Listed>) -> Report {
+    Report {
+        born_ms: 1,
+        clock_ms,
+        running,
+        ended: Vec::new(),
+    }
+}
+
+pub(crate) fn listed(task: TaskId, run: u32) -> Listed {
+    Listed {
+        task,
+        run,
+        saved: String::new(),
+        figure: 0,
+        percent: 0,
+    }
+}
+
+/// An engine with time that a test moves.
+pub(crate) struct Bench {
+    pub(crate) engine: Engine,
+    pub(crate) began_at: Instant,
+    pub(crate) now: Instant,
+}
+
+impl Bench {
+    pub(crate) fn new() -> Self {
+        let now = Instant::now();
+        let mut engine = Engine::new(Options::default(), now);
+        engine.configure(policy());
+        Self {
+            engine,
+            began_at: now,
+            now,
+        }
+    }
+
+    pub(crate) fn with_runners(ids: &[&str], cpu_millis: u32) -> Self {
+        let mut bench = Self::new();
+        for id in ids {
+            bench.engine.list(runner(id, cpu_millis));
+            bench.hear(id, vec![]);
+        }
+        bench
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    pub(crate) fn clock_ms(&self) -> u64 {
+        (self.now - self.began_at).as_millis() as u64 + 1_000
+    }
+
+    /// The runner answers a look that was sent just now.
+    pub(crate) fn hear(&mut self, runner: &str, running: Vec<Listed>) {
+        let report = report(self.clock_ms(), running);
+        self.engine.heard(runner, &report, self.now, self.now);
+    }
+
+    pub(crate) fn submit(&mut self, spec: JobSpec) {
+        self.engine.adopt(spec, None, 0, self.now);
+    }
+
+    /// Decides, commits everything, and returns the orders.
+    pub(crate) fn round(&mut self) -> Vec<Order> {
+        self.engine.step(0, self.now);
+        self.commit();
+        self.engine.orders()
+    }
+
+    pub(crate) fn commit(&mut self) {
+        for commit in self.engine.commits(100) {
+            let revision = commit.revision + 1;
+            self.engine.committed(commit.job, commit.version, revision);
+        }
+    }
+}
+
+/// The starts among some orders: runner, task and run.
+pub(crate) fn starts(orders: &[Order]) -> Vec<(String, TaskId, u32)> {
+    let start = |order: &Order| match order {
+        Order::Start {
+            runner, task, run, ..
+        } => Some((runner.clone(), *task, *run)),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+/// The stops among some orders: task and run.
+pub(crate) fn stops(orders: &[Order]) -> Vec<(TaskId, u32)> {
+    let stop = |order: &Order| match order {
+        Order::Stop { task, run, .. } => Some((*task, *run)),
+        _ => None,
+    };
+    orders.iter().filter_map(stop).collect()
+}
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/world.rs
@@ -0,0 +1,487 @@
+//! Owners and runners under faults, against what really runs.
+
+use crate::support::{job, policy, runner, step};
+use persimmon_sched::{
+    Answer, Commit, End, EndKind, Engine, JobId, JobSpec, Listed, Options, Order, Record, Report,
+    StepSpec, Stored, TaskId,
+};
+use proptest::prelude::{any, proptest, ProptestConfig};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+const RUNNERS: usize = 4;
+const JOBS: u64 = 8;
+const TICK_MS: u64 = 20;
+const FAULTS_MS: u64 = 30_000;
+const CALM_MS: u64 = 60_000;
+/// A worker shortens longer leases to this.
+const LEASE_MAX_MS: u64 = 10_000;
+
+/// A runner that keeps the platform's promises.
+struct Worker {
+    id: String,
+    born_ms: u64,
+    fence: u64,
+    deadline_ms: u64,
+    running: BTreeMap<TaskId, Running>,
+    /// The highest run that ended or was stopped here.
+    closed: HashMap<TaskId, u32>,
+    ended: Vec<End>,
+    next_end: u64,
+    /// Ends below this one came before the lease lapsed: acknowledging them later counts for nothing.
+    void_below: u64,
+    unreachable_until_ms: u64,
+}
+
+struct Running {
+    run: u32,
+    until_ms: u64,
+    fails: bool,
+}
+
+/// A start on its way, to be carried out at a time.
+#[derive(Clone)]
+struct Late {
+    at_ms: u64,
+    worker: usize,
+    /// The incarnation that it is meant for.
+    born_ms: u64,
+    task: TaskId,
+    run: u32,
+    fence: u64,
+    deadline_ms: u64,
+}
+
+struct Owner {
+    engine: Engine,
+    fence: u64,
+    /// The incarnations that it has heard of, by worker.
+    born_ms: HashMap<usize, u64>,
+    /// Records on their way to the store, and whether they got there without an answer.
+    writing: Vec<(Commit, bool)>,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    base: Instant,
+    now_ms: u64,
+    workers: Vec<Worker>,
+    late: Vec<Late>,
+    specs: BTreeMap<JobId, JobSpec>,
+    records: BTreeMap<JobId, (u64, Record)>,
+    revision: u64,
+    /// The last is in office; those before it don't know yet that they are not.
+    owners: Vec<Owner>,
+    done: BTreeSet<TaskId>,
+    faulty: bool,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let workers = (0..RUNNERS).map(|at| Worker {
+            id: format!("w{at}"),
+            born_ms: 1,
+            fence: 0,
+            deadline_ms: 0,
+            running: BTreeMap::new(),
+            closed: HashMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            void_below: 0,
+            unreachable_until_ms: 0,
+        });
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            base: Instant::now(),
+            now_ms: 0,
+            workers: workers.collect(),
+            late: Vec::new(),
+            specs: BTreeMap::new(),
+            records: BTreeMap::new(),
+            revision: 0,
+            owners: Vec::new(),
+            done: BTreeSet::new(),
+            faulty: true,
+        };
+        world.take_over();
+        world
+    }
+
+    fn now(&self) -> Instant {
+        self.base + Duration::from_millis(self.now_ms)
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.faulty && self.rng.random_range(0..100) < percent
+    }
+
+    fn take_over(&mut self) {
+        self.revision += 1;
+        let fence = self.revision;
+        let mut engine = Engine::new(Options::default(), self.now());
+        engine.configure(policy());
+        for worker in &self.workers {
+            engine.list(runner(&worker.id, 4_000));
+        }
+        for (id, spec) in &self.specs {
+            let stored = self.records.get(id).map(|(revision, record)| Stored {
+                revision: *revision,
+                record: record.clone(),
+            });
+            engine.adopt(spec.clone(), stored, 0, self.now());
+        }
+        self.owners.push(Owner {
+            engine,
+            fence,
+            born_ms: HashMap::new(),
+            writing: Vec::new(),
+        });
+        if self.owners.len() > 3 {
+            self.owners.remove(0);
+        }
+    }
+
+    fn submit(&mut self, id: u64) {
+        let second = StepSpec {
+            after: vec![0],
+            ..step(2)
+        };
+        let spec = job(id, vec![step(3), second]);
+        self.specs.insert(spec.id, spec.clone());
+        let now = self.now();
+        let owner = self.owners.last_mut().expect("an owner");
+        owner.engine.adopt(spec, None, 0, now);
+    }
+
+    fn tick(&mut self) {
+        self.now_ms += TICK_MS;
+        self.run_work();
+        self.carry_out_late();
+        for at in 0..self.owners.len() {
+            self.serve(at);
+        }
+        if self.chance(1) && self.rng.random_range(0..4) == 0 {
+            self.take_over();
+        }
+        if self.chance(1) {
+            let at = self.rng.random_range(0..RUNNERS);
+            self.disturb(at);
+        }
+    }
+
+    fn disturb(&mut self, at: usize) {
+        let reborn = self.rng.random_range(0..3) == 0;
+        let dark_ms = self.rng.random_range(100..12_000);
+        let worker = &mut self.workers[at];
+        worker.unreachable_until_ms = self.now_ms + dark_ms;
+        if reborn {
+            worker.born_ms = self.now_ms + 2;
+            worker.fence = 0;
+            worker.deadline_ms = 0;
+            worker.running.clear();
+            worker.closed.clear();
+            worker.ended.clear();
+            worker.next_end = 1;
+            worker.void_below = 0;
+        }
+    }
+
+    fn clock_ms(&self, worker: usize) -> u64 {
+        self.now_ms - self.workers[worker].born_ms.min(self.now_ms)
+    }
+
+    fn run_work(&mut self) {
+        for at in 0..self.workers.len() {
+            let clock_ms = self.clock_ms(at);
+            let now_ms = self.now_ms;
+            let worker = &mut self.workers[at];
+            let lapsed = clock_ms > worker.deadline_ms;
+            if lapsed {
+                worker.void_below = worker.next_end;
+            }
+            let ended: Vec<_> = worker
+                .running
+                .iter()
+                .filter(|(_, it)| lapsed || now_ms >= it.until_ms)
+                .map(|(&task, it)| (task, it.run, it.fails))
+                .collect();
+            for (task, run, fails) in ended {
+                let kind = match (lapsed, fails) {
+                    (true, _) => EndKind::Cut,
+                    (false, true) => EndKind::Failed,
+                    (false, false) => EndKind::Done,
+                };
+                worker.end(task, run, kind);
+            }
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, rest) = self.late.drain(..).partition(|it| it.at_ms <= now_ms);
+        self.late = rest;
+        let due: Vec<Late> = due;
+        for it in due {
+            self.start(&it);
+        }
+    }
+
+    fn serve(&mut self, at: usize) {
+        let now = self.now();
+        self.owners[at].engine.step(0, now);
+        self.write(at);
+        for order in self.owners[at].engine.orders() {
+            self.carry_out(at, order);
+        }
+        for worker in 0..RUNNERS {
+            if self.rng.random_range(0..4) == 0 {
+                self.look(at, worker);
+            }
+        }
+    }
+
+    /// Writes records under their conditions; a write without an answer is sent again.
+    fn write(&mut self, at: usize) {
+        let commits = self.owners[at].engine.commits(15);
+        let fresh = commits.into_iter().map(|commit| (commit, false));
+        let mut writing = std::mem::take(&mut self.owners[at].writing);
+        writing.extend(fresh);
+        let in_office = at + 1 == self.owners.len();
+        for (commit, happened) in writing {
+            if !happened && (!in_office || self.chance(10)) {
+                self.owners[at].writing.push((commit, false));
+                continue;
+            }
+            if !happened {
+                let known = self.records.get(&commit.job).map_or(0, |it| it.0);
+                assert_eq!(known, commit.revision, "one owner writes a record");
+                self.revision += 1;
+                let record = (self.revision, commit.record.clone());
+                self.records.insert(commit.job, record);
+            }
+            if self.chance(10) {
+                self.owners[at].writing.push((commit, true));
+                continue;
+            }
+            let revision = self.records[&commit.job].0;
+            let engine = &mut self.owners[at].engine;
+            engine.committed(commit.job, commit.version, revision);
+        }
+    }
+
+    fn worker(&self, id: &str) -> usize {
+        let found = self.workers.iter().position(|worker| worker.id == id);
+        found.expect("a known worker")
+    }
+
+    fn carry_out(&mut self, at: usize, order: Order) {
+        let now = self.now();
+        let fence = self.owners[at].fence;
+        match order {
+            Order::Start {
+                runner, task, run, ..
+            } => {
+                let worker = self.worker(&runner);
+                let engine = &mut self.owners[at].engine;
+                let deadline_ms = engine.deadline_ms(&runner, now).unwrap_or(0);
+                let start = Late {
+                    at_ms: self.now_ms,
+                    worker,
+                    born_ms: self.owners[at].born_ms.get(&worker).copied().unwrap_or(0),
+                    task,
+                    run,
+                    fence,
+                    deadline_ms,
+                };
+                let answer = self.send_start(start);
+                let engine = &mut self.owners[at].engine;
+                engine.answered(task, run, answer, now);
+            }
+            Order::Stop { runner, task, run } => {
+                let worker = self.worker(&runner);
+                if self.chance(10) || self.is_dark(worker) {
+                    return;
+                }
+                if self.workers[worker].stop(task, run, fence) {
+                    self.owners[at].engine.stopped(task, run, now);
+                }
+            }
+            Order::Pace { .. } => {}
+        }
+    }
+
+    fn is_dark(&self, worker: usize) -> bool {
+        self.now_ms < self.workers[worker].unreachable_until_ms
+    }
+
+    fn send_start(&mut self, start: Late) -> Answer {
+        if self.chance(8) {
+            let at_ms = self.now_ms + self.rng.random_range(2_000..12_000);
+            self.late.push(Late { at_ms, ..start });
+            return Answer::Unknown;
+        }
+        if self.is_dark(start.worker) {
+            return Answer::Unknown;
+        }
+        let answer = self.start(&start);
+        if self.chance(5) {
+            return Answer::Unknown;
+        }
+        answer
+    }
+
+    /// A start arrives at its worker; this is where a task could run twice.
+    fn start(&mut self, start: &Late) -> Answer {
+        let clock_ms = self.clock_ms(start.worker);
+        let lasts_ms = self.rng.random_range(100..3_000);
+        let fails = self.chance(5);
+        let until_ms = self.now_ms + lasts_ms;
+        let worker = &mut self.workers[start.worker];
+        if start.born_ms != worker.born_ms {
+            return Answer::Refused;
+        }
+        if start.fence < worker.fence {
+            return Answer::Fenced;
+        }
+        worker.fence = start.fence;
+        worker.renew(start.deadline_ms, clock_ms);
+        if worker.running.get(&start.task).map(|it| it.run) == Some(start.run) {
+            return Answer::Started;
+        }
+        let closed = worker.closed.get(&start.task).copied().unwrap_or(0);
+        if start.run <= closed || worker.running.contains_key(&start.task) {
+            return Answer::Old;
+        }
+        if clock_ms > start.deadline_ms {
+            return Answer::Refused;
+        }
+        worker.running.insert(
+            start.task,
+            Running {
+                run: start.run,
+                until_ms,
+                fails,
+            },
+        );
+        let task = start.task;
+        let copies = self.workers.iter();
+        let copies = copies.filter(|it| it.running.contains_key(&task)).count();
+        assert_eq!(copies, 1, "{task} runs twice at {} ms", self.now_ms);
+        assert!(!self.done.contains(&task), "{task} starts after its end");
+        let load = self.workers[start.worker].running.len();
+        assert!(load <= 4, "{} is over its capacity", start.worker);
+        Answer::Started
+    }
+
+    fn look(&mut self, at: usize, worker: usize) {
+        if self.is_dark(worker) || self.chance(3) {
+            return;
+        }
+        let now = self.now();
+        let clock_ms = self.clock_ms(worker);
+        let id = self.workers[worker].id.clone();
+        let owner = &mut self.owners[at];
+        let deadline_ms = owner.engine.deadline_ms(&id, now);
+        let acknowledged = owner.engine.acknowledged(&id);
+        let fence = owner.fence;
+        let it = &mut self.workers[worker];
+        if fence < it.fence {
+            return;
+        }
+        it.fence = fence;
+        if let Some(deadline_ms) = deadline_ms {
+            it.renew(deadline_ms, clock_ms);
+        }
+        for end in it.ended.extract_if(.., |end| end.number <= acknowledged) {
+            if end.kind == EndKind::Done && end.number >= it.void_below {
+                self.done.insert(end.task);
+            }
+        }
+        let running = it.running.iter().map(|(&task, it)| Listed {
+            task,
+            run: it.run,
+            saved: String::new(),
+            figure: 0,
+            percent: 0,
+        });
+        let report = Report {
+            born_ms: it.born_ms,
+            clock_ms,
+            running: running.collect(),
+            ended: it.ended.clone(),
+        };
+        let asked_at = now;
+        self.owners[at].born_ms.insert(worker, report.born_ms);
+        let owner = &mut self.owners[at];
+        owner.engine.heard(&id, &report, asked_at, now);
+    }
+}
+
+impl Worker {
+    fn renew(&mut self, deadline_ms: u64, clock_ms: u64) {
+        let shortened = deadline_ms.min(clock_ms + LEASE_MAX_MS);
+        self.deadline_ms = self.deadline_ms.max(shortened);
+    }
+
+    fn end(&mut self, task: TaskId, run: u32, kind: EndKind) {
+        self.running.remove(&task);
+        let closed = self.closed.entry(task).or_default();
+        *closed = run.max(*closed);
+        self.ended.push(End {
+            number: self.next_end,
+            task,
+            run,
+            kind,
+            saved: String::new(),
+        });
+        self.next_end += 1;
+    }
+
+    fn stop(&mut self, task: TaskId, run: u32, fence: u64) -> bool {
+        if fence < self.fence {
+            return false;
+        }
+        self.fence = fence;
+        if self.running.get(&task).map(|it| it.run) == Some(run) {
+            self.end(task, run, EndKind::Cut);
+        } else {
+            let closed = self.closed.entry(task).or_default();
+            *closed = run.max(*closed);
+        }
+        true
+    }
+}
+
+fn play(seed: u64) {
+    let mut world = World::new(seed);
+    let mut next = 0;
+    while world.now_ms < FAULTS_MS {
+        if next < JOBS && world.now_ms >= next * 1_500 {
+            next += 1;
+            world.submit(next);
+        }
+        world.tick();
+    }
+    world.faulty = false;
+    while world.now_ms < FAULTS_MS + CALM_MS {
+        world.tick();
+    }
+    for id in world.specs.keys() {
+        let phase = world.records.get(id).map(|(_, record)| record.phase);
+        let ended = phase.is_some_and(|phase| phase.is_final());
+        assert!(ended, "{id} is {phase:?} after a minute of calm");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn runs_stay_single_under_faults(seed in any::<u64>()) {
+        play(seed);
+    }
+}
