--- a/crates/persimmon-sched/tests/all/world.rs
+++ b/crates/persimmon-sched/tests/all/world.rs
@@ -44,7 +44,7 @@
 }
 
 /// A start on its way, to be carried out at a time.
-#[derive(Clone)]
+#[derive(Clone, Copy)]
 struct Late {
     at_ms: u64,
     worker: usize,
@@ -396,7 +396,10 @@
         if let Some(deadline_ms) = deadline_ms {
             it.renew(deadline_ms, clock_ms);
         }
-        for end in it.ended.extract_if(.., |end| end.number <= acknowledged) {
+        let is_new = |end: &End| end.number > acknowledged;
+        let (new, seen): (Vec<_>, Vec<_>) = it.ended.drain(..).partition(is_new);
+        it.ended = new;
+        for end in seen {
             if end.kind == EndKind::Done && end.number >= it.void_below {
                 self.done.insert(end.task);
             }
@@ -472,7 +475,7 @@
     }
     for id in world.specs.keys() {
         let phase = world.records.get(id).map(|(_, record)| record.phase);
-        let ended = phase.is_some_and(|phase| phase.is_final());
+        let ended = phase.is_some_and(persimmon_sched::Phase::is_final);
         assert!(ended, "{id} is {phase:?} after a minute of calm");
     }
 }
