fix(sched,entry): leases of silent runners end; cancellations that come first are kept

Now a silent runner is asked without a deadline, an earlier owner that registered anew counts as ended, and requeued tasks are written.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -33,6 +33,8 @@
     pub(crate) fence: u64,
     pub(crate) engine: RefCell<Engine>,
     pub(crate) is_loaded: Cell<bool>,
+    /// Who owned the group before and may still renew leases; `None` once all are known to have ended.
+    predecessors: RefCell<Option<Vec<String>>>,
     runners: RefCell<HashMap<String, RunnerInfo>>,
     watched: RefCell<HashSet<String>>,
     tasks: RefCell<JoinSet<()>>,
@@ -49,12 +51,13 @@
 
 impl<P: Platform> Group<P> {
     /// Serves a group that this process has just taken, until it is lost.
-    pub(crate) fn serve(shared: Rc<Shared<P>>, id: GroupId, fence: u64) {
+    pub(crate) fn serve(shared: Rc<Shared<P>>, id: GroupId, fence: u64, predecessors: Vec<String>) {
         let options = shared.options.engine.clone();
         let group = Rc::new(Self {
             engine: RefCell::new(Engine::new(options, shared.now())),
             id,
             fence,
+            predecessors: RefCell::new(Some(predecessors)),
             is_loaded: Cell::new(false),
             runners: RefCell::default(),
             watched: RefCell::default(),
@@ -98,6 +101,7 @@
                 () = self.shared.policy_changed.notified() => self.configure(),
                 () = tokio::time::sleep(ROUND_EVERY) => self.configure(),
             }
+            self.look_for_predecessors();
             let orders = {
                 let mut engine = self.engine.borrow_mut();
                 engine.step(self.shared.wall_ms(), self.shared.now());
@@ -115,6 +119,21 @@
         }
     }
 
+    /// Leases that a process gave end soon after it did.
+    fn look_for_predecessors(&self) {
+        let mut predecessors = self.predecessors.borrow_mut();
+        let Some(open) = predecessors.as_mut() else {
+            return;
+        };
+        open.retain(|process| !self.shared.was_replaced(process));
+        if open.is_empty() {
+            log::info!("event=predecessors.ended group={}", self.id.0);
+            *predecessors = None;
+            let now = self.shared.now();
+            self.engine.borrow_mut().predecessor_ended(now);
+        }
+    }
+
     fn configure(&self) {
         if let Some(policy) = &*self.shared.policy.borrow() {
             self.engine.borrow_mut().configure(policy.clone());
--- a/crates/persimmon-entry/src/group/watch.rs
+++ b/crates/persimmon-entry/src/group/watch.rs
@@ -85,7 +85,11 @@
                 Hold {
                     fence: self.fence,
                     acknowledged: engine.acknowledged(&id),
-                    deadline_ms: engine.deadline_ms(&id, asked_at),
+                    deadline_ms: if self.shared.may_renew() {
+                        engine.deadline_ms(&id, asked_at)
+                    } else {
+                        None
+                    },
                     wait: if is_heard { HOLD_WAIT } else { Duration::ZERO },
                 }
             };
--- a/crates/persimmon-entry/src/keys.rs
+++ b/crates/persimmon-entry/src/keys.rs
@@ -19,6 +19,11 @@
     format!("{OWNERS}{}", group.0)
 }
 
+/// Who last took a group; unlike the owner's key it outlives the session.
+pub(crate) fn last_owner(group: GroupId) -> String {
+    format!("ps/last/{}", group.0)
+}
+
 /// All of a group's jobs.
 pub(crate) fn jobs(group: GroupId) -> String {
     format!("ps/job/{}/", group.0)
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -57,6 +57,8 @@
         policy: RefCell::default(),
         policy_changed: tokio::sync::Notify::new(),
         lease: Cell::default(),
+        incarnations: RefCell::default(),
+        proven_at: Cell::default(),
         store_heard_at: Cell::default(),
         groups: RefCell::default(),
         draining: Cell::default(),
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -4,7 +4,7 @@
     group::Group,
     keys::{self, GroupId},
     mirror,
-    platform::{Change, Expected, Platform, Txn, TxnOutcome, Write},
+    platform::{Change, Expected, Item, Platform, Txn, TxnOutcome, Write},
     state::Shared,
 };
 use persimmon_types::shard_of;
@@ -38,9 +38,17 @@
     let nodes = mirror::follow(&shared, keys::NODES, None, |change| {
         let mut view = view.borrow_mut();
         match change {
-            Change::Put(item) => view.nodes.insert(item.key),
-            Change::Gone { key, .. } => view.nodes.remove(&key),
-        };
+            Change::Put(item) => {
+                let incarnation = text(&item.value);
+                let key = item.key.clone();
+                view.nodes.insert(item.key);
+                let mut incarnations = shared.incarnations.borrow_mut();
+                incarnations.insert(key, incarnation);
+            }
+            Change::Gone { key, .. } => {
+                view.nodes.remove(&key);
+            }
+        }
     });
     let owners = mirror::follow(&shared, keys::OWNERS, None, |change| {
         take_owner(&shared, &mut view.borrow_mut(), change);
@@ -51,7 +59,7 @@
 fn take_owner<P>(shared: &Shared<P>, view: &mut View, change: Change) {
     let (key, revision, holder) = match change {
         Change::Put(item) => {
-            let name = String::from_utf8_lossy(&item.value).into_owned();
+            let name = text(&item.value);
             (item.key, item.revision, Some(name))
         }
         Change::Gone { key, revision } => (key, revision, None),
@@ -86,7 +94,7 @@
             if let Some(owner) = view.borrow().owned.get(&group) {
                 // A write whose answer was lost may make this process the owner later.
                 if owner.name == own_name(shared) {
-                    Group::serve(Rc::clone(shared), group, owner.revision);
+                    Group::serve(Rc::clone(shared), group, owner.revision, Vec::new());
                 }
                 free_since.remove(&group);
                 continue;
@@ -112,6 +120,28 @@
     better.count() as u32
 }
 
+/// Owners remembered at most; each of them took over while those before were not known to have ended.
+const PREDECESSORS_MAX: usize = 8;
+
+/// The earlier owners that may still renew leases. This process has stopped when it lost the group.
+fn predecessors<P>(shared: &Shared<P>, last: Option<Item>) -> Vec<String> {
+    let line = last.map(|item| text(&item.value)).unwrap_or_default();
+    let names = line.split(' ').filter(|name| !name.is_empty());
+    let own = own_name(shared);
+    let open = names.filter(|name| *name != own && !shared.was_replaced(name));
+    open.take(PREDECESSORS_MAX).map(str::to_owned).collect()
+}
+
+fn line_of(own: &str, predecessors: &[String]) -> String {
+    let others = predecessors.iter().map(String::as_str);
+    let names: Vec<_> = std::iter::once(own).chain(others).collect();
+    names.join(" ")
+}
+
+fn text(value: &[u8]) -> String {
+    String::from_utf8_lossy(value).into_owned()
+}
+
 fn own_name<P>(shared: &Shared<P>) -> String {
     format!("{}#{}", shared.options.name, shared.options.incarnation)
 }
@@ -121,23 +151,38 @@
         return;
     };
     let key = keys::owner(group);
+    let last = match shared.platform.get(&keys::last_owner(group)).await {
+        Ok(last) => predecessors(shared, last),
+        Err(fault) => {
+            log::debug!("event=group.last group={} fault=\"{fault}\"", group.0);
+            return;
+        }
+    };
+    let name = own_name(shared);
     let txn = Txn {
         expected: vec![Expected {
             key: key.clone(),
             revision: 0,
         }],
-        writes: vec![Write {
-            key,
-            value: own_name(shared).into_bytes(),
-            lease: Some(lease),
-        }],
+        writes: vec![
+            Write {
+                key,
+                value: name.clone().into_bytes(),
+                lease: Some(lease),
+            },
+            Write {
+                key: keys::last_owner(group),
+                value: line_of(&name, &last).into_bytes(),
+                lease: None,
+            },
+        ],
         remove: Vec::new(),
     };
     match shared.platform.txn(&txn).await {
         Ok(TxnOutcome::Done { revision }) => {
             shared.store_heard();
             log::info!("event=group.take group={} fence={revision}", group.0);
-            Group::serve(Rc::clone(shared), group, revision);
+            Group::serve(Rc::clone(shared), group, revision, last);
         }
         Ok(TxnOutcome::Conflict { .. } | TxnOutcome::NoLease) => {
             log::debug!("event=group.taken group={}", group.0);
--- a/crates/persimmon-entry/src/session.rs
+++ b/crates/persimmon-entry/src/session.rs
@@ -26,6 +26,7 @@
 }
 
 async fn open<P: Platform>(shared: &Shared<P>) -> Option<crate::Lease> {
+    let sent_at = shared.now();
     let lease = match shared.platform.grant(TTL).await {
         Ok(lease) => lease,
         Err(fault) => {
@@ -44,6 +45,7 @@
     match shared.platform.txn(&txn).await {
         Ok(crate::TxnOutcome::Done { .. }) => {
             shared.store_heard();
+            shared.proven_at.set(Some(sent_at));
             Some(lease)
         }
         Ok(_) => None,
@@ -58,8 +60,12 @@
 async fn renew<P: Platform>(shared: &Shared<P>, lease: crate::Lease) {
     loop {
         tokio::time::sleep(RENEW_EVERY).await;
+        let sent_at = shared.now();
         match shared.platform.keep(lease).await {
-            Ok(true) => shared.store_heard(),
+            Ok(true) => {
+                shared.proven_at.set(Some(sent_at));
+                shared.store_heard();
+            }
             Ok(false) => return,
             Err(fault) => log::debug!("event=session.renew fault=\"{fault}\""),
         }
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -5,7 +5,7 @@
 use persimmon_types::{shard_of, Clock};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -15,6 +15,11 @@
 /// The store counts as silent when nothing was heard of it for this long: three renewals of a session.
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Leases of runners are renewed for this long without a proof that the groups are still owned: an
+/// outage of the store must not end what runs. A taker waits for it where it can't reach a runner
+/// (`orphans` of the engine's options is this and a lease).
+const RENEW_WITHOUT_PROOF: Duration = Duration::from_secs(20);
+
 pub(crate) struct Shared<P> {
     pub(crate) platform: P,
     pub(crate) options: Options,
@@ -24,6 +29,10 @@
     pub(crate) policy_changed: Notify,
     /// The session's lease, while it is believed to hold.
     pub(crate) lease: Cell<Option<Lease>>,
+    /// The latest incarnation that each process registered, also of those whose session has ended.
+    pub(crate) incarnations: RefCell<HashMap<String, String>>,
+    /// When the last renewal that the session's lease survived was sent.
+    pub(crate) proven_at: Cell<Option<Instant>>,
     /// When the store last answered.
     pub(crate) store_heard_at: Cell<Option<Instant>>,
     pub(crate) groups: RefCell<BTreeMap<GroupId, Rc<Group<P>>>>,
@@ -53,6 +62,23 @@
         heard_at.is_none_or(|at| self.now() >= at + SILENT_AFTER)
     }
 
+    /// Tells whether this process may still renew leases: without a word from the store another may
+    /// have taken its groups over long ago.
+    pub(crate) fn may_renew(&self) -> bool {
+        let proven_at = self.proven_at.get();
+        proven_at.is_some_and(|at| self.now() < at + RENEW_WITHOUT_PROOF)
+    }
+
+    /// Tells whether a process that was `NAME#INCARNATION` has been replaced by a newer one.
+    pub(crate) fn was_replaced(&self, process: &str) -> bool {
+        let Some((name, incarnation)) = process.rsplit_once('#') else {
+            return false;
+        };
+        let incarnations = self.incarnations.borrow();
+        let latest = incarnations.get(&crate::keys::node(name));
+        latest.is_some_and(|latest| latest != incarnation)
+    }
+
     /// Tells whether callers should come here.
     pub(crate) fn is_ready(&self) -> bool {
         self.policy.borrow().is_some() && !self.draining.get()
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -11,11 +11,14 @@
 };
 use persimmon_interference::Pressure;
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
 
+/// A runner's clock may be slow by this much over a lease.
+const LEASE_SLACK: Duration = Duration::from_millis(500);
+
 /// Limits of an [`Engine`].
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -35,9 +38,9 @@
     fn default() -> Self {
         Self {
             heard_within: Duration::from_millis(1_800),
-            lease: Duration::from_secs(8),
+            lease: Duration::from_secs(6),
             lease_max: Duration::from_secs(10),
-            orphans: Duration::from_secs(20),
+            orphans: Duration::from_secs(27),
             retention: Duration::from_secs(130),
         }
     }
@@ -137,7 +140,10 @@
     orders: Vec<Order>,
     images: HashMap<String, Image>,
     pressure: Pressure,
-    began_at: Instant,
+    /// Jobs whose cancellation came before they did.
+    cancelled_early: HashSet<JobId>,
+    /// When runs of an earlier owner on runners that can't be reached have ended.
+    orphans_until: Instant,
     fenced: bool,
 }
 
@@ -215,7 +221,6 @@
     /// An engine without jobs and runners that takes its group over at `now`.
     pub fn new(options: Options, now: Instant) -> Self {
         Self {
-            options,
             policy: Policy::default(),
             jobs: HashMap::new(),
             runners: Vec::new(),
@@ -226,7 +231,9 @@
             orders: Vec::new(),
             images: HashMap::new(),
             pressure: Pressure::default(),
-            began_at: now,
+            cancelled_early: HashSet::new(),
+            orphans_until: now + options.orphans,
+            options,
             fenced: false,
         }
     }
@@ -280,6 +287,9 @@
             self.restore(&mut job, &stored.record, now);
         }
         self.jobs.insert(id, job);
+        if self.cancelled_early.remove(&id) {
+            self.cancel(id, now);
+        }
         self.open_occurrences(id, wall_ms);
     }
 
@@ -395,8 +405,22 @@
         }
     }
 
-    /// Cancels a job; returns `false` if it is not here or has ended.
+    /// Takes note that whoever owned the group before has ended: its leases end within their longest
+    /// term from `now`.
+    pub fn predecessor_ended(&mut self, now: Instant) {
+        let until = now + self.options.lease + LEASE_SLACK;
+        self.orphans_until = self.orphans_until.min(until);
+        for runner in &mut self.runners {
+            runner.lease.unknown_until = runner.lease.unknown_until.min(until);
+        }
+    }
+
+    /// Cancels a job; returns `false` if it has ended. One that is not here yet never runs.
     pub fn cancel(&mut self, id: JobId, now: Instant) -> bool {
+        if !self.jobs.contains_key(&id) {
+            self.cancelled_early.insert(id);
+            return true;
+        }
         let open = |job: &Job| !job.phase.is_final();
         if !self.jobs.get(&id).is_some_and(open) {
             return false;
@@ -572,7 +596,7 @@
             capacity: persimmon_types::Size::ZERO,
             labels: Vec::new(),
         };
-        let mut runner = Runner::new(info, self.began_at + self.options.orphans);
+        let mut runner = Runner::new(info, self.orphans_until);
         runner.listed = false;
         self.runners.push(runner);
         self.runner_keys.insert(id.to_owned(), key);
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -33,9 +33,16 @@
             .is_some_and(|it| it.listed || !it.claims.is_empty())
     }
 
-    /// The lease deadline to send to `runner` at `now`, on its clock; `None` until it was heard.
+    /// The lease deadline to send to `runner` at `now`, on its clock; `None` if it was not heard
+    /// lately. A call without an answer may have renewed the lease, so a silent runner is asked
+    /// without a deadline: its lease must come to an end.
     pub fn deadline_ms(&mut self, runner: &str, now: Instant) -> Option<u64> {
         let key = *self.runner_keys.get(runner)?;
+        let heard_within = self.options.heard_within;
+        let heard_at = self.runner(key).heard_at?;
+        if now >= heard_at + heard_within {
+            return None;
+        }
         let lease_ms = self.options.lease.as_millis() as u64;
         let lease = &mut self.runner_mut(key).lease;
         let (clock_ms, at) = lease.sample?;
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -116,7 +116,12 @@
         };
         task.state = State::Waiting { not_before };
         self.runner_mut(runner).release(id, run);
-        let job = &self.jobs[&id.job];
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        // Whoever takes over need not wait for a run that is known not to exist.
+        job.version += 1;
+        self.dirty.insert(id.job);
         if !job.phase.is_final() {
             let rank = super::Rank {
                 priority: job.priority,
