--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -6,7 +6,10 @@
     Listed, TaskId,
 };
 use persimmon_interference::{ClassKey, ServiceKey};
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 /// Ratio of tail to target from which what disturbs must give way.
 const NEAR_RATIO: f64 = 0.85;
@@ -27,6 +30,11 @@
 /// Lowers the score of a runner for each unit of predicted excess, in thousandths of a core.
 const EXCESS_WEIGHT: f64 = 50_000.0;
 
+/// Lowers the score of a runner for each other image that serves there. Images suffer from different
+/// batch work: where they serve apart, more of it finds a runner that it does not disturb. It outweighs
+/// any difference in room.
+const STRANGER_WEIGHT: i64 = 200_000;
+
 /// A run that fills, with its use of its runner.
 struct Fill {
     run: (TaskId, u32),
@@ -224,7 +232,8 @@
         }
         let used: Vec<_> = self.uses(runner, |_| true);
         let excess = self.pressure.rise(ServiceKey(claim.image.0), &used);
-        Some((excess * EXCESS_WEIGHT) as i64)
+        let strangers = strangers(runner, claim.image);
+        Some((excess * EXCESS_WEIGHT) as i64 + strangers * STRANGER_WEIGHT)
     }
 
     /// What a run that fills would do to a runner's tails; `None` if one of them would not be safe.
@@ -256,6 +265,13 @@
     }
 }
 
+/// The other images that serve on a runner.
+fn strangers(runner: &Runner, image: Image) -> i64 {
+    let serving = runner.claims.values().filter(|claim| claim.serves);
+    let others: BTreeSet<_> = serving.map(|it| it.image).filter(|&it| it != image).collect();
+    others.len() as i64
+}
+
 /// The share of a runner's processors that a run takes at most.
 fn share(runner: &Runner, claim: &Claim) -> f64 {
     let capacity = f64::from(runner.info.capacity.cpu_millis.max(1));
