feat(sched): what fills is started only where processors are idle

Cause: a runner's idle processors were ranked but not limited, so batch work piled up on them three times over, stood still, and its weights were learned from overload.

--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -1,6 +1,6 @@
 //! What tasks that fill do to tasks that serve: where they may run, and when they must give way.
 
-use super::{Engine, Order};
+use super::{place::idle_millis, Engine, Order};
 use crate::{
     fleet::{Claim, Image, Runner, RunnerKey, Tail},
     Listed, TaskId,
@@ -236,8 +236,12 @@
         Some((excess * EXCESS_WEIGHT) as i64 + strangers * STRANGER_WEIGHT)
     }
 
-    /// What a run that fills would do to a runner's tails; `None` if one of them would not be safe.
+    /// What a run that fills would do to a runner's tails; `None` if one of them would not be safe, or
+    /// if there is nothing left to fill.
     fn disturbs(&self, runner: &Runner, claim: &Claim) -> Option<i64> {
+        if idle_millis(runner) < i64::from(claim.fill_cpu_millis) {
+            return None;
+        }
         let heard_at = runner.heard_at;
         let is_unseen = |it: &Claim| heard_at.is_none_or(|at| it.placed_at + UNSEEN > at);
         let unseen = self.uses(runner, is_unseen);
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -221,9 +221,13 @@
     if !step.fills {
         return rack_score - i64::from(runner.room().cpu_millis);
     }
+    rack_score + idle_millis(runner) - i64::from(claim.fill_cpu_millis)
+}
+
+/// The processor time, in thousandths of a core, that is left for more work that fills.
+pub(super) fn idle_millis(runner: &Runner) -> i64 {
     let serving = i64::from(runner.serving_cpu_millis);
     let others = i64::from(runner.used.cpu_millis) - serving;
     let busy = others + serving * SERVING_USE_PERCENT / 100;
-    let idle = i64::from(runner.info.capacity.cpu_millis) - busy;
-    rack_score + idle - i64::from(runner.fill_cpu_millis) - i64::from(claim.fill_cpu_millis)
+    i64::from(runner.info.capacity.cpu_millis) - busy - i64::from(runner.fill_cpu_millis)
 }
