--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -24,7 +24,7 @@
 /// A run that raises the logarithm of a tail by less is not blamed.
 const BLAME_MIN: f64 = 0.15;
 /// Near or over its target for so long, a tail makes everything that fills beside it stand still.
-const STANDSTILL_AFTER: Duration = Duration::from_millis(1_800);
+const STANDSTILL_AFTER: Duration = Duration::from_millis(1_300);
 /// A run that may work again first works at this share.
 const RESUME_PERCENT: u8 = 50;
 /// Lowers the score of a runner for each unit of predicted excess, in thousandths of a core.
@@ -115,9 +115,7 @@
     /// Slows, moves or speeds up what fills a runner.
     fn make_way(&mut self, key: RunnerKey, fills: &[Fill], now: Instant) {
         let runner = self.runner(key);
-        if runner.paced_at.is_some_and(|at| now < at + SETTLE) {
-            return;
-        }
+        let settled = runner.paced_at.is_none_or(|at| now >= at + SETTLE);
         let near: Vec<_> = runner
             .tails
             .iter()
@@ -125,7 +123,9 @@
             .copied()
             .collect();
         if near.is_empty() {
-            self.speed_up(key, fills, now);
+            if settled {
+                self.speed_up(key, fills, now);
+            }
             return;
         }
         let since = near.iter().filter_map(|tail| tail.over_since).min();
@@ -133,6 +133,9 @@
             self.pace_all(key, fills, 0, now);
             return;
         }
+        if !settled {
+            return;
+        }
         let mut acted = false;
         for fill in fills.iter().filter(|fill| fill.percent > 0) {
             if self.blame(&near, fill) >= BLAME_MIN {
@@ -242,6 +245,9 @@
         if idle_millis(runner) < i64::from(claim.fill_cpu_millis) {
             return None;
         }
+        if runner.tails.iter().any(|tail| tail.ratio >= NEAR_RATIO) {
+            return None;
+        }
         let heard_at = runner.heard_at;
         let is_unseen = |it: &Claim| heard_at.is_none_or(|at| it.placed_at + UNSEEN > at);
         let unseen = self.uses(runner, is_unseen);
