--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -12,6 +12,8 @@
 const REMOVALS_MAX: usize = 30;
 /// Transactions on the way at once.
 const IN_FLIGHT_MAX: usize = 4;
+/// Between two looks for records to write: those of one moment share transactions, which are counted.
+const GATHER: Duration = Duration::from_millis(15);
 /// Before a write without an answer is sent again, at first and at most.
 const RETRY_FIRST: Duration = Duration::from_millis(20);
 const RETRY_MAX: Duration = Duration::from_millis(320);
@@ -31,6 +33,7 @@
                 self.commits_in_flight.set(self.commits_in_flight.get() + 1);
                 self.spawn(Rc::clone(&self).write(commits));
             }
+            tokio::time::sleep(GATHER).await;
         }
     }
 
--- a/crates/persimmon-entry/src/group/intake.rs
+++ b/crates/persimmon-entry/src/group/intake.rs
@@ -1,7 +1,7 @@
 use super::Group;
 use crate::{
     keys::{self, JobKey},
-    mirror,
+    mirror::{self, Watching},
     platform::{Change, Item, Platform},
     submit::Submission,
 };
@@ -15,6 +15,12 @@
 /// Before a read that failed is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// A job that waits here is late.
+const INBOX: Watching = Watching {
+    wait: Duration::from_millis(1_500),
+    gap: Duration::from_millis(15),
+};
+
 #[derive(Default)]
 struct Found {
     spec: Option<JobSpec>,
@@ -93,7 +99,7 @@
     pub(super) async fn take_in(self: Rc<Self>, start: (BTreeSet<String>, u64)) {
         let shared = Rc::clone(&self.shared);
         let inbox = keys::inbox(self.id);
-        mirror::follow(&shared, &inbox, Some(start), |change| {
+        mirror::follow(&shared, &inbox, INBOX, Some(start), |change| {
             if let Change::Put(item) = change {
                 self.take_item(&item);
             }
--- a/crates/persimmon-entry/src/group/watch.rs
+++ b/crates/persimmon-entry/src/group/watch.rs
@@ -1,7 +1,7 @@
 use super::Group;
 use crate::{
     keys::GroupId,
-    mirror,
+    mirror::{self, Watching},
     platform::{Change, Hold, Platform},
 };
 use persimmon_sched::RunnerInfo;
@@ -18,12 +18,18 @@
 /// Ends are listed again until acknowledged; the next look waits so long for their commit.
 const COMMIT_WAIT: Duration = Duration::from_millis(300);
 
+/// Runners write every second; what counts, that one leaves, must be heard well within two.
+const RUNNERS: Watching = Watching {
+    wait: Duration::from_millis(1_500),
+    gap: Duration::from_millis(300),
+};
+
 impl<P: Platform> Group<P> {
     /// Follows the instance list and looks after each runner of the group, for good.
     pub(super) async fn list_runners(self: Rc<Self>) {
         let shared = Rc::clone(&self.shared);
         let prefix = shared.platform.runners_prefix().to_owned();
-        mirror::follow(&shared, &prefix, None, |change| match change {
+        mirror::follow(&shared, &prefix, RUNNERS, None, |change| match change {
             Change::Put(item) => {
                 let id = item.key[prefix.len()..].to_owned();
                 match shared.platform.runner(&id, &item.value) {
--- a/crates/persimmon-entry/src/keys.rs
+++ b/crates/persimmon-entry/src/keys.rs
@@ -6,10 +6,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct GroupId(pub(crate) u16);
 
+/// The processes that have a session, and the owners of groups: one watch for both.
+pub(crate) const MEMBERS: &str = "ps/m/";
 /// The processes that have a session.
-pub(crate) const NODES: &str = "ps/node/";
+pub(crate) const NODES: &str = "ps/m/node/";
 /// The owners of groups.
-pub(crate) const OWNERS: &str = "ps/own/";
+pub(crate) const OWNERS: &str = "ps/m/own/";
 
 pub(crate) fn node(name: &str) -> String {
     format!("{NODES}{name}")
--- a/crates/persimmon-entry/src/mirror.rs
+++ b/crates/persimmon-entry/src/mirror.rs
@@ -4,9 +4,15 @@
 };
 use std::{collections::BTreeSet, time::Duration};
 
-/// A watch is renewed this often, so that a connection gone silent is noticed: a policy must be in
-/// force two seconds after it was written.
-const WATCH_WAIT: Duration = Duration::from_millis(800);
+/// How a prefix is watched.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Watching {
+    /// A watch is renewed this often, so that a connection gone silent is noticed.
+    pub(crate) wait: Duration,
+    /// Before the next watch, so that changes that come together are told together.
+    pub(crate) gap: Duration,
+}
+
 /// Before a read or watch that failed is tried again.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -35,6 +41,7 @@
 pub(crate) async fn follow<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
+    watching: Watching,
     start: Option<(BTreeSet<String>, u64)>,
     mut take: impl FnMut(Change),
 ) {
@@ -57,7 +64,15 @@
                 }
             }
         }
-        watch(shared, prefix, &mut known, &mut revision, &mut take).await;
+        watch(
+            shared,
+            prefix,
+            watching,
+            &mut known,
+            &mut revision,
+            &mut take,
+        )
+        .await;
         let before = known;
         start = relist(shared, prefix, before, &mut take).await;
     }
@@ -95,12 +110,17 @@
 async fn watch<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
+    watching: Watching,
     known: &mut BTreeSet<String>,
     revision: &mut u64,
     take: &mut impl FnMut(Change),
 ) {
     loop {
-        match shared.platform.watch(prefix, *revision, WATCH_WAIT).await {
+        match shared
+            .platform
+            .watch(prefix, *revision, watching.wait)
+            .await
+        {
             Ok(Watched::Changes {
                 changes,
                 revision: upto,
@@ -114,6 +134,7 @@
                     };
                     take(change);
                 }
+                tokio::time::sleep(watching.gap).await;
             }
             Ok(Watched::Compacted) => {
                 log::info!("event=store.compacted prefix={prefix} revision={revision}");
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -1,6 +1,7 @@
 use crate::{
     front::Calls,
-    mirror, owners,
+    mirror::{self, Watching},
+    owners,
     platform::{Change, Item, Platform, Txn},
     session,
     state::Shared,
@@ -21,6 +22,12 @@
 /// The longest wait for the hand-over of groups at a stop.
 const HAND_OVER: Duration = Duration::from_millis(600);
 
+/// A policy must be in force two seconds after it was written, also if a connection goes silent.
+const POLICY: Watching = Watching {
+    wait: Duration::from_millis(800),
+    gap: Duration::ZERO,
+};
+
 /// Settings of a process.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -112,7 +119,7 @@
 
 async fn follow_policy<P: Platform>(shared: Rc<Shared<P>>) {
     let key = shared.platform.policy_key().to_owned();
-    mirror::follow(&shared, &key, None, |change| {
+    mirror::follow(&shared, &key, POLICY, None, |change| {
         if let Change::Put(item) = change {
             take_policy(&shared, &key, &item);
         }
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -3,7 +3,7 @@
 use crate::{
     group::Group,
     keys::{self, GroupId},
-    mirror,
+    mirror::{self, Watching},
     platform::{Change, Expected, Item, Platform, Txn, TxnOutcome, Write},
     state::Shared,
 };
@@ -20,6 +20,12 @@
 /// A process waits this long for each better candidate before it takes a group.
 const STAGGER: Duration = Duration::from_millis(120);
 
+/// A group without an owner must be seen at once; a silent connection within a session's term.
+const MEMBERS: Watching = Watching {
+    wait: Duration::from_millis(1_500),
+    gap: Duration::ZERO,
+};
+
 #[derive(Default)]
 struct View {
     nodes: BTreeSet<String>,
@@ -35,25 +41,26 @@
 /// Takes groups that have no owner and serves them, for good.
 pub(crate) async fn contest<P: Platform>(shared: Rc<Shared<P>>) {
     let view = Rc::new(RefCell::new(View::default()));
-    let nodes = mirror::follow(&shared, keys::NODES, None, |change| {
+    let members = mirror::follow(&shared, keys::MEMBERS, MEMBERS, None, |change| {
         let mut view = view.borrow_mut();
-        match change {
-            Change::Put(item) => {
-                let incarnation = text(&item.value);
-                let key = item.key.clone();
-                view.nodes.insert(item.key);
-                let mut incarnations = shared.incarnations.borrow_mut();
-                incarnations.insert(key, incarnation);
-            }
-            Change::Gone { key, .. } => {
-                view.nodes.remove(&key);
-            }
-        }
-    });
-    let owners = mirror::follow(&shared, keys::OWNERS, None, |change| {
-        take_owner(&shared, &mut view.borrow_mut(), change);
+        take_node(&shared, &mut view, &change);
+        take_owner(&shared, &mut view, change);
     });
-    tokio::join!(nodes, owners, take_free(&shared, &view));
+    tokio::join!(members, take_free(&shared, &view));
+}
+
+fn take_node<P>(shared: &Shared<P>, view: &mut View, change: &Change) {
+    match change {
+        Change::Put(item) if item.key.starts_with(keys::NODES) => {
+            view.nodes.insert(item.key.clone());
+            let mut incarnations = shared.incarnations.borrow_mut();
+            incarnations.insert(item.key.clone(), text(&item.value));
+        }
+        Change::Put(_) => {}
+        Change::Gone { key, .. } => {
+            view.nodes.remove(key);
+        }
+    }
 }
 
 fn take_owner<P>(shared: &Shared<P>, view: &mut View, change: Change) {
--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -278,7 +278,10 @@
 /// The other images that serve on a runner.
 fn strangers(runner: &Runner, image: Image) -> i64 {
     let serving = runner.claims.values().filter(|claim| claim.serves);
-    let others: BTreeSet<_> = serving.map(|it| it.image).filter(|&it| it != image).collect();
+    let others: BTreeSet<_> = serving
+        .map(|it| it.image)
+        .filter(|&it| it != image)
+        .collect();
     others.len() as i64
 }
 
