feat(entry,mesh): entries tell and ask the owners of groups directly

Over QUIC with keys from an authority that lies in the store. Nothing depends on it: what an owner is told lies in the store, and what it is asked can be read there.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -164,6 +164,11 @@
 }
 
 impl<P> Group<P> {
+    /// Lets a round of decisions come soon.
+    pub(crate) fn wake(&self) {
+        self.wake.notify_one();
+    }
+
     /// Stops serving the group.
     pub(crate) fn lose(&self, reason: &str) {
         if !self.is_lost.replace(true) {
--- a/crates/persimmon-entry/src/keys.rs
+++ b/crates/persimmon-entry/src/keys.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct GroupId(pub(crate) u16);
 
+/// The authority that issues the processes' keys: whoever may read the store may be a peer.
+pub(crate) const AUTHORITY: &str = "ps/authority";
 /// The processes that have a session, and the owners of groups: one watch for both.
 pub(crate) const MEMBERS: &str = "ps/m/";
 /// The processes that have a session.
--- a/crates/persimmon-entry/src/lib.rs
+++ b/crates/persimmon-entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod mirror;
 mod node;
 mod owners;
+mod peers;
 mod platform;
 mod session;
 mod state;
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -1,7 +1,7 @@
 use crate::{
     front::Calls,
     mirror::{self, Watching},
-    owners,
+    owners, peers,
     platform::{Change, Item, Platform, Txn},
     session,
     state::Shared,
@@ -10,6 +10,7 @@
 use std::{
     cell::{Cell, RefCell},
     future::Future,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -35,6 +36,8 @@
     pub name: String,
     /// Tells this incarnation of the process from earlier ones.
     pub incarnation: u64,
+    /// Where other processes call this one.
+    pub peer_address: SocketAddr,
     /// The number of groups; the same everywhere.
     pub group_count: u16,
     /// Limits of the engine.
@@ -68,6 +71,9 @@
         proven_at: Cell::default(),
         store_heard_at: Cell::default(),
         groups: RefCell::default(),
+        owners: RefCell::default(),
+        peers: RefCell::default(),
+        silent_peers: RefCell::default(),
         draining: Cell::default(),
     });
     let (is_ready, is_draining) = calls.flags();
@@ -75,6 +81,7 @@
     tokio::task::spawn_local(session::keep(Rc::clone(&shared)));
     tokio::task::spawn_local(follow_policy(Rc::clone(&shared)));
     tokio::task::spawn_local(owners::contest(Rc::clone(&shared)));
+    tokio::task::spawn_local(peers::serve(Rc::clone(&shared)));
     let for_calls = Rc::clone(&shared);
     tokio::task::spawn_local(async move { calls.serve(&for_calls).await });
     let show = async {
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -4,8 +4,9 @@
     group::Group,
     keys::{self, GroupId},
     mirror::{self, Watching},
+    peers,
     platform::{Change, Expected, Item, Platform, Txn, TxnOutcome, Write},
-    state::Shared,
+    state::{Owner, Shared},
 };
 use persimmon_types::shard_of;
 use std::{
@@ -29,13 +30,6 @@
 #[derive(Default)]
 struct View {
     nodes: BTreeSet<String>,
-    owned: BTreeMap<GroupId, Owner>,
-}
-
-/// Who holds a group's key, and since which revision.
-struct Owner {
-    name: String,
-    revision: u64,
 }
 
 /// Takes groups that have no owner and serves them, for good.
@@ -44,7 +38,7 @@
     let members = mirror::follow(&shared, keys::MEMBERS, MEMBERS, None, |change| {
         let mut view = view.borrow_mut();
         take_node(&shared, &mut view, &change);
-        take_owner(&shared, &mut view, change);
+        take_owner(&shared, change);
     });
     tokio::join!(members, take_free(&shared, &view));
 }
@@ -63,7 +57,7 @@
     }
 }
 
-fn take_owner<P>(shared: &Shared<P>, view: &mut View, change: Change) {
+fn take_owner<P>(shared: &Shared<P>, change: Change) {
     let (key, revision, holder) = match change {
         Change::Put(item) => {
             let name = text(&item.value);
@@ -80,10 +74,21 @@
             it.lose("its key was taken away");
         }
     }
+    let mut owners = shared.owners.borrow_mut();
     match holder {
-        Some(name) => view.owned.insert(group, Owner { name, revision }),
-        None => view.owned.remove(&group),
-    };
+        Some(text) => {
+            let (name, address) = peers::parse_owner(&text);
+            let owner = Owner {
+                name,
+                address,
+                revision,
+            };
+            owners.insert(group, owner);
+        }
+        None => {
+            owners.remove(&group);
+        }
+    }
 }
 
 async fn take_free<P: Platform>(shared: &Rc<Shared<P>>, view: &Rc<RefCell<View>>) {
@@ -98,10 +103,13 @@
                 free_since.remove(&group);
                 continue;
             }
-            if let Some(owner) = view.borrow().owned.get(&group) {
+            let owner = shared.owners.borrow();
+            let owner = owner.get(&group);
+            let owner = owner.map(|it| (it.name == own_name(shared), it.revision));
+            if let Some((is_own, revision)) = owner {
                 // A write whose answer was lost may make this process the owner later.
-                if owner.name == own_name(shared) {
-                    Group::serve(Rc::clone(shared), group, owner.revision, Vec::new());
+                if is_own {
+                    Group::serve(Rc::clone(shared), group, revision, Vec::new());
                 }
                 free_since.remove(&group);
                 continue;
@@ -174,7 +182,7 @@
         writes: vec![
             Write {
                 key,
-                value: name.clone().into_bytes(),
+                value: format!("{name} {}", shared.options.peer_address).into_bytes(),
                 lease: Some(lease),
             },
             Write {
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -1,11 +1,12 @@
 //! What the duties of the process share. All of it lives on one thread.
 
-use crate::{group::Group, keys::GroupId, platform::Lease, Options};
+use crate::{group::Group, keys::GroupId, peers::Peers, platform::Lease, Options};
 use persimmon_sched::{JobId, Policy};
 use persimmon_types::{shard_of, Clock};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -20,6 +21,14 @@
 /// (`orphans` of the engine's options is this and a lease).
 const RENEW_WITHOUT_PROOF: Duration = Duration::from_secs(20);
 
+/// Who holds a group's key, and since which revision.
+pub(crate) struct Owner {
+    /// The process, `NAME#INCARNATION`.
+    pub(crate) name: String,
+    pub(crate) address: Option<SocketAddr>,
+    pub(crate) revision: u64,
+}
+
 pub(crate) struct Shared<P> {
     pub(crate) platform: P,
     pub(crate) options: Options,
@@ -36,6 +45,11 @@
     /// When the store last answered.
     pub(crate) store_heard_at: Cell<Option<Instant>>,
     pub(crate) groups: RefCell<BTreeMap<GroupId, Rc<Group<P>>>>,
+    /// The owners of groups, as the store shows them.
+    pub(crate) owners: RefCell<BTreeMap<GroupId, Owner>>,
+    pub(crate) peers: RefCell<Option<Arc<Peers>>>,
+    /// Peers that did not answer, and when to ask them again.
+    pub(crate) silent_peers: RefCell<HashMap<SocketAddr, Instant>>,
     pub(crate) draining: Cell<bool>,
 }
 
@@ -62,6 +76,17 @@
         heard_at.is_none_or(|at| self.now() >= at + SILENT_AFTER)
     }
 
+    /// Where a group's owner answers, unless it is this process or was silent lately.
+    pub(crate) fn owner_address(&self, group: GroupId) -> Option<SocketAddr> {
+        let owners = self.owners.borrow();
+        let address = owners.get(&group)?.address?;
+        let silent = self.silent_peers.borrow();
+        let is_silent = silent
+            .get(&address)
+            .is_some_and(|&until| self.now() < until);
+        (address != self.options.peer_address && !is_silent).then_some(address)
+    }
+
     /// Tells whether this process may still renew leases: without a word from the store another may
     /// have taken its groups over long ago.
     pub(crate) fn may_renew(&self) -> bool {
--- a/crates/persimmon-entry/src/submit.rs
+++ b/crates/persimmon-entry/src/submit.rs
@@ -3,6 +3,7 @@
 use crate::{
     front::{Accepted, Cancelled, Rejection, Request},
     keys,
+    peers::{self, Question, Reply},
     platform::{Effect, Expected, Fault, Item, Platform, Txn, TxnOutcome, Write},
     state::Shared,
 };
@@ -10,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -131,7 +133,7 @@
 
 /// Accepts a job: it is in the store when this returns.
 pub(crate) async fn submit<P: Platform>(
-    shared: &Shared<P>,
+    shared: &Rc<Shared<P>>,
     request: &Request,
     spec: JobSpec,
 ) -> Result<Accepted, Rejection> {
@@ -147,10 +149,14 @@
         reason: err.to_string(),
     })?;
     refuse_in_outage(shared)?;
-    let key = keys::submission(shared.home(job), job);
-    let txn = create(&key, Submission::Job(spec).encode()?);
+    let group = shared.home(job);
+    let key = keys::submission(group, job);
+    let txn = create(&key, Submission::Job(spec.clone()).encode()?);
     match settle(shared, &txn, give_up_at).await? {
-        TxnOutcome::Done { .. } => Ok(Accepted { is_new: true }),
+        TxnOutcome::Done { .. } => {
+            peers::tell(shared, group, Question::Submitted(spec));
+            Ok(Accepted { is_new: true })
+        }
         TxnOutcome::Conflict { .. } | TxnOutcome::NoLease => Ok(Accepted { is_new: false }),
     }
 }
@@ -172,7 +178,7 @@
 
 /// Cancels a job. One that is not known is kept from ever running.
 pub(crate) async fn cancel<P: Platform>(
-    shared: &Shared<P>,
+    shared: &Rc<Shared<P>>,
     request: &Request,
 ) -> Result<Cancelled, Rejection> {
     let give_up_at = give_up_at(shared, request);
@@ -189,6 +195,7 @@
     }
     let txn = create(&keys::cancellation(group, job), Vec::new());
     settle(shared, &txn, give_up_at).await?;
+    peers::tell(shared, group, Question::Cancelled(job));
     Ok(Cancelled::Known)
 }
 
@@ -206,6 +213,10 @@
     if let Some(phase) = local_phase(shared, job) {
         return Ok(Some(phase));
     }
+    let group = shared.home(job);
+    if let Some(Reply::Phase(phase)) = peers::ask(shared, group, &Question::Phase(job)).await {
+        return Ok(Some(phase));
+    }
     let give_up_at = give_up_at(shared, request);
     loop {
         let unsure = match read_phase(shared, job).await {
@@ -267,7 +278,10 @@
         };
         let counts = match local {
             Some(counts) => counts,
-            None => read_summary(shared, group).await?,
+            None => match peers::ask(shared, group, &Question::Waiting(number)).await {
+                Some(Reply::Waiting(counts)) => counts,
+                _ => read_summary(shared, group).await?,
+            },
         };
         total += counts.get(&queue.name).copied().unwrap_or(0);
     }
--- a/crates/persimmon-mesh/src/lib.rs
+++ b/crates/persimmon-mesh/src/lib.rs
@@ -5,10 +5,12 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod authority;
 mod call;
 mod mesh;
 mod tls;
 
+pub use authority::Authority;
 pub use call::{Error, Reach};
 pub use mesh::{Handler, Mesh, Options};
 pub use tls::{Keys, KeysError, PEER_NAME};
--- /dev/null
+++ b/crates/persimmon-mesh/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of calls between daemons.
+
+mod authority;
--- a/crates/persimmonshift/src/keys.rs
+++ b/crates/persimmonshift/src/keys.rs
@@ -1,12 +1,9 @@
 //! Keys for the calls between daemons.
 
 use crate::{args::KeysCreateArgs, client::Error};
-use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
+use persimmon_mesh::{Authority, KeysError};
 use std::{fs, path::Path};
 
-/// The name in every member's certificate, by which daemons know each other.
-const PEER_NAME: &str = "persimmonshift-mesh";
-
 /// Writes `authority.pem`, `authority.key`, and a pair of files for each member.
 pub(crate) fn create(args: &KeysCreateArgs) -> Result<Vec<String>, Error> {
     if args.member.is_empty() {
@@ -15,28 +12,16 @@
         ));
     }
     let out = Path::new(&args.out);
-    let failed = |err: rcgen::Error| Error::Usage(format!("keys create: {err}"));
-    let authority_key = KeyPair::generate().map_err(failed)?;
-    let mut params = CertificateParams::new(Vec::new()).map_err(failed)?;
-    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    params
-        .distinguished_name
-        .push(DnType::CommonName, "persimmonshift mesh authority");
-    let authority = params.self_signed(&authority_key).map_err(failed)?;
+    let failed = |err: KeysError| Error::Usage(format!("keys create: {err}"));
+    let authority = Authority::create().map_err(failed)?;
     let mut written = vec![
-        write(out, "authority.pem", &authority.pem())?,
-        write(out, "authority.key", &authority_key.serialize_pem())?,
+        write(out, "authority.pem", authority.certificate())?,
+        write(out, "authority.key", authority.private_key())?,
     ];
-    let issuer = Issuer::new(params, authority_key);
     for member in &args.member {
-        let key = KeyPair::generate().map_err(failed)?;
-        let mut params = CertificateParams::new(vec![PEER_NAME.to_owned()]).map_err(failed)?;
-        params
-            .distinguished_name
-            .push(DnType::CommonName, member.as_str());
-        let certificate = params.signed_by(&key, &issuer).map_err(failed)?;
-        written.push(write(out, &format!("{member}.pem"), &certificate.pem())?);
-        written.push(write(out, &format!("{member}.key"), &key.serialize_pem())?);
+        let keys = authority.issue(member).map_err(failed)?;
+        written.push(write(out, &format!("{member}.pem"), &keys.certificate)?);
+        written.push(write(out, &format!("{member}.key"), &keys.private_key)?);
     }
     Ok(written)
 }
