feat(entry): members witness outages; takers become known to them

Ruled out: shorter renewals without proof, which would end everything that runs in an outage of the store.

Now an owner renews without the store's word only while most members confirm the outage and know of no newer owner, and a taker that most members know waits for a lease only.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -3,8 +3,10 @@
 mod commit;
 mod intake;
 mod orders;
+mod standing;
 mod watch;
 
+use self::standing::Standing;
 use crate::{
     keys::{self, GroupId},
     platform::{Expected, Platform},
@@ -35,6 +37,7 @@
     pub(crate) is_loaded: Cell<bool>,
     /// Who owned the group before and may still renew leases; `None` once all are known to have ended.
     predecessors: RefCell<Option<Vec<String>>>,
+    standing: Cell<Standing>,
     runners: RefCell<HashMap<String, RunnerInfo>>,
     watched: RefCell<HashSet<String>>,
     tasks: RefCell<JoinSet<()>>,
@@ -59,6 +62,7 @@
             fence,
             predecessors: RefCell::new(Some(predecessors)),
             is_loaded: Cell::new(false),
+            standing: Cell::new(Standing::default()),
             runners: RefCell::default(),
             watched: RefCell::default(),
             tasks: RefCell::default(),
@@ -89,6 +93,7 @@
         self.spawn(Rc::clone(&self).list_runners());
         self.spawn(Rc::clone(&self).commit());
         self.spawn(Rc::clone(&self).summarize());
+        self.spawn(Rc::clone(&self).stand());
         self.spawn(Rc::clone(&self).expire());
         self.decide().await;
     }
@@ -119,21 +124,6 @@
         }
     }
 
-    /// Leases that a process gave end soon after it did.
-    fn look_for_predecessors(&self) {
-        let mut predecessors = self.predecessors.borrow_mut();
-        let Some(open) = predecessors.as_mut() else {
-            return;
-        };
-        open.retain(|process| !self.shared.was_replaced(process));
-        if open.is_empty() {
-            log::info!("event=predecessors.ended group={}", self.id.0);
-            *predecessors = None;
-            let now = self.shared.now();
-            self.engine.borrow_mut().predecessor_ended(now);
-        }
-    }
-
     fn configure(&self) {
         if let Some(policy) = &*self.shared.policy.borrow() {
             self.engine.borrow_mut().configure(policy.clone());
--- a/crates/persimmon-entry/src/group/watch.rs
+++ b/crates/persimmon-entry/src/group/watch.rs
@@ -91,7 +91,7 @@
                 Hold {
                     fence: self.fence,
                     acknowledged: engine.acknowledged(&id),
-                    deadline_ms: if self.shared.may_renew() {
+                    deadline_ms: if self.may_renew() {
                         engine.deadline_ms(&id, asked_at)
                     } else {
                         None
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -68,6 +68,7 @@
         policy_changed: tokio::sync::Notify::new(),
         lease: Cell::default(),
         incarnations: RefCell::default(),
+        members: RefCell::default(),
         proven_at: Cell::default(),
         store_heard_at: Cell::default(),
         groups: RefCell::default(),
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -47,12 +47,20 @@
     match change {
         Change::Put(item) if item.key.starts_with(keys::NODES) => {
             view.nodes.insert(item.key.clone());
+            let (incarnation, address) = peers::parse_process(&text(&item.value));
             let mut incarnations = shared.incarnations.borrow_mut();
-            incarnations.insert(item.key.clone(), text(&item.value));
+            incarnations.insert(item.key.clone(), incarnation);
+            if let Some(address) = address {
+                shared
+                    .members
+                    .borrow_mut()
+                    .insert(item.key.clone(), address);
+            }
         }
         Change::Put(_) => {}
         Change::Gone { key, .. } => {
             view.nodes.remove(key);
+            shared.members.borrow_mut().remove(key);
         }
     }
 }
@@ -77,7 +85,7 @@
     let mut owners = shared.owners.borrow_mut();
     match holder {
         Some(text) => {
-            let (name, address) = peers::parse_owner(&text);
+            let (name, address) = peers::parse_process(&text);
             let owner = Owner {
                 name,
                 address,
@@ -103,10 +111,7 @@
                 free_since.remove(&group);
                 continue;
             }
-            let owner = shared.owners.borrow();
-            let owner = owner.get(&group);
-            let owner = owner.map(|it| (it.name == own_name(shared), it.revision));
-            if let Some((is_own, revision)) = owner {
+            if let Some((is_own, revision)) = holder(shared, group) {
                 // A write whose answer was lost may make this process the owner later.
                 if is_own {
                     Group::serve(Rc::clone(shared), group, revision, Vec::new());
@@ -126,6 +131,13 @@
     }
 }
 
+/// Whether this process holds a group's key, and since which revision; `None` if nobody does.
+fn holder<P>(shared: &Shared<P>, group: GroupId) -> Option<(bool, u64)> {
+    let owners = shared.owners.borrow();
+    let owner = owners.get(&group)?;
+    Some((owner.name == own_name(shared), owner.revision))
+}
+
 /// The processes that should rather own a group: rendezvous hashing over those with a session.
 fn better_candidates<P>(shared: &Shared<P>, view: &View, group: GroupId) -> u32 {
     let weight = |key: &str| shard_of(&format!("{key}#{}", group.0), u16::MAX);
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -34,6 +34,8 @@
     Phase(JobId),
     /// How many jobs of the group wait, by queue?
     Waiting(u16),
+    /// What do you know of this group's owner?
+    Witness(u16),
 }
 
 /// What the owner answers.
@@ -47,6 +49,17 @@
     Phase(Phase),
     /// Jobs that wait, by queue.
     Waiting(BTreeMap<String, u64>),
+    /// What a process knows of a group's owner.
+    Witness(Witness),
+}
+
+/// What a process knows of a group's owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Witness {
+    /// It has not heard the store lately.
+    pub(crate) store_is_silent: bool,
+    /// The revision of the owner's key as it last saw it; 0 for none.
+    pub(crate) owner_revision: u64,
 }
 
 type Asked = (Question, oneshot::Sender<Reply>);
@@ -150,10 +163,13 @@
 }
 
 fn answer<P: Platform>(shared: &Shared<P>, question: Question) -> Reply {
+    if let Question::Witness(group) = question {
+        return Reply::Witness(witness(shared, GroupId(group)));
+    }
     let group = match &question {
         Question::Submitted(spec) => shared.home(spec.id),
         Question::Cancelled(job) | Question::Phase(job) => shared.home(*job),
-        Question::Waiting(group) => GroupId(*group),
+        Question::Waiting(group) | Question::Witness(group) => GroupId(*group),
     };
     let groups = shared.groups.borrow();
     let Some(group) = groups.get(&group).filter(|it| it.is_loaded.get()) else {
@@ -175,8 +191,47 @@
             let phase = group.engine.borrow().phase(job);
             phase.map_or(Reply::Unknown, Reply::Phase)
         }
-        Question::Waiting(_) => Reply::Waiting(group.engine.borrow().waiting()),
+        Question::Waiting(_) | Question::Witness(_) => {
+            Reply::Waiting(group.engine.borrow().waiting())
+        }
+    }
+}
+
+fn witness<P>(shared: &Shared<P>, group: GroupId) -> Witness {
+    let owners = shared.owners.borrow();
+    Witness {
+        store_is_silent: shared.store_is_silent(),
+        owner_revision: owners.get(&group).map_or(0, |owner| owner.revision),
+    }
+}
+
+/// What the other members know of a group's owner, as far as they answer, and the number of all members.
+pub(crate) async fn witnesses<P: Platform>(
+    shared: &Shared<P>,
+    group: GroupId,
+) -> (Vec<Witness>, usize) {
+    let own = shared.options.peer_address;
+    let members: Vec<_> = shared.members.borrow().values().copied().collect();
+    let others: Vec<_> = members.into_iter().filter(|&it| it != own).collect();
+    let total = others.len() + 1;
+    let Some(mesh) = shared.peers.borrow().clone() else {
+        return (Vec::new(), total);
+    };
+    let mut calls = tokio::task::JoinSet::new();
+    for address in others {
+        let mesh = Arc::clone(&mesh);
+        calls.spawn(async move {
+            mesh.call(address, &Question::Witness(group.0), CALL_LIMIT)
+                .await
+        });
+    }
+    let mut found = Vec::new();
+    while let Some(call) = calls.join_next().await {
+        if let Ok(Ok(Reply::Witness(witness))) = call {
+            found.push(witness);
+        }
     }
+    (found, total)
 }
 
 /// Asks a group's owner; `None` if it is this process, is not known or does not answer.
@@ -212,8 +267,8 @@
     });
 }
 
-/// Splits an owner's key into its name and its address.
-pub(crate) fn parse_owner(text: &str) -> (String, Option<SocketAddr>) {
+/// Splits what a process wrote of itself into its name and its address.
+pub(crate) fn parse_process(text: &str) -> (String, Option<SocketAddr>) {
     match text.split_once(' ') {
         Some((name, address)) => (name.to_owned(), address.parse().ok()),
         None => (text.to_owned(), None),
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -16,10 +16,9 @@
 /// The store counts as silent when nothing was heard of it for this long: three renewals of a session.
 const SILENT_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Leases of runners are renewed for this long without a proof that the groups are still owned: an
-/// outage of the store must not end what runs. A taker waits for it where it can't reach a runner
-/// (`orphans` of the engine's options is this and a lease).
-const RENEW_WITHOUT_PROOF: Duration = Duration::from_secs(20);
+/// Leases of runners are renewed for this long on the store's word alone: longer than a session, so
+/// that one lost renewal changes nothing.
+pub(crate) const PROOF_HOLDS: Duration = Duration::from_secs(3);
 
 /// Who holds a group's key, and since which revision.
 pub(crate) struct Owner {
@@ -40,6 +39,8 @@
     pub(crate) lease: Cell<Option<Lease>>,
     /// The latest incarnation that each process registered, also of those whose session has ended.
     pub(crate) incarnations: RefCell<HashMap<String, String>>,
+    /// Where the processes with a session are called.
+    pub(crate) members: RefCell<BTreeMap<String, SocketAddr>>,
     /// When the last renewal that the session's lease survived was sent.
     pub(crate) proven_at: Cell<Option<Instant>>,
     /// When the store last answered.
@@ -87,11 +88,10 @@
         (address != self.options.peer_address && !is_silent).then_some(address)
     }
 
-    /// Tells whether this process may still renew leases: without a word from the store another may
-    /// have taken its groups over long ago.
-    pub(crate) fn may_renew(&self) -> bool {
+    /// Tells whether the store has said within [`PROOF_HOLDS`] that the session holds.
+    pub(crate) fn is_proven(&self) -> bool {
         let proven_at = self.proven_at.get();
-        proven_at.is_some_and(|at| self.now() < at + RENEW_WITHOUT_PROOF)
+        proven_at.is_some_and(|at| self.now() < at + PROOF_HOLDS)
     }
 
     /// Tells whether a process that was `NAME#INCARNATION` has been replaced by a newer one.
--- a/crates/persimmon-mesh/src/authority.rs
+++ b/crates/persimmon-mesh/src/authority.rs
@@ -8,6 +8,7 @@
     key: String,
 }
 
+#[allow(clippy::needless_pass_by_value)] // The shape that `map_err` takes.
 fn failed(err: rcgen::Error) -> KeysError {
     KeysError {
         part: "authority",
