--- a/crates/persimmon-entry/src/group/intake.rs
+++ b/crates/persimmon-entry/src/group/intake.rs
@@ -47,7 +47,7 @@
             self.sort(&item, &mut found);
         }
         log::info!(
-            "event=group.load group={} jobs={} revision={revision}",
+            "event=group.read group={} jobs={} revision={revision}",
             self.id.0,
             found.len()
         );
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -25,6 +25,8 @@
 const ROUND_GAP: Duration = Duration::from_millis(8);
 /// A round comes at least this often: leases lapse and backoffs end without an event.
 const ROUND_EVERY: Duration = Duration::from_millis(60);
+/// Between two lines that tell what the group carries.
+const LOAD_EVERY: Duration = Duration::from_secs(2);
 /// Between two looks for jobs that may be forgotten.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 
@@ -95,6 +97,7 @@
         self.spawn(Rc::clone(&self).summarize());
         self.spawn(Rc::clone(&self).stand());
         self.spawn(Rc::clone(&self).expire());
+        self.spawn(Rc::clone(&self).tell_load());
         self.decide().await;
     }
 
@@ -142,6 +145,15 @@
         }
     }
 
+    /// Logs what the group carries, for good.
+    async fn tell_load(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOAD_EVERY).await;
+            let load = self.engine.borrow().load(self.shared.now());
+            log::info!("event=group.load group={} {load}", self.id.0);
+        }
+    }
+
     /// Forgets jobs that ended long ago.
     async fn expire(self: Rc<Self>) {
         loop {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,10 +1,13 @@
 mod commit;
 mod disturb;
+mod load;
 mod lost;
 mod place;
 mod report;
 mod start;
 
+pub use load::Load;
+
 use crate::{
     fleet::{Claim, Image, Runner, RunnerKey},
     JobId, JobSpec, Mark, Phase, Policy, Record, RunnerInfo, StepSpec, TaskId, TaskRecord,
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -33,7 +33,7 @@
         }
     }
 
-    fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
+    pub(super) fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
         self.jobs.get(&id.job)?.spec.steps.get(usize::from(id.step))
     }
 
@@ -162,7 +162,7 @@
     }
 
     /// Tells whether a runner may get new tasks.
-    fn is_open(&self, runner: &Runner, now: Instant) -> bool {
+    pub(super) fn is_open(&self, runner: &Runner, now: Instant) -> bool {
         let heard = |at: Instant| now < at + self.options.heard_within;
         runner.listed
             && runner.info.state == RunnerState::Ready
