feat(sched,interference): unknown pairs are tried one task at a time; unseen work counts

Cause: three quarters of the tails over their target stood beside batch work placed less than 1.2 s before, mostly of pairs that nothing was known of, several tasks at once.

--- a/crates/persimmon-interference/src/pressure.rs
+++ b/crates/persimmon-interference/src/pressure.rs
@@ -7,6 +7,9 @@
 const USE_MIN: f64 = 0.01;
 /// The logarithm of a service's ratio of tail latency to target while nothing is known of it.
 const UNKNOWN_ALONE: f64 = -0.7;
+/// The weight of a class that was never seen beside a service: enough that one task of it is tried
+/// before several are.
+const UNKNOWN_WEIGHT: f64 = 2.0;
 /// Samples are cut to this range of logarithms, so that a few of them can't swing an estimate.
 const RATIO_MIN: f64 = -2.0;
 const RATIO_MAX: f64 = 1.5;
@@ -44,15 +47,15 @@
         self.alone
             .insert(service, alone + step * ALONE_PART * ALONE_PART);
         for (class, part) in parts {
-            let weight = self.weights.entry((service, class)).or_default();
+            let weight = self.weights.entry((service, class)).or_insert(UNKNOWN_WEIGHT);
             *weight = (*weight + step * part).clamp(0.0, WEIGHT_MAX);
         }
     }
 
-    /// What a whole worker's use by `class` adds to the logarithm of `service`'s ratio; 0 if unknown.
+    /// What a whole worker's use by `class` adds to the logarithm of `service`'s ratio.
     pub fn weight(&self, service: ServiceKey, class: ClassKey) -> f64 {
         let weight = self.weights.get(&(service, class));
-        weight.copied().unwrap_or(0.0)
+        weight.copied().unwrap_or(UNKNOWN_WEIGHT)
     }
 
     /// What several classes add together.
--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -14,7 +14,7 @@
 /// Ratio of tail to target from which what disturbs must give way.
 const NEAR_RATIO: f64 = 0.85;
 /// Ratio up to which a task may be placed beside, by prediction.
-const SAFE_RATIO: f64 = 0.75;
+const SAFE_RATIO: f64 = 0.6;
 /// Ratio below which slowed tasks may speed up again.
 const CALM_RATIO: f64 = 0.6;
 /// Between two acts on a runner: a figure covers half a second and an act needs a tenth to show.
@@ -257,7 +257,7 @@
             let service = ServiceKey(tail.image.0);
             let rise = self.pressure.rise(service, &[own]);
             let all = rise + self.pressure.rise(service, &unseen);
-            if rise >= BLAME_MIN && tail.ratio.ln() + all >= SAFE_RATIO.ln() {
+            if all >= BLAME_MIN && tail.ratio.ln() + all >= SAFE_RATIO.ln() {
                 return None;
             }
             total += rise;
