--- a/crates/persimmon-interference/src/pressure.rs
+++ b/crates/persimmon-interference/src/pressure.rs
@@ -47,7 +47,10 @@
         self.alone
             .insert(service, alone + step * ALONE_PART * ALONE_PART);
         for (class, part) in parts {
-            let weight = self.weights.entry((service, class)).or_insert(UNKNOWN_WEIGHT);
+            let weight = self
+                .weights
+                .entry((service, class))
+                .or_insert(UNKNOWN_WEIGHT);
             *weight = (*weight + step * part).clamp(0.0, WEIGHT_MAX);
         }
     }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -164,6 +164,8 @@
     service: String,
     priority: u8,
     due_ms: u64,
+    /// The time that callers accept from submission to end.
+    allowed_ms: u64,
     attempts_max: u32,
     phase: Phase,
     /// By occurrence, step and index.
@@ -273,6 +275,7 @@
             service: queue.service,
             priority: queue.priority,
             due_ms: spec.submitted_at_ms + allowed_ms,
+            allowed_ms,
             attempts_max: queue.attempts_max.max(1),
             phase: Phase::Queued,
             tasks: Vec::new(),
@@ -289,7 +292,14 @@
             job.finished_at = job.phase.is_final().then_some(now);
             self.restore(&mut job, &stored.record, now);
         }
+        let is_final = job.phase.is_final();
         self.jobs.insert(id, job);
+        if is_final {
+            // An earlier owner may have ended the job without stopping what ran.
+            for task in self.tasks_of(id) {
+                self.end_run(task, now);
+            }
+        }
         if self.cancelled_early.remove(&id) {
             self.cancel(id, now);
         }
@@ -534,7 +544,7 @@
         }
         self.lapse(now);
         self.send_stops(now);
-        self.place_ready(now);
+        self.place_ready(wall_ms, now);
     }
 
     /// Jobs that were accepted and have no task started, by queue. Jobs with due times don't count.
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -8,15 +8,29 @@
     time::Instant,
 };
 
+/// An answer is worth nothing to its caller after this many times the time that it allows.
+const WORTHLESS_FACTOR: u64 = 3;
+
+/// The order within a priority, first to last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    OnTime,
+    Lasting,
+    Late,
+    Overdue,
+}
+
 /// Share of its declared processor time that a serving task uses, in percent, where nothing is known.
 const SERVING_USE_PERCENT: i64 = 50;
 
 impl Engine {
     /// Places ready tasks in order of rank. A step that found no room is not tried again this time.
-    pub(crate) fn place_ready(&mut self, now: Instant) {
-        let ranks: Vec<_> = self.ready.iter().copied().collect();
+    pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
+        let ranks = self.ready.iter().copied();
+        let mut ranks: Vec<_> = ranks.map(|it| (self.urgency(&it, wall_ms), it)).collect();
+        ranks.sort_unstable_by_key(|(urgency, rank)| (rank.priority, *urgency, *rank));
         let mut stuck = HashSet::new();
-        for rank in ranks {
+        for (_, rank) in ranks {
             let id = rank.task;
             let step = (id.job, id.occurrence, id.step);
             if stuck.contains(&step) || !self.may_place(id, now) {
@@ -33,6 +47,32 @@
         }
     }
 
+    /// What goes first within a priority: an answer that has become late keeps others from being on time.
+    fn urgency(&self, rank: &Rank, wall_ms: u64) -> Urgency {
+        if self.step_of(rank.task).is_some_and(|step| step.lasting) {
+            return Urgency::Lasting;
+        }
+        let submitted_at_ms = self.jobs.get(&rank.task.job).map_or(0, |job| {
+            let first = job.spec.submitted_at_ms;
+            // Occurrences count from their own times.
+            job.spec.schedule.map_or(first, |schedule| {
+                schedule.first_at_ms + u64::from(rank.task.occurrence) * schedule.interval_ms
+            })
+        });
+        let allowed_ms = self
+            .jobs
+            .get(&rank.task.job)
+            .map_or(0, |job| job.allowed_ms);
+        let waited_ms = wall_ms.saturating_sub(submitted_at_ms);
+        if waited_ms <= allowed_ms {
+            Urgency::OnTime
+        } else if waited_ms <= allowed_ms * WORTHLESS_FACTOR {
+            Urgency::Late
+        } else {
+            Urgency::Overdue
+        }
+    }
+
     pub(super) fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
         self.jobs.get(&id.job)?.spec.steps.get(usize::from(id.step))
     }
