--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod lost;
 mod place;
 mod report;
+mod slow;
 mod start;
 
 pub use load::Load;
