--- a/crates/persimmon-sched/src/engine/durations.rs
+++ b/crates/persimmon-sched/src/engine/durations.rs
@@ -23,12 +23,6 @@
         }
     }
 
-    /// The mean run time of a queue's tasks, if any has ended.
-    pub(super) fn mean(&self, queue: &str) -> Option<Duration> {
-        let mean_ms = self.mean_ms.get(queue)?;
-        Some(Duration::from_secs_f64(mean_ms / 1_000.0))
-    }
-
     /// The longest chain of work through a job's steps.
     pub(super) fn chain_ms(&self, spec: &JobSpec) -> f64 {
         let mean_ms = self.mean_ms.get(&spec.queue).copied();
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -5,7 +5,6 @@
 mod lost;
 mod place;
 mod report;
-mod slow;
 mod start;
 
 pub use load::Load;
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -75,7 +75,6 @@
             self.take_listed(key, run, now);
         }
         self.drop_unlisted(key, &listed, asked_at);
-        self.leave_slow(key, &report.running, now);
         self.take_figures(key, &report.running, now);
     }
 
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -455,35 +455,3 @@
     let first = starts(&bench.engine.orders());
     assert_eq!(first[0].1.job, JobId(2), "due at 2990 against 3000");
 }
-
-/// A runner on which several tasks stand still while they take half a second elsewhere.
-#[test]
-fn runs_without_headway_start_again_elsewhere() {
-    let mut bench = Bench::with_runners(&["a"], 8_000);
-    bench.submit(job(1, vec![step(1)]));
-    bench.round();
-    bench
-        .engine
-        .answered(task(1, 0, 0), 1, Answer::Started, bench.now);
-    bench.pass(500);
-    hear_end(&mut bench, "a", end(1, EndKind::Done));
-    bench.submit(job(2, vec![step(2)]));
-    bench.round();
-    let stuck: Vec<_> = (0..2).map(|index| task(2, 0, index)).collect();
-    for &task in &stuck {
-        bench.engine.answered(task, 1, Answer::Started, bench.now);
-    }
-    let running = |percent| {
-        let with = |&task| persimmon_sched::Listed {
-            percent,
-            ..listed(task, 1)
-        };
-        stuck.iter().map(with).collect::<Vec<_>>()
-    };
-    bench.pass(800);
-    bench.hear("a", running(70));
-    assert!(stops(&bench.round()).is_empty(), "they make headway");
-    bench.pass(1_000);
-    bench.hear("a", running(10));
-    assert_eq!(stops(&bench.round()).len(), 2);
-}
