--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -104,8 +104,9 @@
         latest.is_some_and(|latest| latest != incarnation)
     }
 
-    /// Tells whether callers should come here.
+    /// Tells whether callers should come here: not to a process that can't accept a job. Where the
+    /// store is silent for all, the balancer uses all.
     pub(crate) fn is_ready(&self) -> bool {
-        self.policy.borrow().is_some() && !self.draining.get()
+        self.policy.borrow().is_some() && !self.draining.get() && !self.store_is_silent()
     }
 }
--- a/crates/persimmon-entry/src/submit.rs
+++ b/crates/persimmon-entry/src/submit.rs
@@ -21,6 +21,9 @@
 const DEFAULT_PATIENCE: Duration = Duration::from_millis(2_500);
 /// A store that refuses is tried again for this long before the caller is refused.
 const REFUSED_PATIENCE: Duration = Duration::from_millis(700);
+/// A store that does not answer is tried again for this long: the same request can be settled by a
+/// process that reaches it.
+const UNKNOWN_PATIENCE: Duration = Duration::from_millis(1_000);
 /// Between two tries at the store.
 const RETRY_AFTER: Duration = Duration::from_millis(40);
 /// When a caller should come back: outages of the store last seconds.
@@ -102,20 +105,14 @@
         }
         let now = shared.now();
         let refused_for = now.saturating_duration_since(began_at);
-        if effect == Effect::None && refused_for >= REFUSED_PATIENCE {
+        if effect == Effect::None && (now >= give_up_at || refused_for >= REFUSED_PATIENCE) {
             return Err(Rejection::NotRun {
                 retry_after: RETRY_AFTER_OUTAGE,
                 reason: "the store refuses",
             });
         }
-        if now >= give_up_at {
-            return Err(match effect {
-                Effect::None => Rejection::NotRun {
-                    retry_after: RETRY_AFTER_OUTAGE,
-                    reason: "the store refuses",
-                },
-                Effect::Unknown => Rejection::Unknown,
-            });
+        if effect == Effect::Unknown && (now >= give_up_at || refused_for >= UNKNOWN_PATIENCE) {
+            return Err(Rejection::Unknown);
         }
         tokio::time::sleep(RETRY_AFTER).await;
     }
--- a/crates/persimmon-entry/tests/all/faults.rs
+++ b/crates/persimmon-entry/tests/all/faults.rs
@@ -58,8 +58,10 @@
         "{refused:?}"
     );
     assert_eq!(asked_at.elapsed().as_millis(), 0, "refused at once");
+    assert!(!front.is_ready(), "it can't accept jobs");
     site.world.is_dark.set(false);
     site.pass(15 * SECOND).await;
+    assert!(front.is_ready());
     assert_eq!(phase(&mut site, &front, 1).await, Some(Phase::Completed));
     assert_eq!(site.starts_of(1), 1);
     assert_eq!(site.starts_of(2), 0, "refused means not run");
@@ -83,3 +85,16 @@
         assert_eq!(site.starts_of(job), 1, "job {job}");
     }
 }
+
+/// Another process may reach the store that this one does not.
+#[tokio::test(start_paused = true)]
+async fn submit_gives_up_soon_when_the_store_falls_silent() {
+    let mut site = Site::new(&["a"]);
+    let front = site.start("one");
+    site.pass(2 * SECOND).await;
+    site.world.is_dark.set(true);
+    let asked_at = tokio::time::Instant::now();
+    let unknown = site.play(front.submit(request(1), spec(100))).await;
+    assert_eq!(unknown, Err(Rejection::Unknown), "it may have been written");
+    assert!(asked_at.elapsed() < 2 * SECOND, "{:?}", asked_at.elapsed());
+}
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -171,6 +171,19 @@
         known == expected.revision
     }
 
+    /// What changed under `prefix` after `revision`.
+    fn changes(&self, prefix: &str, revision: u64) -> Vec<Change> {
+        let history = self.world.history.borrow();
+        let news = history.iter().filter(|(at, change)| {
+            let key = match change {
+                Change::Put(item) => &item.key,
+                Change::Gone { key, .. } => key,
+            };
+            *at > revision && key.starts_with(prefix)
+        });
+        news.map(|(_, change)| change.clone()).collect()
+    }
+
     fn clock_ms(&self) -> u64 {
         (now() - self.began_at).as_millis() as u64 + 1
     }
@@ -221,16 +234,7 @@
         loop {
             let changed = self.world.changed.notified();
             self.expire();
-            let history = self.world.history.borrow();
-            let news = history.iter().filter(|(at, change)| {
-                let key = match change {
-                    Change::Put(item) => &item.key,
-                    Change::Gone { key, .. } => key,
-                };
-                *at > revision && key.starts_with(prefix)
-            });
-            let changes: Vec<_> = news.map(|(_, change)| change.clone()).collect();
-            drop(history);
+            let changes = self.changes(prefix, revision);
             let is_over = tokio::time::Instant::now() >= until;
             if !changes.is_empty() || is_over || self.world.is_dark.get() {
                 let revision = self.world.revision.get();
@@ -263,7 +267,7 @@
         txn.remove.iter().for_each(|key| self.remove(key));
         self.world.writes.set(self.world.writes.get() + 1);
         let lose_every = self.world.lose_every.get();
-        if lose_every > 0 && self.world.writes.get().is_multiple_of(lose_every) {
+        if lose_every > 0 && self.world.writes.get() % lose_every == 0 {
             return Err(fault("txn", Effect::Unknown));
         }
         Ok(TxnOutcome::Done { revision })
--- /dev/null
+++ b/crates/persimmon-interference/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what is learned of interference.
+
+mod pressure;
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler, without input or output.
 
+mod disturb;
 mod engine;
 mod id;
 mod policy;
