--- a/crates/persimmon-entry/src/session.rs
+++ b/crates/persimmon-entry/src/session.rs
@@ -7,9 +7,9 @@
 
 /// How long a session outlives its last renewal. A takeover waits for it; a renewal must fit three
 /// times, also on an instance that is slowed.
-const TTL: Duration = Duration::from_millis(2_000);
+const TTL: Duration = Duration::from_millis(1_400);
 /// Between two renewals.
-const RENEW_EVERY: Duration = Duration::from_millis(500);
+const RENEW_EVERY: Duration = Duration::from_millis(300);
 
 /// Keeps a session in the store, for good.
 pub(crate) async fn keep<P: Platform>(shared: Rc<Shared<P>>) {
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 /// The store counts as silent when nothing was heard of it for this long: three renewals of a session.
-const SILENT_AFTER: Duration = Duration::from_millis(1_500);
+const SILENT_AFTER: Duration = Duration::from_millis(1_300);
 
 /// Leases of runners are renewed for this long on the store's word alone: longer than a session, so
 /// that one lost renewal changes nothing.
