--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -2,6 +2,7 @@
 
 mod commit;
 mod intake;
+mod learned;
 mod orders;
 mod standing;
 mod watch;
@@ -89,6 +90,7 @@
 
     async fn run(self: Rc<Self>) {
         self.configure();
+        self.recall().await;
         let revision = self.load().await;
         self.is_loaded.set(true);
         self.spawn(Rc::clone(&self).take_in(revision));
@@ -98,6 +100,7 @@
         self.spawn(Rc::clone(&self).stand());
         self.spawn(Rc::clone(&self).expire());
         self.spawn(Rc::clone(&self).tell_load());
+        self.spawn(Rc::clone(&self).remember());
         self.decide().await;
     }
 
--- a/crates/persimmon-entry/src/keys.rs
+++ b/crates/persimmon-entry/src/keys.rs
@@ -50,6 +50,11 @@
     format!("ps/job/{}/st/{job}", group.0)
 }
 
+/// What a group's owner has learned, for the one after it.
+pub(crate) fn learned(group: GroupId) -> String {
+    format!("ps/learned/{}", group.0)
+}
+
 pub(crate) fn summary(group: GroupId) -> String {
     format!("ps/sum/{}", group.0)
 }
--- a/crates/persimmon-interference/src/pressure.rs
+++ b/crates/persimmon-interference/src/pressure.rs
@@ -61,6 +61,18 @@
         weight.copied().unwrap_or(UNKNOWN_WEIGHT)
     }
 
+    /// All weights that were learned.
+    pub fn iter(&self) -> impl Iterator<Item = (ServiceKey, ClassKey, f64)> + '_ {
+        let weights = self.weights.iter();
+        weights.map(|(&(service, class), &weight)| (service, class, weight))
+    }
+
+    /// Takes a weight that was learned elsewhere.
+    pub fn recall(&mut self, service: ServiceKey, class: ClassKey, weight: f64) {
+        let weight = weight.clamp(0.0, WEIGHT_MAX);
+        self.weights.insert((service, class), weight);
+    }
+
     /// What several classes add together.
     pub fn rise(&self, service: ServiceKey, used: &[(ClassKey, f64)]) -> f64 {
         let each = used.iter();
--- a/crates/persimmon-sched/src/engine/durations.rs
+++ b/crates/persimmon-sched/src/engine/durations.rs
@@ -23,6 +23,17 @@
         }
     }
 
+    /// The mean run times in milliseconds, by queue.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (String, f64)> + '_ {
+        let means = self.mean_ms.iter();
+        means.map(|(queue, &mean_ms)| (queue.clone(), mean_ms))
+    }
+
+    /// Takes a mean that an earlier owner learned.
+    pub(super) fn recall(&mut self, queue: String, mean_ms: f64) {
+        self.mean_ms.insert(queue, mean_ms);
+    }
+
     /// The longest chain of work through a job's steps.
     pub(super) fn chain_ms(&self, spec: &JobSpec) -> f64 {
         let mean_ms = self.mean_ms.get(&spec.queue).copied();
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,12 +1,14 @@
 mod commit;
 mod disturb;
 mod durations;
+mod learned;
 mod load;
 mod lost;
 mod place;
 mod report;
 mod start;
 
+pub use learned::Learned;
 pub use load::Load;
 
 use self::durations::Durations;
--- a/crates/persimmon-sched/src/lib.rs
+++ b/crates/persimmon-sched/src/lib.rs
@@ -14,7 +14,7 @@
 mod record;
 mod spec;
 
-pub use engine::{Answer, Commit, Engine, Load, Options, Order, Stored};
+pub use engine::{Answer, Commit, Engine, Learned, Load, Options, Order, Stored};
 pub use fleet::{End, EndKind, Listed, Report, RunnerInfo, RunnerState};
 pub use id::{JobId, ParseIdError, TaskId};
 pub use policy::{Policy, Queue, Service};
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -455,3 +455,14 @@
     let first = starts(&bench.engine.orders());
     assert_eq!(first[0].1.job, JobId(2), "due at 2990 against 3000");
 }
+
+#[test]
+fn taker_recalls_what_was_learned() {
+    let learned = persimmon_sched::Learned {
+        pressure: vec![("counter".to_owned(), "press".to_owned(), 4.5)],
+        durations_ms: vec![("quotes".to_owned(), 812.0)],
+    };
+    let mut bench = Bench::new();
+    bench.engine.recall(learned.clone());
+    assert_eq!(bench.engine.learned(), learned);
+}
