--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -101,7 +101,10 @@
     is_draining.store(true, std::sync::atomic::Ordering::Relaxed);
     shared.draining.set(true);
     log::info!("event=process.drain");
-    let _ = tokio::time::timeout(HAND_OVER, hand_over(&shared)).await;
+    let handed_over = tokio::time::timeout(HAND_OVER, hand_over(&shared)).await;
+    if handed_over.is_err() {
+        log::warn!("event=group.hand_over reason=\"no answer in time\"");
+    }
     tokio::time::sleep(DRAIN).await;
     log::info!("event=process.stop");
 }
--- /dev/null
+++ b/crates/persimmon-sched/src/engine/adopt.rs
@@ -0,0 +1,163 @@
+//! Jobs and their records come in, and their occurrences and steps open.
+
+use super::{Engine, Job, Rank, Stage, State, Step, Stored, Task};
+use crate::{JobId, JobSpec, Mark, Phase, Record, TaskId, TaskRecord};
+use std::{sync::Arc, time::Instant};
+
+impl Engine {
+    /// Takes a job with its record, if one was written. A job that is already here stays as it is.
+    pub fn adopt(&mut self, spec: JobSpec, stored: Option<Stored>, wall_ms: u64, now: Instant) {
+        if self.jobs.contains_key(&spec.id) {
+            return;
+        }
+        let queue = self.policy.queue(&spec.queue).cloned().unwrap_or_default();
+        let chain_ms = self.durations.chain_ms(&spec);
+        let allowed_ms = (chain_ms * queue.stretch.max(1.0)) as u64 + queue.target_ms;
+        let id = spec.id;
+        let mut job = Job {
+            service: queue.service,
+            priority: queue.priority,
+            due_ms: spec.submitted_at_ms + allowed_ms,
+            allowed_ms,
+            attempts_max: queue.attempts_max.max(1),
+            phase: Phase::Queued,
+            tasks: Vec::new(),
+            version: 0,
+            committed: 0,
+            in_flight: false,
+            revision: 0,
+            finished_at: None,
+            spec: Arc::new(spec),
+        };
+        if let Some(stored) = stored {
+            job.revision = stored.revision;
+            job.phase = stored.record.phase;
+            job.finished_at = job.phase.is_final().then_some(now);
+            self.restore(&mut job, &stored.record, now);
+        }
+        let is_final = job.phase.is_final();
+        self.jobs.insert(id, job);
+        if is_final {
+            // An earlier owner may have ended the job without stopping what ran.
+            for task in self.tasks_of(id) {
+                self.end_run(task, now);
+            }
+        }
+        if self.cancelled_early.remove(&id) {
+            self.cancel(id, now);
+        }
+        self.open_occurrences(id, wall_ms);
+    }
+
+    fn restore(&mut self, job: &mut Job, record: &Record, now: Instant) {
+        let spec = Arc::clone(&job.spec);
+        for (occurrence, steps) in record.tasks.iter().enumerate() {
+            let mut restored = Vec::with_capacity(steps.len());
+            for (step, tasks) in steps.iter().enumerate() {
+                let mut into = Step::new(0);
+                for (index, task) in tasks.iter().enumerate() {
+                    let id = TaskId {
+                        job: spec.id,
+                        occurrence: occurrence as u32,
+                        step: step as u16,
+                        index: index as u16,
+                    };
+                    into.done += u32::from(task.mark == Mark::Done);
+                    let state = self.restore_task(&spec, id, task, record, now);
+                    into.tasks.push(Task {
+                        state,
+                        run: task.run,
+                        failures: task.failures,
+                        saved: task.saved.clone(),
+                    });
+                }
+                restored.push(into);
+            }
+            job.tasks.push(restored);
+        }
+    }
+
+    fn restore_task(
+        &mut self,
+        spec: &JobSpec,
+        id: TaskId,
+        task: &TaskRecord,
+        record: &Record,
+        now: Instant,
+    ) -> State {
+        let Some(runner) = record.runner(task.mark) else {
+            return if task.mark == Mark::Done {
+                State::Done
+            } else {
+                State::Waiting { not_before: None }
+            };
+        };
+        let key = self.runner_key(runner);
+        let claim = self.claim_of_step(&spec.steps[usize::from(id.step)], now);
+        self.runner_mut(key).claim(id, task.run, claim);
+        State::Placed {
+            runner: key,
+            stage: Stage::Adopted,
+        }
+    }
+
+    /// Opens the occurrences that are due and sets timers for the others.
+    pub(super) fn open_occurrences(&mut self, id: JobId, wall_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        let spec = Arc::clone(&job.spec);
+        while (job.tasks.len() as u32) < spec.occurrences() {
+            let next = job.tasks.len() as u32;
+            let due_ms = spec.schedule.map_or(0, |schedule| {
+                schedule.first_at_ms + u64::from(next) * schedule.interval_ms
+            });
+            if due_ms > wall_ms {
+                self.timers.insert((due_ms, id, next));
+                break;
+            }
+            let steps = spec.steps.iter();
+            job.tasks
+                .push(steps.map(|it| Step::new(it.count as usize)).collect());
+        }
+        for occurrence in 0..job.tasks.len() as u32 {
+            self.open_steps(id, occurrence);
+        }
+    }
+
+    /// Opens the steps of an occurrence whose earlier steps are done.
+    pub(super) fn open_steps(&mut self, id: JobId, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        let steps = &mut job.tasks[occurrence as usize];
+        for at in 0..steps.len() {
+            let after = &job.spec.steps[at].after;
+            let is_done = |&it: &u16| steps[usize::from(it)].is_done();
+            if steps[at].open || !after.iter().all(is_done) {
+                continue;
+            }
+            steps[at].open = true;
+            for (index, task) in steps[at].tasks.iter().enumerate() {
+                if matches!(task.state, State::Waiting { .. }) {
+                    self.ready.insert(Rank {
+                        priority: job.priority,
+                        due_ms: job.due_ms,
+                        task: TaskId {
+                            job: id,
+                            occurrence,
+                            step: at as u16,
+                            index: index as u16,
+                        },
+                    });
+                }
+            }
+        }
+    }
+}
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -78,7 +78,7 @@
         for task in self.tasks_of(id) {
             self.order_start(task, version);
         }
-        self.acknowledge(id);
+        self.acknowledge();
     }
 
     fn order_start(&mut self, id: crate::TaskId, version: u64) {
@@ -111,8 +111,8 @@
         self.orders.push(order);
     }
 
-    /// Raises what may be acknowledged on the runners whose ends waited for this job.
-    fn acknowledge(&mut self, _id: JobId) {
+    /// Raises what may be acknowledged on the runners whose ends waited for a commit.
+    fn acknowledge(&mut self) {
         let jobs = &self.jobs;
         for runner in &mut self.runners {
             while let Some(&end) = runner.ends.front() {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,21 +1,28 @@
+mod adopt;
 mod commit;
 mod disturb;
 mod durations;
+mod job;
 mod learned;
 mod load;
 mod lost;
 mod place;
 mod report;
 mod start;
+mod types;
 
 pub use learned::Learned;
 pub use load::Load;
 
+pub use types::{Answer, Commit, Options, Order, Stored};
+
+pub(crate) use job::{Job, Rank, Stage, State, Step, Task};
+
 use self::durations::Durations;
 
 use crate::{
     fleet::{Claim, Image, Runner, RunnerKey},
-    JobId, JobSpec, Mark, Phase, Policy, Record, RunnerInfo, StepSpec, TaskId, TaskRecord,
+    JobId, Phase, Policy, RunnerInfo, StepSpec, TaskId,
 };
 use persimmon_interference::Pressure;
 use std::{
@@ -27,112 +34,6 @@
 /// A runner's clock may be slow by this much over a lease.
 const LEASE_SLACK: Duration = Duration::from_millis(500);
 
-/// Limits of an [`Engine`].
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// A runner gets no new task unless it was heard within this time.
-    pub heard_within: Duration,
-    /// How long a run lives without a renewal of its lease.
-    pub lease: Duration,
-    /// What runners shorten longer leases to, whoever asks for them.
-    pub lease_max: Duration,
-    /// How long runs of an earlier owner may live on a runner that can't be reached.
-    pub orphans: Duration,
-    /// How long an ended job's state is kept.
-    pub retention: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            heard_within: Duration::from_millis(1_800),
-            lease: Duration::from_secs(6),
-            lease_max: Duration::from_secs(10),
-            orphans: Duration::from_secs(27),
-            retention: Duration::from_secs(130),
-        }
-    }
-}
-
-/// A call to make to a runner.
-#[derive(Debug, Clone)]
-pub enum Order {
-    /// Start a run.
-    Start {
-        /// The runner's id.
-        runner: String,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-        /// The job that the task belongs to.
-        job: Arc<JobSpec>,
-        /// The checkpoint to resume from; empty for none.
-        saved: String,
-    },
-    /// Stop a run, or keep one that is not there yet from starting.
-    Stop {
-        /// The runner's id.
-        runner: String,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-    },
-    /// Let a run work at a share only.
-    Pace {
-        /// The runner's id.
-        runner: String,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-        /// The share, 0 to 100.
-        percent: u8,
-    },
-}
-
-/// What a runner answered to a start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answer {
-    /// The run is there.
-    Started,
-    /// It has a higher fence: this engine no longer owns the group.
-    Fenced,
-    /// The run's number is not above one that ended there.
-    Old,
-    /// It has no room.
-    Room,
-    /// It did nothing: the deadline had passed, it was unwell, or another incarnation was meant.
-    Refused,
-    /// No byte of the call was sent.
-    NotSent,
-    /// The call may have been carried out, or may be later.
-    Unknown,
-}
-
-/// A record to write under a condition.
-#[derive(Debug, Clone)]
-pub struct Commit {
-    /// The job.
-    pub job: JobId,
-    /// The version of its state that the record holds.
-    pub version: u64,
-    /// The revision that the record's key must have; 0 if it must not exist.
-    pub revision: u64,
-    /// The record.
-    pub record: Record,
-}
-
-/// A job's record as read from the store.
-#[derive(Debug, Clone)]
-pub struct Stored {
-    /// The key's revision.
-    pub revision: u64,
-    /// The record.
-    pub record: Record,
-}
-
 /// Schedules the jobs of one group on its runners.
 #[derive(Debug)]
 pub struct Engine {
@@ -143,7 +44,7 @@
     runner_keys: HashMap<String, RunnerKey>,
     ready: BTreeSet<Rank>,
     /// Occurrences that are not due yet, by their time since the Unix epoch.
-    timers: BTreeMap<(u64, JobId, u32), ()>,
+    timers: BTreeSet<(u64, JobId, u32)>,
     dirty: BTreeSet<JobId>,
     orders: Vec<Order>,
     images: HashMap<String, Image>,
@@ -156,78 +57,6 @@
     fenced: bool,
 }
 
-/// The order in which tasks are placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    priority: u8,
-    due_ms: u64,
-    task: TaskId,
-}
-
-#[derive(Debug)]
-struct Job {
-    spec: Arc<JobSpec>,
-    service: String,
-    priority: u8,
-    due_ms: u64,
-    /// The time that callers accept from submission to end.
-    allowed_ms: u64,
-    attempts_max: u32,
-    phase: Phase,
-    /// By occurrence, step and index.
-    tasks: Vec<Vec<Step>>,
-    /// Rises with each change that the store must learn of.
-    version: u64,
-    committed: u64,
-    in_flight: bool,
-    revision: u64,
-    finished_at: Option<Instant>,
-}
-
-#[derive(Debug)]
-struct Step {
-    tasks: Vec<Task>,
-    done: u32,
-    open: bool,
-}
-
-#[derive(Debug, Clone)]
-struct Task {
-    state: State,
-    run: u32,
-    failures: u32,
-    saved: String,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
-    Waiting { not_before: Option<Instant> },
-    Placed { runner: RunnerKey, stage: Stage },
-    Done,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Stage {
-    /// Its record is on the way to the store, at this version of the job.
-    Committing(u64),
-    /// Its start was ordered and not answered yet.
-    Ordered,
-    /// An earlier owner placed it; its runner was not heard yet.
-    Adopted,
-    /// It was there at this time.
-    Running(Instant),
-    /// Its start had no answer: it is there, or may come, or never will.
-    Doubt {
-        asked_at: Instant,
-        stopped_at: Option<Instant>,
-    },
-    /// It is to end.
-    Stopping {
-        asked_at: Instant,
-        stopped_at: Option<Instant>,
-    },
-}
-
 impl Engine {
     /// An engine without jobs and runners that takes its group over at `now`.
     pub fn new(options: Options, now: Instant) -> Self {
@@ -237,7 +66,7 @@
             runners: Vec::new(),
             runner_keys: HashMap::new(),
             ready: BTreeSet::new(),
-            timers: BTreeMap::new(),
+            timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
             orders: Vec::new(),
             images: HashMap::new(),
@@ -270,162 +99,6 @@
         self.fenced
     }
 
-    /// Takes a job with its record, if one was written. A job that is already here stays as it is.
-    pub fn adopt(&mut self, spec: JobSpec, stored: Option<Stored>, wall_ms: u64, now: Instant) {
-        if self.jobs.contains_key(&spec.id) {
-            return;
-        }
-        let queue = self.policy.queue(&spec.queue).cloned().unwrap_or_default();
-        let chain_ms = self.durations.chain_ms(&spec);
-        let allowed_ms = (chain_ms * queue.stretch.max(1.0)) as u64 + queue.target_ms;
-        let id = spec.id;
-        let mut job = Job {
-            service: queue.service,
-            priority: queue.priority,
-            due_ms: spec.submitted_at_ms + allowed_ms,
-            allowed_ms,
-            attempts_max: queue.attempts_max.max(1),
-            phase: Phase::Queued,
-            tasks: Vec::new(),
-            version: 0,
-            committed: 0,
-            in_flight: false,
-            revision: 0,
-            finished_at: None,
-            spec: Arc::new(spec),
-        };
-        if let Some(stored) = stored {
-            job.revision = stored.revision;
-            job.phase = stored.record.phase;
-            job.finished_at = job.phase.is_final().then_some(now);
-            self.restore(&mut job, &stored.record, now);
-        }
-        let is_final = job.phase.is_final();
-        self.jobs.insert(id, job);
-        if is_final {
-            // An earlier owner may have ended the job without stopping what ran.
-            for task in self.tasks_of(id) {
-                self.end_run(task, now);
-            }
-        }
-        if self.cancelled_early.remove(&id) {
-            self.cancel(id, now);
-        }
-        self.open_occurrences(id, wall_ms);
-    }
-
-    fn restore(&mut self, job: &mut Job, record: &Record, now: Instant) {
-        let spec = Arc::clone(&job.spec);
-        for (occurrence, steps) in record.tasks.iter().enumerate() {
-            let mut restored = Vec::with_capacity(steps.len());
-            for (step, tasks) in steps.iter().enumerate() {
-                let mut into = Step::new(0);
-                for (index, task) in tasks.iter().enumerate() {
-                    let id = TaskId {
-                        job: spec.id,
-                        occurrence: occurrence as u32,
-                        step: step as u16,
-                        index: index as u16,
-                    };
-                    into.done += u32::from(task.mark == Mark::Done);
-                    let state = self.restore_task(&spec, id, task, record, now);
-                    into.tasks.push(Task {
-                        state,
-                        run: task.run,
-                        failures: task.failures,
-                        saved: task.saved.clone(),
-                    });
-                }
-                restored.push(into);
-            }
-            job.tasks.push(restored);
-        }
-    }
-
-    fn restore_task(
-        &mut self,
-        spec: &JobSpec,
-        id: TaskId,
-        task: &TaskRecord,
-        record: &Record,
-        now: Instant,
-    ) -> State {
-        let Some(runner) = record.runner(task.mark) else {
-            return if task.mark == Mark::Done {
-                State::Done
-            } else {
-                State::Waiting { not_before: None }
-            };
-        };
-        let key = self.runner_key(runner);
-        let claim = self.claim_of_step(&spec.steps[usize::from(id.step)], now);
-        self.runner_mut(key).claim(id, task.run, claim);
-        State::Placed {
-            runner: key,
-            stage: Stage::Adopted,
-        }
-    }
-
-    /// Opens the occurrences that are due and sets timers for the others.
-    fn open_occurrences(&mut self, id: JobId, wall_ms: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.phase.is_final() {
-            return;
-        }
-        let spec = Arc::clone(&job.spec);
-        while (job.tasks.len() as u32) < spec.occurrences() {
-            let next = job.tasks.len() as u32;
-            let due_ms = spec.schedule.map_or(0, |schedule| {
-                schedule.first_at_ms + u64::from(next) * schedule.interval_ms
-            });
-            if due_ms > wall_ms {
-                self.timers.insert((due_ms, id, next), ());
-                break;
-            }
-            let steps = spec.steps.iter();
-            job.tasks
-                .push(steps.map(|it| Step::new(it.count as usize)).collect());
-        }
-        for occurrence in 0..job.tasks.len() as u32 {
-            self.open_steps(id, occurrence);
-        }
-    }
-
-    /// Opens the steps of an occurrence whose earlier steps are done.
-    fn open_steps(&mut self, id: JobId, occurrence: u32) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.phase.is_final() {
-            return;
-        }
-        let steps = &mut job.tasks[occurrence as usize];
-        for at in 0..steps.len() {
-            let after = &job.spec.steps[at].after;
-            let is_done = |&it: &u16| steps[usize::from(it)].is_done();
-            if steps[at].open || !after.iter().all(is_done) {
-                continue;
-            }
-            steps[at].open = true;
-            for (index, task) in steps[at].tasks.iter().enumerate() {
-                if matches!(task.state, State::Waiting { .. }) {
-                    self.ready.insert(Rank {
-                        priority: job.priority,
-                        due_ms: job.due_ms,
-                        task: TaskId {
-                            job: id,
-                            occurrence,
-                            step: at as u16,
-                            index: index as u16,
-                        },
-                    });
-                }
-            }
-        }
-    }
-
     /// Takes note that whoever owned the group before has ended: its leases end within their longest
     /// term from `now`.
     pub fn predecessor_ended(&mut self, now: Instant) {
@@ -460,7 +133,7 @@
         job.version += 1;
         self.dirty.insert(id);
         self.ready.retain(|rank| rank.task.job != id);
-        self.timers.retain(|&(_, job, _), ()| job != id);
+        self.timers.retain(|&(_, job, _)| job != id);
         for task in self.tasks_of(id) {
             self.end_run(task, now);
         }
@@ -538,12 +211,12 @@
 
     /// When the next occurrence is due, in milliseconds since the Unix epoch.
     pub fn next_due_ms(&self) -> Option<u64> {
-        self.timers.keys().next().map(|&(due_ms, ..)| due_ms)
+        self.timers.first().map(|&(due_ms, ..)| due_ms)
     }
 
     /// Opens occurrences that have come due, takes lapsed runs as ended, and places what is ready.
     pub fn step(&mut self, wall_ms: u64, now: Instant) {
-        while let Some((&(due_ms, job, _), ())) = self.timers.first_key_value() {
+        while let Some(&(due_ms, job, _)) = self.timers.first() {
             if due_ms > wall_ms {
                 break;
             }
@@ -645,23 +318,3 @@
         step.tasks.get_mut(usize::from(id.index))
     }
 }
-
-impl Step {
-    fn new(count: usize) -> Self {
-        let task = Task {
-            state: State::Waiting { not_before: None },
-            run: 0,
-            failures: 0,
-            saved: String::new(),
-        };
-        Self {
-            tasks: vec![task; count],
-            done: 0,
-            open: false,
-        }
-    }
-
-    fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-}
--- a/crates/persimmon-types/src/lib.rs
+++ b/crates/persimmon-types/src/lib.rs
@@ -6,6 +6,6 @@
 mod id;
 mod size;
 
-pub use clock::{unix_ms, Clock, SystemClock};
+pub use clock::{unix_ms, BootClock, Clock, SystemClock};
 pub use id::{shard_of, JobId, ParseJobIdError};
 pub use size::Size;
--- /dev/null
+++ b/crates/persimmon-types/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what the other crates share.
+
+mod clock;
