--- a/crates/persimmon-entry/src/group/watch.rs
+++ b/crates/persimmon-entry/src/group/watch.rs
@@ -58,7 +58,7 @@
                 info.state
             );
         }
-        self.engine.borrow_mut().list(info);
+        self.engine.borrow_mut().list(info, self.shared.now());
         if self.watched.borrow_mut().insert(id.clone()) {
             self.spawn(Rc::clone(self).look_after(id));
         }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     fleet::{Claim, Image, Runner, RunnerKey},
-    JobId, Phase, Policy, RunnerInfo, StepSpec, TaskId,
+    JobId, Phase, Policy, RunnerInfo, RunnerState, StepSpec, TaskId,
 };
 use persimmon_interference::Pressure;
 use std::{
@@ -190,11 +190,33 @@
     }
 
     /// Takes a runner of the instance list.
-    pub fn list(&mut self, info: RunnerInfo) {
+    pub fn list(&mut self, info: RunnerInfo, now: Instant) {
         let key = self.runner_key(&info.id);
         let runner = self.runner_mut(key);
+        let leaves = info.state == RunnerState::Draining;
+        let is_news = leaves && (!runner.listed || runner.info.state != RunnerState::Draining);
         runner.info = info;
         runner.listed = true;
+        if is_news {
+            self.evacuate(key, now);
+        }
+    }
+
+    /// Ends what would be cut when a runner leaves and loses nothing by moving now: tasks that last, and
+    /// those that go on from a checkpoint. The others may still be done in time.
+    fn evacuate(&mut self, key: RunnerKey, now: Instant) {
+        let claims = self.runner(key).claims.keys();
+        let tasks: Vec<_> = claims.map(|&(task, _)| task).collect();
+        let moves = |step: &StepSpec| step.lasting || step.checkpointing;
+        for task in tasks {
+            if self.step_of(task).is_some_and(moves) {
+                log::info!(
+                    "event=run.evacuate task={task} runner={}",
+                    self.runner(key).info.id
+                );
+                self.end_run(task, now);
+            }
+        }
     }
 
     /// Takes note that the instance list no longer names a runner.
@@ -286,7 +308,7 @@
             id: id.to_owned(),
             address: String::new(),
             service: String::new(),
-            state: crate::RunnerState::Draining,
+            state: RunnerState::Draining,
             capacity: persimmon_types::Size::ZERO,
             labels: Vec::new(),
         };
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -149,8 +149,8 @@
 #[test]
 fn taker_grants_an_earlier_owners_lease() {
     let mut bench = Bench::new();
-    bench.engine.list(runner("a", 4_000));
-    bench.engine.list(runner("b", 4_000));
+    bench.engine.list(runner("a", 4_000), bench.now);
+    bench.engine.list(runner("b", 4_000), bench.now);
     bench
         .engine
         .adopt(job(1, vec![step(1)]), Some(placed("a")), 0, bench.now);
@@ -174,8 +174,8 @@
 #[test]
 fn taker_waits_for_a_runner_it_can_not_reach() {
     let mut bench = Bench::new();
-    bench.engine.list(runner("a", 4_000));
-    bench.engine.list(runner("b", 4_000));
+    bench.engine.list(runner("a", 4_000), bench.now);
+    bench.engine.list(runner("b", 4_000), bench.now);
     bench.hear("b", vec![]);
     bench
         .engine
@@ -194,7 +194,7 @@
 #[test]
 fn taker_places_what_its_runner_does_not_list() {
     let mut bench = Bench::new();
-    bench.engine.list(runner("a", 4_000));
+    bench.engine.list(runner("a", 4_000), bench.now);
     bench
         .engine
         .adopt(job(1, vec![step(1)]), Some(placed("a")), 0, bench.now);
@@ -319,7 +319,7 @@
     let mut bench = Bench::with_runners(&["a"], 4_000);
     let mut leaving = runner("a", 4_000);
     leaving.state = persimmon_sched::RunnerState::Draining;
-    bench.engine.list(leaving);
+    bench.engine.list(leaving, bench.now);
     bench.submit(job(1, vec![step(1)]));
     assert!(starts(&bench.round()).is_empty());
 }
@@ -368,7 +368,7 @@
 #[test]
 fn taker_need_not_wait_long_for_a_dead_predecessor() {
     let mut bench = Bench::new();
-    bench.engine.list(runner("b", 4_000));
+    bench.engine.list(runner("b", 4_000), bench.now);
     bench
         .engine
         .adopt(job(1, vec![step(1)]), Some(placed("gone")), 0, bench.now);
@@ -426,7 +426,7 @@
 #[test]
 fn taker_stops_runs_of_an_ended_job() {
     let mut bench = Bench::new();
-    bench.engine.list(runner("a", 4_000));
+    bench.engine.list(runner("a", 4_000), bench.now);
     let mut stored = placed("a");
     stored.record.phase = Phase::Cancelled;
     bench
@@ -466,3 +466,25 @@
     bench.engine.recall(learned.clone());
     assert_eq!(bench.engine.learned(), learned);
 }
+
+/// Everything ends when a runner leaves: what lasts is better elsewhere before, what may still be done
+/// in time stays.
+#[test]
+fn draining_runner_is_evacuated() {
+    let mut bench = Bench::with_runners(&["a"], 8_000);
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(1)
+    };
+    bench.submit(job(1, vec![lasting]));
+    bench.submit(job(2, vec![step(1)]));
+    bench.round();
+    for job in [1, 2] {
+        let task = task(job, 0, 0);
+        bench.engine.answered(task, 1, Answer::Started, bench.now);
+    }
+    let mut leaving = runner("a", 8_000);
+    leaving.state = persimmon_sched::RunnerState::Draining;
+    bench.engine.list(leaving, bench.now);
+    assert_eq!(stops(&bench.round()), [(task(1, 0, 0), 1)]);
+}
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -117,7 +117,7 @@
     pub(crate) fn with_runners(ids: &[&str], cpu_millis: u32) -> Self {
         let mut bench = Self::new();
         for id in ids {
-            bench.engine.list(runner(id, cpu_millis));
+            bench.engine.list(runner(id, cpu_millis), bench.now);
             bench.hear(id, vec![]);
         }
         bench
--- a/crates/persimmon-sched/tests/all/world.rs
+++ b/crates/persimmon-sched/tests/all/world.rs
@@ -125,7 +125,7 @@
         let mut engine = Engine::new(Options::default(), self.now());
         engine.configure(policy());
         for worker in &self.workers {
-            engine.list(runner(&worker.id, 4_000));
+            engine.list(runner(&worker.id, 4_000), self.now());
         }
         for (id, spec) in &self.specs {
             let stored = self.records.get(id).map(|(revision, record)| Stored {
