feat(entry): whoever can carry most owns a group

Now a process says what it can carry (processor or link, whichever is the scarcer); the group goes to whom most is left, by hash among equals.

Ruled out: more groups.

--- a/crates/persimmon-entry/src/lib.rs
+++ b/crates/persimmon-entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod front;
 mod group;
 mod keys;
+mod member;
 mod mirror;
 mod node;
 mod owners;
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -38,6 +38,8 @@
     pub incarnation: u64,
     /// Where other processes call this one.
     pub peer_address: SocketAddr,
+    /// What this instance can carry, in thousandths of a core: who can carry more owns groups first.
+    pub capacity_millis: u32,
     /// The number of groups; the same everywhere.
     pub group_count: u16,
     /// Limits of the engine.
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -3,15 +3,14 @@
 use crate::{
     group::Group,
     keys::{self, GroupId},
+    member::{self, Member},
     mirror::{self, Watching},
     peers,
     platform::{Change, Expected, Item, Platform, Txn, TxnOutcome, Write},
     state::{Owner, Shared},
 };
-use persimmon_types::shard_of;
 use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -27,39 +26,25 @@
     gap: Duration::ZERO,
 };
 
-#[derive(Default)]
-struct View {
-    nodes: BTreeSet<String>,
-}
-
 /// Takes groups that have no owner and serves them, for good.
 pub(crate) async fn contest<P: Platform>(shared: Rc<Shared<P>>) {
-    let view = Rc::new(RefCell::new(View::default()));
     let members = mirror::follow(&shared, keys::MEMBERS, MEMBERS, None, |change| {
-        let mut view = view.borrow_mut();
-        take_node(&shared, &mut view, &change);
+        take_node(&shared, &change);
         take_owner(&shared, change);
     });
-    tokio::join!(members, take_free(&shared, &view));
+    tokio::join!(members, take_free(&shared));
 }
 
-fn take_node<P>(shared: &Shared<P>, view: &mut View, change: &Change) {
+fn take_node<P>(shared: &Shared<P>, change: &Change) {
     match change {
         Change::Put(item) if item.key.starts_with(keys::NODES) => {
-            view.nodes.insert(item.key.clone());
-            let (incarnation, address) = peers::parse_process(&text(&item.value));
+            let member = Member::parse(&text(&item.value));
             let mut incarnations = shared.incarnations.borrow_mut();
-            incarnations.insert(item.key.clone(), incarnation);
-            if let Some(address) = address {
-                shared
-                    .members
-                    .borrow_mut()
-                    .insert(item.key.clone(), address);
-            }
+            incarnations.insert(item.key.clone(), member.incarnation.clone());
+            shared.members.borrow_mut().insert(item.key.clone(), member);
         }
         Change::Put(_) => {}
         Change::Gone { key, .. } => {
-            view.nodes.remove(key);
             shared.members.borrow_mut().remove(key);
         }
     }
@@ -99,7 +84,7 @@
     }
 }
 
-async fn take_free<P: Platform>(shared: &Rc<Shared<P>>, view: &Rc<RefCell<View>>) {
+async fn take_free<P: Platform>(shared: &Rc<Shared<P>>) {
     let mut free_since: BTreeMap<GroupId, Instant> = BTreeMap::new();
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
@@ -120,7 +105,7 @@
                 continue;
             }
             let since = *free_since.entry(group).or_insert(now);
-            let better = better_candidates(shared, &view.borrow(), group);
+            let better = better_candidates(shared, group);
             let policy_is_known = shared.policy.borrow().is_some();
             if now < since + STAGGER * better || shared.store_is_silent() || !policy_is_known {
                 continue;
@@ -138,13 +123,15 @@
     Some((owner.name == own_name(shared), owner.revision))
 }
 
-/// The processes that should rather own a group: rendezvous hashing over those with a session.
-fn better_candidates<P>(shared: &Shared<P>, view: &View, group: GroupId) -> u32 {
-    let weight = |key: &str| shard_of(&format!("{key}#{}", group.0), u16::MAX);
+/// The processes that should rather own a group.
+fn better_candidates<P>(shared: &Shared<P>, group: GroupId) -> u32 {
+    let mut owned: HashMap<String, u32> = HashMap::new();
+    for owner in shared.owners.borrow().values() {
+        let name = owner.name.rsplit_once('#').map_or("", |(name, _)| name);
+        *owned.entry(keys::node(name)).or_default() += 1;
+    }
     let own = keys::node(&shared.options.name);
-    let mine = weight(&own);
-    let better = view.nodes.iter().filter(|key| weight(key) > mine);
-    better.count() as u32
+    member::better(&shared.members.borrow(), &owned, group, &own)
 }
 
 /// Owners remembered at most; each of them took over while those before were not known to have ended.
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -211,8 +211,11 @@
     group: GroupId,
 ) -> (Vec<Witness>, usize) {
     let own = shared.options.peer_address;
-    let members: Vec<_> = shared.members.borrow().values().copied().collect();
-    let others: Vec<_> = members.into_iter().filter(|&it| it != own).collect();
+    let others: Vec<_> = {
+        let members = shared.members.borrow();
+        let addresses = members.values().filter_map(|it| it.address);
+        addresses.filter(|&it| it != own).collect()
+    };
     let total = others.len() + 1;
     let Some(mesh) = shared.peers.borrow().clone() else {
         return (Vec::new(), total);
--- a/crates/persimmon-entry/src/session.rs
+++ b/crates/persimmon-entry/src/session.rs
@@ -1,5 +1,6 @@
 use crate::{
     keys,
+    member::Member,
     platform::{Platform, Txn, Write},
     state::Shared,
 };
@@ -25,10 +26,6 @@
     }
 }
 
-fn node_value(options: &crate::Options) -> String {
-    format!("{} {}", options.incarnation, options.peer_address)
-}
-
 async fn open<P: Platform>(shared: &Shared<P>) -> Option<crate::Lease> {
     let sent_at = shared.now();
     let lease = match shared.platform.grant(TTL).await {
@@ -41,7 +38,7 @@
     let txn = Txn {
         writes: vec![Write {
             key: keys::node(&shared.options.name),
-            value: node_value(&shared.options).into_bytes(),
+            value: Member::value(&shared.options).into_bytes(),
             lease: Some(lease),
         }],
         ..Txn::default()
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -1,6 +1,6 @@
 //! What the duties of the process share. All of it lives on one thread.
 
-use crate::{group::Group, keys::GroupId, peers::Peers, platform::Lease, Options};
+use crate::{group::Group, keys::GroupId, member::Member, peers::Peers, platform::Lease, Options};
 use persimmon_sched::{JobId, Policy};
 use persimmon_types::{shard_of, Clock};
 use std::{
@@ -39,8 +39,8 @@
     pub(crate) lease: Cell<Option<Lease>>,
     /// The latest incarnation that each process registered, also of those whose session has ended.
     pub(crate) incarnations: RefCell<HashMap<String, String>>,
-    /// Where the processes with a session are called.
-    pub(crate) members: RefCell<BTreeMap<String, SocketAddr>>,
+    /// The processes with a session, by their keys.
+    pub(crate) members: RefCell<BTreeMap<String, Member>>,
     /// When the last renewal that the session's lease survived was sent.
     pub(crate) proven_at: Cell<Option<Instant>>,
     /// When the store last answered.
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod jobs;
+mod owners;
 mod platform;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -473,12 +473,23 @@
 
     /// Starts a process.
     pub(crate) fn start(&mut self, name: &str) -> Front {
+        self.start_sized(name, 500, 1)
+    }
+
+    /// Starts a process that can carry so much, beside a number of groups.
+    pub(crate) fn start_sized(
+        &mut self,
+        name: &str,
+        capacity_millis: u32,
+        group_count: u16,
+    ) -> Front {
         let (front, calls) = front();
         let options = Options {
             name: name.to_owned(),
             incarnation: self.processes.len() as u64,
             peer_address: "127.0.0.1:0".parse().expect("an address"),
-            group_count: 1,
+            capacity_millis,
+            group_count,
             engine: persimmon_sched::Options::default(),
         };
         let clock = Arc::new(VirtualClock {
@@ -517,6 +528,14 @@
         self.play(tokio::time::sleep(time)).await;
     }
 
+    /// The name of the process that owns a group.
+    pub(crate) fn owner_of(&self, group: u16) -> Option<String> {
+        let items = self.world.items.borrow();
+        let (item, _) = items.get(&format!("ps/m/own/{group}"))?;
+        let text = String::from_utf8_lossy(&item.value).into_owned();
+        Some(text.split_once('#')?.0.to_owned())
+    }
+
     /// The number of starts of a job's tasks.
     pub(crate) fn starts_of(&self, job: u64) -> usize {
         let starts = self.world.starts.borrow();
