fix(sched): a job waits until one of its tasks is known to have run

Cause: jobs counted as begun once a task of them was placed. After a takeover a job whose record names a runner counted as begun though its start may never have been sent.

The policy is taken when its version rises, not every 60 ms. `next_due_ms` and `policy_changed` had no use and are gone.

Ruled out: a stale summary (the owner answered itself).

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -24,6 +24,8 @@
 
 /// Between two rounds of decisions, so that what happens together is decided and written together.
 const ROUND_GAP: Duration = Duration::from_millis(8);
+/// After a round comes a rest of so many times its length: calls need the processor too.
+const ROUND_REST: u32 = 2;
 /// A round comes at least this often: leases lapse and backoffs end without an event.
 const ROUND_EVERY: Duration = Duration::from_millis(60);
 /// Between two lines that tell what the group carries.
@@ -109,9 +111,10 @@
         loop {
             tokio::select! {
                 () = self.wake.notified() => {}
-                () = self.shared.policy_changed.notified() => self.configure(),
-                () = tokio::time::sleep(ROUND_EVERY) => self.configure(),
+                () = tokio::time::sleep(ROUND_EVERY) => {}
             }
+            let began_at = self.shared.now();
+            self.configure();
             self.look_for_predecessors();
             let orders = {
                 let mut engine = self.engine.borrow_mut();
@@ -126,13 +129,17 @@
             }
             self.commit_wake.notify_one();
             while self.tasks.borrow_mut().try_join_next().is_some() {}
-            tokio::time::sleep(ROUND_GAP).await;
+            let took = self.shared.now().saturating_duration_since(began_at);
+            tokio::time::sleep(ROUND_GAP.max(took * ROUND_REST)).await;
         }
     }
 
     fn configure(&self) {
         if let Some(policy) = &*self.shared.policy.borrow() {
-            self.engine.borrow_mut().configure(policy.clone());
+            let mut engine = self.engine.borrow_mut();
+            if policy.version > engine.policy_version() {
+                engine.configure(policy.clone());
+            }
         }
     }
 
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -67,7 +67,6 @@
         options,
         clock,
         policy: RefCell::default(),
-        policy_changed: tokio::sync::Notify::new(),
         lease: Cell::default(),
         incarnations: RefCell::default(),
         members: RefCell::default(),
@@ -154,7 +153,6 @@
                     policy.version
                 );
                 *current = Some(policy);
-                shared.policy_changed.notify_waiters();
             }
         }
         Err(fault) => log::error!("event=policy.broken fault=\"{fault}\""),
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -11,7 +11,6 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::sync::Notify;
 
 /// The store counts as silent when nothing was heard of it for this long: three renewals of a session.
 const SILENT_AFTER: Duration = Duration::from_millis(1_300);
@@ -34,7 +33,6 @@
     pub(crate) clock: Arc<dyn Clock>,
     /// The policy in force; `None` before the first.
     pub(crate) policy: RefCell<Option<Policy>>,
-    pub(crate) policy_changed: Notify,
     /// The session's lease, while it is believed to hold.
     pub(crate) lease: Cell<Option<Lease>>,
     /// The latest incarnation that each process registered, also of those whose session has ended.
--- a/crates/persimmon-sched/src/engine/adopt.rs
+++ b/crates/persimmon-sched/src/engine/adopt.rs
@@ -21,6 +21,7 @@
             allowed_ms,
             attempts_max: queue.attempts_max.max(1),
             phase: Phase::Queued,
+            begun: false,
             tasks: Vec::new(),
             version: 0,
             committed: 0,
@@ -32,6 +33,7 @@
         if let Some(stored) = stored {
             job.revision = stored.revision;
             job.phase = stored.record.phase;
+            job.begun = has_begun(&stored.record);
             job.finished_at = job.phase.is_final().then_some(now);
             self.restore(&mut job, &stored.record, now);
         }
@@ -161,3 +163,9 @@
         }
     }
 }
+
+/// Tells whether a record proves that a task has run: one that is only placed may not have come up.
+fn has_begun(record: &Record) -> bool {
+    let mut tasks = record.tasks.iter().flatten().flatten();
+    tasks.any(|task| task.mark == Mark::Done || task.failures > 0 || !task.saved.is_empty())
+}
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -19,6 +19,8 @@
     pub(crate) allowed_ms: u64,
     pub(crate) attempts_max: u32,
     pub(crate) phase: Phase,
+    /// A task of it is known to have run.
+    pub(crate) begun: bool,
     /// By occurrence, step and index.
     pub(crate) tasks: Vec<Vec<Step>>,
     /// Rises with each change that the store must learn of.
--- a/crates/persimmon-sched/src/engine/lost.rs
+++ b/crates/persimmon-sched/src/engine/lost.rs
@@ -66,6 +66,7 @@
                         stopped_at: None,
                     };
                     task.state = State::Placed { runner, stage };
+                    self.unsettled.insert((id, run));
                 }
             }
         }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod lost;
 mod place;
+mod refusals;
 mod report;
 mod start;
 mod types;
@@ -47,6 +48,8 @@
     timers: BTreeSet<(u64, JobId, u32)>,
     dirty: BTreeSet<JobId>,
     orders: Vec<Order>,
+    /// Runs in doubt or about to stop; some may have ended.
+    unsettled: HashSet<(TaskId, u32)>,
     images: HashMap<String, Image>,
     pressure: Pressure,
     durations: Durations,
@@ -69,6 +72,7 @@
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
             orders: Vec::new(),
+            unsettled: HashSet::new(),
             images: HashMap::new(),
             pressure: Pressure::default(),
             durations: Durations::default(),
@@ -79,9 +83,14 @@
         }
     }
 
-    /// Takes the operators' latest policy.
+    /// The version of the policy that is followed; 0 before the first.
+    pub fn policy_version(&self) -> u64 {
+        self.policy.version
+    }
+
+    /// Takes the operators' policy unless a newer one is followed.
     pub fn configure(&mut self, policy: Policy) {
-        if policy.version < self.policy.version {
+        if policy.version <= self.policy.version {
             return;
         }
         self.policy = policy;
@@ -179,6 +188,7 @@
                         stopped_at: None,
                     },
                 };
+                self.unsettled.insert((id, run));
                 self.order_stop(runner, id, run);
             }
         }
@@ -231,11 +241,6 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// When the next occurrence is due, in milliseconds since the Unix epoch.
-    pub fn next_due_ms(&self) -> Option<u64> {
-        self.timers.first().map(|&(due_ms, ..)| due_ms)
-    }
-
     /// Opens occurrences that have come due, takes lapsed runs as ended, and places what is ready.
     pub fn step(&mut self, wall_ms: u64, now: Instant) {
         while let Some(&(due_ms, job, _)) = self.timers.first() {
@@ -250,11 +255,12 @@
         self.place_ready(wall_ms, now);
     }
 
-    /// Jobs that were accepted and have no task started, by queue. Jobs with due times don't count.
+    /// Jobs that were accepted and no task of which is known to have run, by queue. Jobs with due times
+    /// don't count.
     pub fn waiting(&self) -> BTreeMap<String, u64> {
         let mut counts = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.phase == Phase::Queued && job.spec.schedule.is_none() {
+            if !job.begun && !job.phase.is_final() && job.spec.schedule.is_none() {
                 *counts.entry(job.spec.queue.clone()).or_default() += 1;
             }
         }
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -1,12 +1,12 @@
-use super::{Engine, Rank, Stage, State};
+use super::{
+    refusals::{Demand, Refusals},
+    Engine, Rank, Stage, State,
+};
 use crate::{
     fleet::{Claim, Runner, RunnerKey},
     Phase, RunnerState, StepSpec, TaskId,
 };
-use std::{
-    collections::{HashMap, HashSet},
-    time::Instant,
-};
+use std::{collections::HashMap, time::Instant};
 
 /// An answer is worth nothing to its caller after this many times the time that it allows.
 const WORTHLESS_FACTOR: u64 = 3;
@@ -24,27 +24,75 @@
 const SERVING_USE_PERCENT: i64 = 50;
 
 impl Engine {
-    /// Places ready tasks in order of rank. A step that found no room is not tried again this time.
+    /// Places ready tasks in order of rank. A step that found no room is not tried again this time, and
+    /// neither are those that ask for as much.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
-        let ranks = self.ready.iter().copied();
-        let mut ranks: Vec<_> = ranks.map(|it| (self.urgency(&it, wall_ms), it)).collect();
-        ranks.sort_unstable_by_key(|(urgency, rank)| (rank.priority, *urgency, *rank));
-        let mut stuck = HashSet::new();
-        for (_, rank) in ranks {
-            let id = rank.task;
-            let step = (id.job, id.occurrence, id.step);
-            if stuck.contains(&step) || !self.may_place(id, now) {
-                continue;
+        let mut refusals = Refusals::default();
+        for first in self.ready_steps(wall_ms) {
+            for id in self.ready_tasks(first) {
+                if !self.may_place(id, now) {
+                    continue;
+                }
+                let Some(demand) = self.demand(id, now) else {
+                    break;
+                };
+                if refusals.rule_out(&demand) {
+                    break;
+                }
+                let placed = if self.step_of(id).is_some_and(|it| it.gang) {
+                    self.place_gang(id, now)
+                } else {
+                    self.place(id, now)
+                };
+                if !placed {
+                    refusals.insert(demand);
+                    break;
+                }
             }
-            let placed = if self.step_of(id).is_some_and(|it| it.gang) {
-                self.place_gang(id, now)
-            } else {
-                self.place(rank, now)
-            };
-            if !placed {
-                stuck.insert(step);
+        }
+    }
+
+    /// The first ready task of each step, in the order in which steps are served.
+    fn ready_steps(&self, wall_ms: u64) -> Vec<Rank> {
+        let step = |rank: &Rank| (rank.task.job, rank.task.occurrence, rank.task.step);
+        // Tasks of a step follow each other: their ranks differ in the index alone.
+        let mut firsts: Vec<(u8, Urgency, Rank)> = Vec::new();
+        for rank in &self.ready {
+            let known = firsts.last().map(|(.., last)| step(last));
+            if known != Some(step(rank)) {
+                firsts.push((rank.priority, self.urgency(rank, wall_ms), *rank));
             }
         }
+        firsts.sort_unstable();
+        firsts.into_iter().map(|(.., rank)| rank).collect()
+    }
+
+    /// The ready tasks of a step, from its first on.
+    fn ready_tasks(&self, first: Rank) -> Vec<TaskId> {
+        let last = Rank {
+            task: TaskId {
+                index: u16::MAX,
+                ..first.task
+            },
+            ..first
+        };
+        self.ready
+            .range(first..=last)
+            .map(|rank| rank.task)
+            .collect()
+    }
+
+    /// What a task asks of a runner.
+    fn demand(&mut self, id: TaskId, now: Instant) -> Option<Demand> {
+        let claim = self.claim_of(id, now)?;
+        let step = self.step_of(id)?;
+        Some(Demand {
+            service: self.jobs.get(&id.job)?.service.clone(),
+            image: step.fills.then_some(claim.image),
+            size: claim.size,
+            fill_cpu_millis: claim.fill_cpu_millis,
+            is_picky: step.gang || step.constraint.is_some() || step.spread_max > 0,
+        })
     }
 
     /// What goes first within a priority: an answer that has become late keeps others from being on time.
@@ -86,8 +134,7 @@
     }
 
     /// Places one task; `false` if no runner has room.
-    fn place(&mut self, rank: Rank, now: Instant) -> bool {
-        let id = rank.task;
+    fn place(&mut self, id: TaskId, now: Instant) -> bool {
         let Some(key) = self.choose(id, now) else {
             return false;
         };
@@ -178,7 +225,12 @@
         let claim = self.claim_of(id, now)?;
         let job = self.jobs.get(&id.job)?;
         let step = &job.spec.steps[usize::from(id.step)];
-        let siblings = self.siblings(id);
+        let minds_siblings = step.rack_local || step.spread_max > 0;
+        let siblings = if minds_siblings {
+            self.siblings(id)
+        } else {
+            HashMap::new()
+        };
         let rack = self.rack_of_siblings(step, &siblings);
         let mut best: Option<(i64, RunnerKey)> = None;
         for (at, runner) in self.runners.iter().enumerate() {
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -119,6 +119,7 @@
             return;
         };
         job.version += 1;
+        job.begun = true;
         self.dirty.insert(id.job);
         let spec = &job.spec.steps[usize::from(id.step)];
         let (lasting, attempts_max) = (spec.lasting, job.attempts_max);
@@ -213,6 +214,7 @@
             if there {
                 let stage = Stage::Running(now);
                 task.state = State::Placed { runner, stage };
+                self.begin(run.task);
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -32,6 +32,7 @@
                     runner,
                     stage: Stage::Running(now),
                 };
+                self.begin(id);
             }
             Answer::Unknown => {
                 task.state = State::Placed {
@@ -41,6 +42,7 @@
                         stopped_at: None,
                     },
                 };
+                self.unsettled.insert((id, run));
                 self.avoid(runner, now);
             }
             Answer::Fenced => self.fenced = true,
@@ -53,6 +55,13 @@
         }
     }
 
+    /// Takes note that a task of a job has run.
+    pub(crate) fn begin(&mut self, id: TaskId) {
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.begun = true;
+        }
+    }
+
     /// Keeps new tasks off a runner for a while.
     pub(crate) fn avoid(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner_mut(key);
@@ -85,17 +94,21 @@
     /// Stops runs that were started without an answer and did not show up, and sends stops that had
     /// no answer again.
     pub(crate) fn send_stops(&mut self, now: Instant) {
+        let mut unsettled = std::mem::take(&mut self.unsettled);
         let mut stops = Vec::new();
-        for (at, runner) in self.runners.iter().enumerate() {
-            let key = RunnerKey(at as u32);
-            let runs = runner.claims.keys();
-            let due = runs.filter(|&&(id, run)| {
-                self.task(id).is_some_and(|task| {
-                    task.run == run && matches!(task.state, State::Placed { stage, .. } if wants_stop(stage, now))
-                })
-            });
-            stops.extend(due.map(|&(id, run)| (key, id, run)));
-        }
+        unsettled.retain(|&(id, run)| {
+            let Some(task) = self.task(id).filter(|task| task.run == run) else {
+                return false;
+            };
+            let State::Placed { runner, stage } = task.state else {
+                return false;
+            };
+            if wants_stop(stage, now) {
+                stops.push((runner, id, run));
+            }
+            matches!(stage, Stage::Doubt { .. } | Stage::Stopping { .. })
+        });
+        self.unsettled = unsettled;
         for (key, id, run) in stops {
             if let Some(task) = self.task_mut(id) {
                 if let State::Placed { stage, .. } = &mut task.state {
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -488,3 +488,45 @@
     bench.engine.list(leaving, bench.now);
     assert_eq!(stops(&bench.round()), [(task(1, 0, 0), 1)]);
 }
+
+/// A start that is on its way, or in doubt, is no beginning.
+#[test]
+fn waiting_until_a_task_has_run() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    bench.submit(job(1, vec![step(1)]));
+    let count = |bench: &Bench| bench.engine.waiting().values().sum::<u64>();
+    assert_eq!(starts(&bench.round()).len(), 1);
+    assert_eq!(count(&bench), 1, "ordered");
+    let unknown = Answer::Unknown;
+    bench.engine.answered(task(1, 0, 0), 1, unknown, bench.now);
+    assert_eq!(count(&bench), 1, "in doubt");
+    bench.hear("a", vec![listed(task(1, 0, 0), 1)]);
+    assert_eq!(count(&bench), 0, "listed");
+}
+
+/// Whoever takes over a job that is only placed does not know whether it has begun.
+#[test]
+fn waiting_after_a_takeover() {
+    let mut bench = Bench::new();
+    bench.engine.list(runner("a", 4_000), bench.now);
+    let spec = job(1, vec![step(1)]);
+    bench.engine.adopt(spec, Some(placed("a")), 0, bench.now);
+    let count = |bench: &Bench| bench.engine.waiting().values().sum::<u64>();
+    assert_eq!(count(&bench), 1);
+    bench.hear("a", vec![listed(task(1, 0, 0), 1)]);
+    assert_eq!(count(&bench), 0);
+}
+
+/// Small tasks find what room large ones left, though those were refused first.
+#[test]
+fn refused_demand_rules_out_only_what_asks_for_as_much() {
+    let mut bench = Bench::with_runners(&["a"], 4_000);
+    let large = StepSpec {
+        size: crate::support::size(5_000),
+        ..step(1)
+    };
+    bench.submit(job(1, vec![large.clone()]));
+    bench.submit(job(2, vec![large]));
+    bench.submit(job(3, vec![step(4)]));
+    assert_eq!(starts(&bench.round()).len(), 4);
+}
