fix(sched): a lasting task that ended is placed before new work

Each room that came free went to work that could still be on time.

Ruled out: a room that the engine did not see. A log of all runners with room for a refused lasting task showed runs on their way there, or runners avoided for refusals, for less than six seconds.

Now a task that lasts and has run before has a turn of its own, first of its priority.

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -14,12 +14,22 @@
 /// The order within a priority, first to last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
+    /// A task that lasts and has run before: its service is a part short until it runs again.
+    Restart,
     OnTime,
     Lasting,
     Late,
     Overdue,
 }
 
+/// When a step is served; a task that must run again has a turn of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    priority: u8,
+    urgency: Urgency,
+    first: Rank,
+}
+
 /// Share of its declared processor time that a serving task uses, in percent, where nothing is known.
 const SERVING_USE_PERCENT: i64 = 50;
 
@@ -28,8 +38,8 @@
     /// neither are those that ask for as much.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
         let mut refusals = Refusals::default();
-        for first in self.ready_steps(wall_ms) {
-            for id in self.ready_tasks(first) {
+        for turn in self.turns(wall_ms) {
+            for id in self.ready_tasks(&turn) {
                 if !self.may_place(id, now) {
                     continue;
                 }
@@ -52,23 +62,42 @@
         }
     }
 
-    /// The first ready task of each step, in the order in which steps are served.
-    fn ready_steps(&self, wall_ms: u64) -> Vec<Rank> {
-        let step = |rank: &Rank| (rank.task.job, rank.task.occurrence, rank.task.step);
-        // Tasks of a step follow each other: their ranks differ in the index alone.
-        let mut firsts: Vec<(u8, Urgency, Rank)> = Vec::new();
-        for rank in &self.ready {
-            let known = firsts.last().map(|(.., last)| step(last));
-            if known != Some(step(rank)) {
-                firsts.push((rank.priority, self.urgency(rank, wall_ms), *rank));
+    /// The steps with ready tasks, in the order in which they are served.
+    fn turns(&self, wall_ms: u64) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        let mut current = None;
+        let mut is_lasting = false;
+        for &first in &self.ready {
+            let task = first.task;
+            let step = (task.job, task.occurrence, task.step);
+            // Tasks of a step follow each other: their ranks differ in the index alone.
+            if current != Some(step) {
+                current = Some(step);
+                is_lasting = self.step_of(task).is_some_and(|step| step.lasting);
+                turns.push(Turn {
+                    priority: first.priority,
+                    urgency: self.urgency(&first, wall_ms),
+                    first,
+                });
+            }
+            if is_lasting && self.task(task).is_some_and(|task| task.run > 0) {
+                turns.push(Turn {
+                    priority: first.priority,
+                    urgency: Urgency::Restart,
+                    first,
+                });
             }
         }
-        firsts.sort_unstable();
-        firsts.into_iter().map(|(.., rank)| rank).collect()
+        turns.sort_unstable();
+        turns
     }
 
-    /// The ready tasks of a step, from its first on.
-    fn ready_tasks(&self, first: Rank) -> Vec<TaskId> {
+    /// The tasks of a turn.
+    fn ready_tasks(&self, turn: &Turn) -> Vec<TaskId> {
+        let first = turn.first;
+        if turn.urgency == Urgency::Restart {
+            return vec![first.task];
+        }
         let last = Rank {
             task: TaskId {
                 index: u16::MAX,
@@ -76,10 +105,8 @@
             },
             ..first
         };
-        self.ready
-            .range(first..=last)
-            .map(|rank| rank.task)
-            .collect()
+        let ranks = self.ready.range(first..=last);
+        ranks.map(|rank| rank.task).collect()
     }
 
     /// What a task asks of a runner.
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -530,3 +530,25 @@
     bench.submit(job(3, vec![step(4)]));
     assert_eq!(starts(&bench.round()).len(), 4);
 }
+
+/// A service that is a part short comes before work that has not begun.
+#[test]
+fn lasting_task_that_ended_goes_before_new_work() {
+    let mut bench = Bench::with_runners(&["a"], 1_000);
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(1)
+    };
+    bench.submit(job(9, vec![lasting]));
+    assert_eq!(starts(&bench.round()).len(), 1);
+    let started = Answer::Started;
+    bench.engine.answered(task(9, 0, 0), 1, started, bench.now);
+    bench.submit(job(1, vec![step(1)]));
+    bench.submit(job(2, vec![step(1)]));
+    assert!(starts(&bench.round()).is_empty(), "no room");
+    let mut failed = end(1, EndKind::Failed);
+    failed.task = task(9, 0, 0);
+    hear_end(&mut bench, "a", failed);
+    let first = starts(&bench.round());
+    assert_eq!(first, [("a".to_owned(), task(9, 0, 0), 2)]);
+}
