--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -12,11 +12,11 @@
 };
 
 /// Ratio of tail to target from which what disturbs must give way.
-const NEAR_RATIO: f64 = 0.85;
+const NEAR_RATIO: f64 = 0.95;
 /// Ratio up to which a task may be placed beside, by prediction.
 const SAFE_RATIO: f64 = 0.6;
 /// Ratio below which slowed tasks may speed up again.
-const CALM_RATIO: f64 = 0.6;
+const CALM_RATIO: f64 = 0.8;
 /// Between two acts on a runner: a figure covers half a second and an act needs a tenth to show.
 const SETTLE: Duration = Duration::from_millis(700);
 /// A figure says nothing yet of runs placed within this time before it.
--- a/crates/persimmon-sched/src/engine/load.rs
+++ b/crates/persimmon-sched/src/engine/load.rs
@@ -16,6 +16,8 @@
     pub other_millis: u64,
     /// What runs on processors that others leave idle.
     pub filling_millis: u64,
+    /// Serving tasks that report a tail latency, and those of them that are over their target.
+    pub tails: [u64; 2],
     /// Tasks that wait for a runner: those that serve, other urgent ones, all others.
     pub waiting: [u64; 3],
 }
@@ -23,10 +25,11 @@
 impl fmt::Display for Load {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let [serving, urgent, other] = self.waiting;
+        let [tails, over] = self.tails;
         write!(
             out,
             "open={} capacity={} serving={} urgent={} other={} filling={} \
-             waiting_serving={serving} waiting_urgent={urgent} waiting_other={other}",
+             tails={tails} over_target={over} waiting_serving={serving} waiting_urgent={urgent} waiting_other={other}",
             self.open_runners,
             self.capacity_millis,
             self.serving_millis,
@@ -44,6 +47,8 @@
         for runner in self.runners.iter().filter(|it| self.is_open(it, now)) {
             load.open_runners += 1;
             load.capacity_millis += u64::from(runner.info.capacity.cpu_millis);
+            load.tails[0] += runner.tails.len() as u64;
+            load.tails[1] += runner.tails.iter().filter(|it| it.ratio > 1.0).count() as u64;
             load.filling_millis += u64::from(runner.fill_cpu_millis);
             for ((task, _), claim) in &runner.claims {
                 let millis = u64::from(claim.size.cpu_millis);
