--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -136,41 +136,18 @@
         if !settled {
             return;
         }
-        let blamed = self.to_blame(&near, fills);
-        for fill in &blamed {
-            self.move_or_pause(key, fill, now);
+        let mut acted = false;
+        for fill in fills.iter().filter(|fill| fill.percent > 0) {
+            if self.blame(&near, fill) >= BLAME_MIN {
+                acted = true;
+                self.move_or_pause(key, fill, now);
+            }
         }
-        if !blamed.is_empty() {
+        if acted {
             self.runner_mut(key).paced_at = Some(now);
         }
     }
 
-    /// Those that must give way, the worst first: as few as bring all tails down by what was learned.
-    fn to_blame<'a>(&self, near: &[Tail], fills: &'a [Fill]) -> Vec<&'a Fill> {
-        let working = fills.iter().filter(|fill| fill.percent > 0);
-        let mut blamed: Vec<_> = working
-            .map(|fill| (self.blame(near, fill), fill))
-            .filter(|&(blame, _)| blame >= BLAME_MIN)
-            .collect();
-        blamed.sort_by(|(one, _), (other, _)| other.total_cmp(one));
-        let mut excess: Vec<_> = near
-            .iter()
-            .map(|tail| (ServiceKey(tail.image.0), tail.ratio.ln() - CALM_RATIO.ln()))
-            .collect();
-        let mut chosen = Vec::new();
-        for (_, fill) in blamed {
-            if excess.iter().all(|&(_, left)| left <= 0.0) {
-                break;
-            }
-            let class = ClassKey(fill.image.0);
-            for (service, left) in &mut excess {
-                *left -= self.pressure.weight(*service, class) * fill.used;
-            }
-            chosen.push(fill);
-        }
-        chosen
-    }
-
     /// How much a run raises the worst of some tails, by what was learned.
     fn blame(&self, tails: &[Tail], fill: &Fill) -> f64 {
         let class = ClassKey(fill.image.0);
