feat(entry): an owner gives its groups to whom can carry them much better

Now an owner compares itself with the others four times a second and gives a group away when another has at least twice as much capacity left for it, for a second: as at a planned stop, what runs goes on.

Ruled out: waiting before the first take; it would cost every recovery, and helps nothing when strong processes come back one by one.

--- a/crates/persimmon-entry/src/member.rs
+++ b/crates/persimmon-entry/src/member.rs
@@ -50,13 +50,9 @@
     own: &str,
 ) -> u32 {
     let fitness = |key: &str, member: &Member| {
-        let groups = owned.get(key).copied().unwrap_or(0) + 1;
         let weight = shard_of(&format!("{key}#{}", group.0), u16::MAX);
-        (
-            member.capacity_millis / groups,
-            weight,
-            Reverse(key.to_owned()),
-        )
+        let left_millis = left_millis(member, owned.get(key).copied().unwrap_or(0) + 1);
+        (left_millis, weight, Reverse(key.to_owned()))
     };
     let Some(mine) = members.get(own).map(|it| fitness(own, it)) else {
         return members.len() as u32;
@@ -64,3 +60,28 @@
     let others = members.iter();
     others.filter(|(key, it)| fitness(key, it) > mine).count() as u32
 }
+
+/// A group moves only to whom has so many times as much left for it: each move costs its runners a
+/// moment without decisions.
+const MOVE_FACTOR: u32 = 2;
+
+/// Tells whether `own` should give a group away: another has much more capacity left for it.
+pub(crate) fn should_give_way(
+    members: &BTreeMap<String, Member>,
+    owned: &HashMap<String, u32>,
+    own: &str,
+) -> bool {
+    let groups = |key: &str| owned.get(key).copied().unwrap_or(0);
+    let Some(mine) = members.get(own) else {
+        return false;
+    };
+    let kept_millis = left_millis(mine, groups(own).max(1));
+    let others = members.iter().filter(|(key, _)| *key != own);
+    let mut left = others.map(|(key, it)| left_millis(it, groups(key) + 1));
+    left.any(|millis| millis >= kept_millis.saturating_mul(MOVE_FACTOR))
+}
+
+/// The share of a member's capacity that each of `groups` gets, in thousandths of a core.
+fn left_millis(member: &Member, groups: u32) -> u32 {
+    member.capacity_millis / groups
+}
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -2,7 +2,7 @@
     front::Calls,
     mirror::{self, Watching},
     owners, peers,
-    platform::{Change, Item, Platform, Txn},
+    platform::{Change, Item, Platform},
     session,
     state::Shared,
 };
@@ -102,7 +102,9 @@
     is_draining.store(true, std::sync::atomic::Ordering::Relaxed);
     shared.draining.set(true);
     log::info!("event=process.drain");
-    let handed_over = tokio::time::timeout(HAND_OVER, hand_over(&shared)).await;
+    let groups = shared.groups.borrow().values().map(Rc::clone).collect();
+    let handed_over = owners::hand_over(&shared, groups, "the process stops");
+    let handed_over = tokio::time::timeout(HAND_OVER, handed_over).await;
     if handed_over.is_err() {
         log::warn!("event=group.hand_over reason=\"no answer in time\"");
     }
@@ -110,25 +112,6 @@
     log::info!("event=process.stop");
 }
 
-/// Gives all groups up, so that others take them at once.
-async fn hand_over<P: Platform>(shared: &Shared<P>) {
-    let groups: Vec<_> = shared.groups.borrow().values().map(Rc::clone).collect();
-    let mut txn = Txn::default();
-    for group in groups {
-        group.lose("the process stops");
-        txn.expected.push(crate::Expected {
-            key: crate::keys::owner(group.id),
-            revision: group.fence,
-        });
-        txn.remove.push(crate::keys::owner(group.id));
-    }
-    if !txn.remove.is_empty() {
-        if let Err(fault) = shared.platform.txn(&txn).await {
-            log::warn!("event=group.hand_over fault=\"{fault}\"");
-        }
-    }
-}
-
 async fn follow_policy<P: Platform>(shared: Rc<Shared<P>>) {
     let key = shared.platform.policy_key().to_owned();
     mirror::follow(&shared, &key, POLICY, None, |change| {
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -17,6 +17,10 @@
 
 /// How often groups without an owner are looked for.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often an owner looks whether another should have its groups.
+const COMPARE_EVERY: Duration = Duration::from_millis(250);
+/// Another must have much more capacity for this long: one that restarts is soon gone again.
+const GIVE_WAY_AFTER: Duration = Duration::from_secs(1);
 /// A process waits this long for each better candidate before it takes a group.
 const STAGGER: Duration = Duration::from_millis(120);
 
@@ -32,7 +36,7 @@
         take_node(&shared, &change);
         take_owner(&shared, change);
     });
-    tokio::join!(members, take_free(&shared));
+    tokio::join!(members, take_free(&shared), give_way(&shared));
 }
 
 fn take_node<P>(shared: &Shared<P>, change: &Change) {
@@ -123,15 +127,64 @@
     Some((owner.name == own_name(shared), owner.revision))
 }
 
-/// The processes that should rather own a group.
-fn better_candidates<P>(shared: &Shared<P>, group: GroupId) -> u32 {
-    let mut owned: HashMap<String, u32> = HashMap::new();
+/// How many groups each process owns, by the processes' keys.
+fn owned<P>(shared: &Shared<P>) -> HashMap<String, u32> {
+    let mut owned = HashMap::new();
     for owner in shared.owners.borrow().values() {
         let name = owner.name.rsplit_once('#').map_or("", |(name, _)| name);
         *owned.entry(keys::node(name)).or_default() += 1;
     }
+    owned
+}
+
+/// The processes that should rather own a group.
+fn better_candidates<P>(shared: &Shared<P>, group: GroupId) -> u32 {
+    let own = keys::node(&shared.options.name);
+    member::better(&shared.members.borrow(), &owned(shared), group, &own)
+}
+
+/// Gives a group away when another process could carry it much better, for good.
+async fn give_way<P: Platform>(shared: &Rc<Shared<P>>) {
     let own = keys::node(&shared.options.name);
-    member::better(&shared.members.borrow(), &owned, group, &own)
+    let mut outdone_since: Option<Instant> = None;
+    loop {
+        tokio::time::sleep(COMPARE_EVERY).await;
+        let group = shared.groups.borrow().values().next().map(Rc::clone);
+        let is_outdone = !shared.store_is_silent()
+            && member::should_give_way(&shared.members.borrow(), &owned(shared), &own);
+        let Some(group) = group.filter(|_| is_outdone) else {
+            outdone_since = None;
+            continue;
+        };
+        let now = shared.now();
+        let since = *outdone_since.get_or_insert(now);
+        if now >= since + GIVE_WAY_AFTER {
+            outdone_since = None;
+            hand_over(shared, vec![group], "another can carry it better").await;
+        }
+    }
+}
+
+/// Gives groups up, so that others take them at once.
+pub(crate) async fn hand_over<P: Platform>(
+    shared: &Shared<P>,
+    groups: Vec<Rc<Group<P>>>,
+    reason: &str,
+) {
+    let mut txn = Txn::default();
+    for group in groups {
+        group.lose(reason);
+        txn.expected.push(Expected {
+            key: keys::owner(group.id),
+            revision: group.fence,
+        });
+        txn.remove.push(keys::owner(group.id));
+    }
+    if !txn.remove.is_empty() {
+        if let Err(fault) = shared.platform.txn(&txn).await {
+            log::warn!("event=group.hand_over fault=\"{fault}\"");
+        }
+    }
 }
 
 /// Owners remembered at most; each of them took over while those before were not known to have ended.
--- a/crates/persimmon-interference/src/pressure.rs
+++ b/crates/persimmon-interference/src/pressure.rs
@@ -1,5 +1,4 @@
 use crate::{ClassKey, ServiceKey};
-use std::collections::BTreeMap;
 
 /// The part of a prediction's error that one sample corrects.
 const GAIN: f64 = 0.15;
@@ -26,8 +25,26 @@
 /// squares); weights are never negative, since batch work helps no service.
 #[derive(Debug, Clone, Default)]
 pub struct Pressure {
-    weights: BTreeMap<(ServiceKey, ClassKey), f64>,
-    alone: BTreeMap<ServiceKey, f64>,
+    /// By service: keys are small numbers, and a placement looks up a weight for each tail of each runner.
+    services: Vec<Learned>,
+}
+
+/// What was learned of one service.
+#[derive(Debug, Clone, Default)]
+struct Learned {
+    alone: Option<f64>,
+    /// By class.
+    weights: Vec<Option<f64>>,
+}
+
+impl Learned {
+    fn weight_mut(&mut self, class: ClassKey) -> &mut Option<f64> {
+        let at = class.0 as usize;
+        if at >= self.weights.len() {
+            self.weights.resize(at + 1, None);
+        }
+        &mut self.weights[at]
+    }
 }
 
 impl Pressure {
@@ -38,39 +55,56 @@
             .max(f64::MIN_POSITIVE)
             .ln()
             .clamp(RATIO_MIN, RATIO_MAX);
-        let alone = self.alone.get(&service).copied().unwrap_or(UNKNOWN_ALONE);
+        let learned = self.services.get(service.0 as usize);
+        let alone = learned.and_then(|it| it.alone).unwrap_or(UNKNOWN_ALONE);
         let parts = used.iter().filter(|(_, part)| *part >= USE_MIN);
         let parts: Vec<_> = parts.copied().collect();
         let predicted = alone + self.rise(service, &parts);
         let squares: f64 = parts.iter().map(|(_, part)| part * part).sum();
         let step = GAIN * (measured - predicted) / (ALONE_PART * ALONE_PART + squares);
-        self.alone
-            .insert(service, alone + step * ALONE_PART * ALONE_PART);
+        let learned = self.learned_mut(service);
+        learned.alone = Some(alone + step * ALONE_PART * ALONE_PART);
         for (class, part) in parts {
-            let weight = self
-                .weights
-                .entry((service, class))
-                .or_insert(UNKNOWN_WEIGHT);
-            *weight = (*weight + step * part).clamp(0.0, WEIGHT_MAX);
+            let weight = learned.weight_mut(class);
+            let known = weight.unwrap_or(UNKNOWN_WEIGHT);
+            *weight = Some((known + step * part).clamp(0.0, WEIGHT_MAX));
+        }
+    }
+
+    fn learned_mut(&mut self, service: ServiceKey) -> &mut Learned {
+        let at = service.0 as usize;
+        if at >= self.services.len() {
+            self.services.resize_with(at + 1, Learned::default);
         }
+        &mut self.services[at]
     }
 
     /// What a whole worker's use by `class` adds to the logarithm of `service`'s ratio.
     pub fn weight(&self, service: ServiceKey, class: ClassKey) -> f64 {
-        let weight = self.weights.get(&(service, class));
-        weight.copied().unwrap_or(UNKNOWN_WEIGHT)
+        let learned = self.services.get(service.0 as usize);
+        let weight = learned.and_then(|it| *it.weights.get(class.0 as usize)?);
+        weight.unwrap_or(UNKNOWN_WEIGHT)
     }
 
     /// All weights that were learned.
     pub fn iter(&self) -> impl Iterator<Item = (ServiceKey, ClassKey, f64)> + '_ {
-        let weights = self.weights.iter();
-        weights.map(|(&(service, class), &weight)| (service, class, weight))
+        let services = self.services.iter().enumerate();
+        services.flat_map(|(service, learned)| {
+            let weights = learned.weights.iter().enumerate();
+            weights.filter_map(move |(class, weight)| {
+                Some((
+                    ServiceKey(service as u32),
+                    ClassKey(class as u32),
+                    (*weight)?,
+                ))
+            })
+        })
     }
 
     /// Takes a weight that was learned elsewhere.
     pub fn recall(&mut self, service: ServiceKey, class: ClassKey, weight: f64) {
         let weight = weight.clamp(0.0, WEIGHT_MAX);
-        self.weights.insert((service, class), weight);
+        *self.learned_mut(service).weight_mut(class) = Some(weight);
     }
 
     /// What several classes add together.
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -6,8 +6,8 @@
     /// Up to `max` records that the store must learn of, one at a time for each job.
     pub fn commits(&mut self, max: usize) -> Vec<Commit> {
         let in_flight = |id: &JobId| self.jobs.get(id).is_none_or(|job| job.in_flight);
-        let ids: Vec<_> = self.dirty.iter().filter(|id| !in_flight(id)).collect();
-        let ids: Vec<_> = ids.into_iter().take(max).copied().collect();
+        let ids = self.dirty.iter().filter(|id| !in_flight(id)).take(max);
+        let ids: Vec<_> = ids.copied().collect();
         let mut commits = Vec::with_capacity(ids.len());
         for id in ids {
             self.dirty.remove(&id);
--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -65,7 +65,9 @@
             let service = ServiceKey(tail.image.0);
             self.pressure.learn(service, tail.ratio, &used);
         }
-        self.runner_mut(key).tails = tails;
+        let runner = self.runner_mut(key);
+        runner.tails = tails;
+        runner.unseen.retain(|it| it.placed_at + UNSEEN > now);
         if !fills.is_empty() {
             self.make_way(key, &fills, now);
         }
@@ -108,6 +110,7 @@
             run,
             image: claim.image,
             ratio,
+            ln_ratio: ratio.ln(),
             over_since: over_since.filter(|_| ratio >= NEAR_RATIO),
         }
     }
@@ -233,7 +236,7 @@
         if !claim.serves {
             return Some(0);
         }
-        let used: Vec<_> = self.uses(runner, |_| true);
+        let used = Self::uses(runner);
         let excess = self.pressure.rise(ServiceKey(claim.image.0), &used);
         let strangers = strangers(runner, claim.image);
         Some((excess * EXCESS_WEIGHT) as i64 + strangers * STRANGER_WEIGHT)
@@ -248,16 +251,18 @@
         if runner.tails.iter().any(|tail| tail.ratio >= NEAR_RATIO) {
             return None;
         }
-        let heard_at = runner.heard_at;
-        let is_unseen = |it: &Claim| heard_at.is_none_or(|at| it.placed_at + UNSEEN > at);
-        let unseen = self.uses(runner, is_unseen);
-        let own = (ClassKey(claim.image.0), share(runner, claim));
+        let ln_safe = SAFE_RATIO.ln();
+        let class = ClassKey(claim.image.0);
+        let share = runner.share(claim);
         let mut total = 0.0;
         for tail in &runner.tails {
             let service = ServiceKey(tail.image.0);
-            let rise = self.pressure.rise(service, &[own]);
-            let all = rise + self.pressure.rise(service, &unseen);
-            if all >= BLAME_MIN && tail.ratio.ln() + all >= SAFE_RATIO.ln() {
+            let rise = self.pressure.weight(service, class) * share;
+            let unseen = runner.unseen.iter();
+            let unseen =
+                unseen.map(|it| self.pressure.weight(service, ClassKey(it.image.0)) * it.share);
+            let all = rise + unseen.sum::<f64>();
+            if all >= BLAME_MIN && tail.ln_ratio + all >= ln_safe {
                 return None;
             }
             total += rise;
@@ -265,12 +270,12 @@
         Some((total * EXCESS_WEIGHT) as i64)
     }
 
-    /// What the runs that fill a runner use at most, of those that `pick` picks.
-    fn uses(&self, runner: &Runner, pick: impl Fn(&Claim) -> bool) -> Vec<(ClassKey, f64)> {
+    /// What the runs that fill a runner use at most.
+    fn uses(runner: &Runner) -> Vec<(ClassKey, f64)> {
         let claims = runner.claims.values();
-        let fills = claims.filter(|claim| claim.fill_cpu_millis > 0 && pick(claim));
+        let fills = claims.filter(|claim| claim.fill_cpu_millis > 0);
         fills
-            .map(|claim| (ClassKey(claim.image.0), share(runner, claim)))
+            .map(|claim| (ClassKey(claim.image.0), runner.share(claim)))
             .collect()
     }
 }
@@ -285,12 +290,6 @@
     others.len() as i64
 }
 
-/// The share of a runner's processors that a run takes at most.
-fn share(runner: &Runner, claim: &Claim) -> f64 {
-    let capacity = f64::from(runner.info.capacity.cpu_millis.max(1));
-    f64::from(claim.fill_cpu_millis) / capacity
-}
-
 fn worst_ratio(runner: &Runner) -> f64 {
     runner
         .tails
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -113,10 +113,22 @@
     pub(crate) image: Image,
     /// Its ratio to the target.
     pub(crate) ratio: f64,
+    /// The logarithm of the ratio.
+    pub(crate) ln_ratio: f64,
     /// Since when it has been near or over the target.
     pub(crate) over_since: Option<Instant>,
 }
 
+/// A run that fills and was placed lately.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Unseen {
+    pub(crate) run: (TaskId, u32),
+    pub(crate) image: Image,
+    /// The share of the runner's processors that it takes at most.
+    pub(crate) share: f64,
+    pub(crate) placed_at: Instant,
+}
+
 /// An end that may be acknowledged once its job's version is committed.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingEnd {
@@ -146,6 +158,8 @@
     pub(crate) failures: u32,
     pub(crate) avoid_until: Option<Instant>,
     pub(crate) tails: Vec<Tail>,
+    /// Runs that fill and were placed so lately that no figure shows them.
+    pub(crate) unseen: Vec<Unseen>,
     /// When runs were last slowed, moved or sped up.
     pub(crate) paced_at: Option<Instant>,
 }
@@ -214,6 +228,7 @@
             failures: 0,
             avoid_until: None,
             tails: Vec::new(),
+            unseen: Vec::new(),
             paced_at: None,
         }
     }
@@ -222,6 +237,14 @@
         if self.claims.insert((task, run), claim).is_none() {
             self.used = self.used.checked_add(claim.size).unwrap_or(self.used);
             self.fill_cpu_millis += claim.fill_cpu_millis;
+            if claim.fill_cpu_millis > 0 {
+                self.unseen.push(Unseen {
+                    run: (task, run),
+                    image: claim.image,
+                    share: self.share(&claim),
+                    placed_at: claim.placed_at,
+                });
+            }
             if claim.serves {
                 self.serving_cpu_millis += claim.size.cpu_millis;
             }
@@ -232,6 +255,7 @@
         if let Some(claim) = self.claims.remove(&(task, run)) {
             self.used = self.used.saturating_sub(claim.size);
             self.fill_cpu_millis = self.fill_cpu_millis.saturating_sub(claim.fill_cpu_millis);
+            self.unseen.retain(|it| it.run != (task, run));
             if claim.serves {
                 let left = self.serving_cpu_millis;
                 self.serving_cpu_millis = left.saturating_sub(claim.size.cpu_millis);
@@ -239,6 +263,12 @@
         }
     }
 
+    /// The share of the processors that a run which fills takes at most.
+    pub(crate) fn share(&self, claim: &Claim) -> f64 {
+        let capacity = f64::from(self.info.capacity.cpu_millis.max(1));
+        f64::from(claim.fill_cpu_millis) / capacity
+    }
+
     pub(crate) fn room(&self) -> Size {
         self.info.capacity.saturating_sub(self.used)
     }
