fix(sched): a lapsed lease leaves a start that is still to be sent

Cause: a runner's lease had lapsed, tasks were placed on it again, and their records were committed while the lease still counted as lapsed. The next round took these runs as ended, placed them a second time, and then sent the starts of the first time, whose orders were waiting.

Ruled out: a late start of an earlier owner (the same process owned the group throughout), a runner that lists too late, a stop that ends too late.

Now a lapse leaves what is ordered: the answer to its start decides.

Shown by: engine::lapse_leaves_a_start_that_is_still_to_be_sent (two starts before, one now).

--- a/crates/persimmon-sched/src/engine/lost.rs
+++ b/crates/persimmon-sched/src/engine/lost.rs
@@ -16,7 +16,8 @@
                 runner.claims.len(),
                 runner.listed
             );
-            self.lose_runs(RunnerKey(at as u32), |_| true);
+            // A start that is ordered may still be sent, with a new lease; its answer decides.
+            self.lose_runs(RunnerKey(at as u32), |stage| stage != Stage::Ordered);
         }
     }
 
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -552,3 +552,18 @@
     let first = starts(&bench.round());
     assert_eq!(first, [("a".to_owned(), task(9, 0, 0), 2)]);
 }
+
+/// The commit of a placement may come after the runner's lease has lapsed: its start is still to be
+/// sent, with a new lease, so the task must not be placed a second time.
+#[test]
+fn lapse_leaves_a_start_that_is_still_to_be_sent() {
+    let mut bench = Bench::with_runners(&["a", "b"], 1_000);
+    bench.submit(job(1, vec![step(1)]));
+    bench.engine.step(0, bench.now);
+    bench.pass(30_000);
+    bench.hear("b", vec![]);
+    bench.commit();
+    let mut found = starts(&bench.round());
+    found.extend(starts(&bench.round()));
+    assert_eq!(found.len(), 1, "{found:?}");
+}
