--- a/crates/persimmon-sched/src/engine/disturb.rs
+++ b/crates/persimmon-sched/src/engine/disturb.rs
@@ -11,11 +11,11 @@
     time::{Duration, Instant},
 };
 
-/// Ratio of tail to target from which what disturbs must give way.
+/// Ratio of tail to target from which what disturbs must give way; measured, docs/measurements/owner.md.
 const NEAR_RATIO: f64 = 0.95;
 /// Ratio up to which a task may be placed beside, by prediction.
 const SAFE_RATIO: f64 = 0.6;
-/// Ratio below which slowed tasks may speed up again.
+/// Ratio below which slowed tasks may speed up again; measured beside it.
 const CALM_RATIO: f64 = 0.8;
 /// Between two acts on a runner: a figure covers half a second and an act needs a tenth to show.
 const SETTLE: Duration = Duration::from_millis(700);
--- a/crates/persimmonshift-load/src/args.rs
+++ b/crates/persimmonshift-load/src/args.rs
@@ -90,7 +90,7 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "experiment")]
 pub(crate) struct ExperimentArgs {
-    /// route, place, peak or interference
+    /// route, place, peak, interference or engine
     #[argh(positional)]
     pub(crate) name: String,
     /// seed of the trace (default 1)
--- a/crates/persimmonshift-load/src/experiment/mod.rs
+++ b/crates/persimmonshift-load/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments on decision crates: a seeded trace, fed through the crate's own interface, and the
 //! same trace for each baseline.
 
+mod engine;
 mod interference;
 mod peak;
 mod place;
@@ -13,9 +14,10 @@
         "route" => route::run(args.seed),
         "place" => Ok(place::run(args.seed)),
         "peak" => Ok(peak::run(args.seed)),
+        "engine" => Ok(engine::run(args.seed)),
         "interference" => Ok(interference::run(args.seed)),
         other => {
-            let known = "route, place, peak or interference";
+            let known = "route, place, peak, interference or engine";
             Err(Error::new(
                 "arguments",
                 format!("no experiment {other:?}: {known}"),
