fix(entry): a rest between rounds has a limit

Cause, found by reading: the rest is twice the length of the round before, and that length counts what the instance was suspended; after a suspension of five seconds an owner would have rested ten. Now 120 ms at most.

The figures on tails in a group's load have names instead of places in an array.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -26,6 +26,8 @@
 const ROUND_GAP: Duration = Duration::from_millis(8);
 /// After a round comes a rest of so many times its length: calls need the processor too.
 const ROUND_REST: u32 = 2;
+/// The longest rest: a round's length also counts what the instance was suspended.
+const ROUND_REST_MAX: Duration = Duration::from_millis(120);
 /// A round comes at least this often: leases lapse and backoffs end without an event.
 const ROUND_EVERY: Duration = Duration::from_millis(60);
 /// Between two lines that tell what the group carries.
@@ -130,7 +132,7 @@
             self.commit_wake.notify_one();
             while self.tasks.borrow_mut().try_join_next().is_some() {}
             let took = self.shared.now().saturating_duration_since(began_at);
-            tokio::time::sleep(ROUND_GAP.max(took * ROUND_REST)).await;
+            tokio::time::sleep((took * ROUND_REST).clamp(ROUND_GAP, ROUND_REST_MAX)).await;
         }
     }
 
--- a/crates/persimmon-sched/src/engine/load.rs
+++ b/crates/persimmon-sched/src/engine/load.rs
@@ -16,8 +16,10 @@
     pub other_millis: u64,
     /// What runs on processors that others leave idle.
     pub filling_millis: u64,
-    /// Serving tasks that report a tail latency, and those of them that are over their target.
-    pub tails: [u64; 2],
+    /// Serving tasks that report a tail latency.
+    pub tails: u64,
+    /// Those of them that are over their target.
+    pub tails_over: u64,
     /// Tasks that wait for a runner: those that serve, other urgent ones, all others.
     pub waiting: [u64; 3],
 }
@@ -25,17 +27,19 @@
 impl fmt::Display for Load {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let [serving, urgent, other] = self.waiting;
-        let [tails, over] = self.tails;
         write!(
             out,
             "open={} capacity={} serving={} urgent={} other={} filling={} \
-             tails={tails} over_target={over} waiting_serving={serving} waiting_urgent={urgent} waiting_other={other}",
+             tails={} over_target={} \
+             waiting_serving={serving} waiting_urgent={urgent} waiting_other={other}",
             self.open_runners,
             self.capacity_millis,
             self.serving_millis,
             self.urgent_millis,
             self.other_millis,
             self.filling_millis,
+            self.tails,
+            self.tails_over,
         )
     }
 }
@@ -47,8 +51,8 @@
         for runner in self.runners.iter().filter(|it| self.is_open(it, now)) {
             load.open_runners += 1;
             load.capacity_millis += u64::from(runner.info.capacity.cpu_millis);
-            load.tails[0] += runner.tails.len() as u64;
-            load.tails[1] += runner.tails.iter().filter(|it| it.ratio > 1.0).count() as u64;
+            load.tails += runner.tails.len() as u64;
+            load.tails_over += runner.tails.iter().filter(|it| it.ratio > 1.0).count() as u64;
             load.filling_millis += u64::from(runner.fill_cpu_millis);
             for ((task, _), claim) in &runner.claims {
                 let millis = u64::from(claim.size.cpu_millis);
