fix(mesh): connecting goes on when the call that began it gives up

An attempt to connect lived as long as the call that made it, 800 ms for most, but QUIC sends a lost opening datagram again after a second. Each call began anew; with every third datagram lost, attempts of a length that is a multiple of three lose the same one each time.

Now callers of a peer share one attempt, which goes on for 1.5 s whoever still waits; an opening is sent again after 0.3 s; and a call that spent more than half of its time on connecting no longer drops the new connection.

--- a/crates/persimmon-mesh/src/mesh.rs
+++ b/crates/persimmon-mesh/src/mesh.rs
@@ -12,6 +12,17 @@
     },
     time::Duration,
 };
+use tokio::sync::watch;
+
+/// Assumed of a round trip until one was measured, from which follows when an opening datagram is sent
+/// again: well over the 40 ms between regions, well under a call's limit.
+const FIRST_ROUND_TRIP: Duration = Duration::from_millis(100);
+/// An attempt to connect goes on for this long, whoever still waits for it: time to lose two opening
+/// datagrams. A peer that was down meanwhile hears a new attempt soon.
+const DIAL_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// What becomes of an attempt to connect; `None` while it goes on.
+type Dialled = watch::Receiver<Option<Result<Connection, String>>>;
 
 /// How a mesh behaves.
 #[derive(Debug, Clone, Copy)]
@@ -42,7 +53,7 @@
 pub struct Mesh<Q, A> {
     endpoint: Endpoint,
     options: Options,
-    connections: Mutex<HashMap<SocketAddr, Connection>>,
+    dialled: Mutex<HashMap<SocketAddr, Dialled>>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
     messages: PhantomData<fn(Q) -> A>,
@@ -58,6 +69,7 @@
         let idle = options.idle_timeout.try_into();
         let mut transport = TransportConfig::default();
         transport.max_idle_timeout(idle.ok());
+        transport.initial_rtt(FIRST_ROUND_TRIP);
         let transport = Arc::new(transport);
         let mut server = ServerConfig::with_crypto(Arc::new(keys.server()?));
         server.transport_config(Arc::clone(&transport));
@@ -71,7 +83,7 @@
         Ok(Self {
             endpoint,
             options,
-            connections: Mutex::new(HashMap::new()),
+            dialled: Mutex::new(HashMap::new()),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
             messages: PhantomData,
@@ -119,7 +131,10 @@
             Ok(answer) => postcard::from_bytes(&answer)
                 .map_err(|err| error("mesh.decode", err.to_string(), Reach::Unknown)),
             Err(reason) => {
-                self.drop_connection(peer, &connection);
+                // What is left after long connecting is too little to blame the connection.
+                if left >= timeout / 2 {
+                    self.drop_connection(peer, &connection);
+                }
                 Err(error("mesh.call", reason, Reach::Unknown))
             }
         }
@@ -131,17 +146,35 @@
     }
 
     async fn connection(&self, peer: SocketAddr) -> Result<Connection, String> {
-        let known = self.lock().get(&peer).cloned();
-        if let Some(connection) = known.filter(|it| it.close_reason().is_none()) {
-            return Ok(connection);
-        }
-        let connecting = self
-            .endpoint
-            .connect(peer, PEER_NAME)
-            .map_err(|err| err.to_string())?;
-        let connection = connecting.await.map_err(|err| err.to_string())?;
-        self.lock().insert(peer, connection.clone());
-        Ok(connection)
+        let mut dialled = {
+            let mut all = self.lock();
+            match all.get(&peer).filter(|it| is_usable(it)) {
+                Some(dialled) => dialled.clone(),
+                None => {
+                    let dialled = self.dial(peer)?;
+                    all.insert(peer, dialled.clone());
+                    dialled
+                }
+            }
+        };
+        let outcome = dialled.wait_for(Option::is_some).await;
+        let outcome = outcome.map_err(|err| err.to_string())?.clone();
+        outcome.unwrap_or_else(|| Err("no outcome".to_owned()))
+    }
+
+    /// Connects to a peer without depending on who waits for it.
+    fn dial(&self, peer: SocketAddr) -> Result<Dialled, String> {
+        let connecting = self.endpoint.connect(peer, PEER_NAME);
+        let connecting = connecting.map_err(|err| err.to_string())?;
+        let (tell, dialled) = watch::channel(None);
+        tokio::spawn(async move {
+            let outcome = match tokio::time::timeout(DIAL_LIMIT, connecting).await {
+                Ok(outcome) => outcome.map_err(|err| err.to_string()),
+                Err(_) => Err("timeout".to_owned()),
+            };
+            tell.send_replace(Some(outcome));
+        });
+        Ok(dialled)
     }
 
     async fn exchange(&self, connection: &Connection, bytes: &[u8]) -> Result<Vec<u8>, String> {
@@ -158,12 +191,13 @@
     }
 
     fn drop_connection(&self, peer: SocketAddr, failed: &Connection) {
-        let mut connections = self.lock();
-        let same = connections
-            .get(&peer)
-            .is_some_and(|it| it.stable_id() == failed.stable_id());
-        if same {
-            connections.remove(&peer);
+        let mut all = self.lock();
+        let is_same = |dialled: &Dialled| match &*dialled.borrow() {
+            Some(Ok(connection)) => connection.stable_id() == failed.stable_id(),
+            _ => false,
+        };
+        if all.get(&peer).is_some_and(is_same) {
+            all.remove(&peer);
         }
     }
 
@@ -198,9 +232,16 @@
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Dialled>> {
+        self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells whether an attempt goes on, or led to a connection that is still open.
+fn is_usable(dialled: &Dialled) -> bool {
+    match &*dialled.borrow() {
+        None => true,
+        Some(Ok(connection)) => connection.close_reason().is_none(),
+        Some(Err(_)) => false,
     }
 }
--- a/crates/persimmon-mesh/tests/all/authority.rs
+++ b/crates/persimmon-mesh/tests/all/authority.rs
@@ -1,7 +1,7 @@
 use persimmon_mesh::{Authority, Handler, Keys, Mesh, Options};
 use std::{sync::Arc, time::Duration};
 
-struct Double;
+pub(crate) struct Double;
 
 impl Handler<u32, u32> for Double {
     async fn handle(&self, message: u32) -> u32 {
@@ -9,7 +9,7 @@
     }
 }
 
-fn open(keys: &Keys) -> Arc<Mesh<u32, u32>> {
+pub(crate) fn open(keys: &Keys) -> Arc<Mesh<u32, u32>> {
     let address = "127.0.0.1:0".parse().expect("an address");
     Arc::new(Mesh::open(address, keys, Options::default()).expect("a mesh"))
 }
--- a/crates/persimmon-mesh/tests/all/main.rs
+++ b/crates/persimmon-mesh/tests/all/main.rs
@@ -1,3 +1,5 @@
 //! Tests of calls between daemons.
 
 mod authority;
+mod call;
+mod relay;
