refactor(sched): a turn's claim is worked out once, a task's rank in one place

Read again: the claim of a task was worked out three times for a placement (to see whether it was ruled out, to choose, to assign), though all tasks of a step claim the same; now once for each turn. `urgency` and `take_end` looked the same job up twice.

--- a/crates/persimmon-sched/src/engine/adopt.rs
+++ b/crates/persimmon-sched/src/engine/adopt.rs
@@ -1,6 +1,6 @@
 //! Jobs and their records come in, and their occurrences and steps open.
 
-use super::{Engine, Job, Rank, Stage, State, Step, Stored, Task};
+use super::{Engine, Job, Stage, State, Step, Stored, Task};
 use crate::{JobId, JobSpec, Mark, Phase, Record, TaskId, TaskRecord};
 use std::{sync::Arc, time::Instant};
 
@@ -138,28 +138,25 @@
         if job.phase.is_final() {
             return;
         }
-        let steps = &mut job.tasks[occurrence as usize];
-        for at in 0..steps.len() {
+        for at in 0..job.spec.steps.len() {
+            let steps = &mut job.tasks[occurrence as usize];
             let after = &job.spec.steps[at].after;
             let is_done = |&it: &u16| steps[usize::from(it)].is_done();
             if steps[at].open || !after.iter().all(is_done) {
                 continue;
             }
             steps[at].open = true;
-            for (index, task) in steps[at].tasks.iter().enumerate() {
-                if matches!(task.state, State::Waiting { .. }) {
-                    self.ready.insert(Rank {
-                        priority: job.priority,
-                        due_ms: job.due_ms,
-                        task: TaskId {
-                            job: id,
-                            occurrence,
-                            step: at as u16,
-                            index: index as u16,
-                        },
-                    });
-                }
-            }
+            let tasks = steps[at].tasks.iter().enumerate();
+            let waiting = tasks.filter(|(_, task)| matches!(task.state, State::Waiting { .. }));
+            let waiting: Vec<_> = waiting.map(|(index, _)| index as u16).collect();
+            self.ready.extend(waiting.into_iter().map(|index| {
+                job.rank(TaskId {
+                    job: id,
+                    occurrence,
+                    step: at as u16,
+                    index,
+                })
+            }));
         }
     }
 }
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -75,6 +75,17 @@
     },
 }
 
+impl Job {
+    /// The rank of one of its tasks.
+    pub(crate) fn rank(&self, task: TaskId) -> Rank {
+        Rank {
+            priority: self.priority,
+            due_ms: self.due_ms,
+            task,
+        }
+    }
+}
+
 impl Step {
     pub(crate) fn new(count: usize) -> Self {
         let task = Task {
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -39,27 +39,36 @@
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
         let mut refusals = Refusals::default();
         for turn in self.turns(wall_ms) {
-            for id in self.ready_tasks(&turn) {
-                if !self.may_place(id, now) {
-                    continue;
-                }
-                let Some(demand) = self.demand(id, now) else {
-                    break;
-                };
-                if refusals.rule_out(&demand) {
-                    break;
-                }
-                let placed = if self.step_of(id).is_some_and(|it| it.gang) {
-                    self.place_gang(id, now)
-                } else {
-                    self.place(id, now)
-                };
-                if !placed {
-                    refusals.insert(demand);
-                    break;
-                }
+            if let Some(refused) = self.place_turn(&turn, &refusals, now) {
+                refusals.insert(refused);
+            }
+        }
+    }
+
+    /// Places the tasks of a turn as far as there is room. Returns what they ask for if one found none.
+    fn place_turn(&mut self, turn: &Turn, refusals: &Refusals, now: Instant) -> Option<Demand> {
+        // Tasks of a step ask for the same.
+        let first = turn.first.task;
+        let claim = self.claim_of(first, now)?;
+        let demand = self.demand(first, &claim)?;
+        if refusals.rule_out(&demand) {
+            return None;
+        }
+        let is_gang = self.step_of(first)?.gang;
+        for id in self.ready_tasks(turn) {
+            if !self.may_place(id, now) {
+                continue;
+            }
+            let placed = if is_gang {
+                self.place_gang(id, claim, now)
+            } else {
+                self.place(id, claim, now)
+            };
+            if !placed {
+                return Some(demand);
             }
         }
+        None
     }
 
     /// The steps with ready tasks, in the order in which they are served.
@@ -109,9 +118,8 @@
         ranks.map(|rank| rank.task).collect()
     }
 
-    /// What a task asks of a runner.
-    fn demand(&mut self, id: TaskId, now: Instant) -> Option<Demand> {
-        let claim = self.claim_of(id, now)?;
+    /// What a task with this claim asks of a runner.
+    fn demand(&self, id: TaskId, claim: &Claim) -> Option<Demand> {
         let step = self.step_of(id)?;
         Some(Demand {
             service: self.jobs.get(&id.job)?.service.clone(),
@@ -127,21 +135,20 @@
         if self.step_of(rank.task).is_some_and(|step| step.lasting) {
             return Urgency::Lasting;
         }
-        let submitted_at_ms = self.jobs.get(&rank.task.job).map_or(0, |job| {
-            let first = job.spec.submitted_at_ms;
-            // Occurrences count from their own times.
-            job.spec.schedule.map_or(first, |schedule| {
+        let Some(job) = self.jobs.get(&rank.task.job) else {
+            return Urgency::Overdue;
+        };
+        // Occurrences count from their own times.
+        let asked_at_ms = job
+            .spec
+            .schedule
+            .map_or(job.spec.submitted_at_ms, |schedule| {
                 schedule.first_at_ms + u64::from(rank.task.occurrence) * schedule.interval_ms
-            })
-        });
-        let allowed_ms = self
-            .jobs
-            .get(&rank.task.job)
-            .map_or(0, |job| job.allowed_ms);
-        let waited_ms = wall_ms.saturating_sub(submitted_at_ms);
-        if waited_ms <= allowed_ms {
+            });
+        let waited_ms = wall_ms.saturating_sub(asked_at_ms);
+        if waited_ms <= job.allowed_ms {
             Urgency::OnTime
-        } else if waited_ms <= allowed_ms * WORTHLESS_FACTOR {
+        } else if waited_ms <= job.allowed_ms * WORTHLESS_FACTOR {
             Urgency::Late
         } else {
             Urgency::Overdue
@@ -161,16 +168,16 @@
     }
 
     /// Places one task; `false` if no runner has room.
-    fn place(&mut self, id: TaskId, now: Instant) -> bool {
-        let Some(key) = self.choose(id, now) else {
+    fn place(&mut self, id: TaskId, claim: Claim, now: Instant) -> bool {
+        let Some(key) = self.choose(id, &claim, now) else {
             return false;
         };
-        self.assign(id, key, None, now);
+        self.assign(id, key, None, claim);
         true
     }
 
     /// Places all tasks of a gang or none: they share the run's number and the checkpoint.
-    fn place_gang(&mut self, id: TaskId, now: Instant) -> bool {
+    fn place_gang(&mut self, id: TaskId, claim: Claim, now: Instant) -> bool {
         let job = &self.jobs[&id.job];
         let tasks = &job.tasks[id.occurrence as usize][usize::from(id.step)].tasks;
         let waiting = |state| matches!(state, State::Waiting { .. });
@@ -187,7 +194,7 @@
             })
             .collect();
         for (at, &member) in members.iter().enumerate() {
-            let Some(key) = self.choose(member, now) else {
+            let Some(key) = self.choose(member, &claim, now) else {
                 for &placed in &members[..at] {
                     self.end_run(placed, now);
                     self.ready_again(placed);
@@ -197,24 +204,16 @@
             if let Some(task) = self.task_mut(member) {
                 task.saved.clone_from(&saved);
             }
-            self.assign(member, key, Some(run), now);
+            self.assign(member, key, Some(run), claim);
         }
         true
     }
 
     fn ready_again(&mut self, id: TaskId) {
-        let job = &self.jobs[&id.job];
-        self.ready.insert(Rank {
-            priority: job.priority,
-            due_ms: job.due_ms,
-            task: id,
-        });
+        self.ready.insert(self.jobs[&id.job].rank(id));
     }
 
-    fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>, now: Instant) {
-        let Some(claim) = self.claim_of(id, now) else {
-            return;
-        };
+    fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>, claim: Claim) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -222,12 +221,7 @@
         if job.phase == Phase::Queued {
             job.phase = Phase::Active;
         }
-        let version = job.version;
-        let rank = Rank {
-            priority: job.priority,
-            due_ms: job.due_ms,
-            task: id,
-        };
+        let (version, rank) = (job.version, job.rank(id));
         let Some(task) = self.task_mut(id) else {
             return;
         };
@@ -248,8 +242,7 @@
     }
 
     /// The best runner for a task, if any has room.
-    fn choose(&mut self, id: TaskId, now: Instant) -> Option<RunnerKey> {
-        let claim = self.claim_of(id, now)?;
+    fn choose(&self, id: TaskId, claim: &Claim, now: Instant) -> Option<RunnerKey> {
         let job = self.jobs.get(&id.job)?;
         let step = &job.spec.steps[usize::from(id.step)];
         let minds_siblings = step.rack_local || step.spread_max > 0;
@@ -269,10 +262,10 @@
             {
                 continue;
             }
-            let Some(disturbance) = self.disturbance(runner, &claim) else {
+            let Some(disturbance) = self.disturbance(runner, claim) else {
                 continue;
             };
-            let score = score(step, &claim, runner, rack.as_deref()) - disturbance;
+            let score = score(step, claim, runner, rack.as_deref()) - disturbance;
             if best.is_none_or(|(known, _)| score > known) {
                 best = Some((score, key));
             }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -98,9 +98,9 @@
         if current {
             self.end_current(key, end, now);
         }
-        let version = self.jobs.get(&end.task.job).map_or(0, |job| job.version);
-        let committed = self.jobs.get(&end.task.job);
-        let committed = committed.is_none_or(|job| job.committed >= version);
+        let job = self.jobs.get(&end.task.job);
+        let version = job.map_or(0, |job| job.version);
+        let committed = job.is_none_or(|job| job.committed >= version);
         let runner = self.runner_mut(key);
         if committed && runner.ends.is_empty() {
             runner.acknowledged = end.number;
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -136,12 +136,7 @@
         job.version += 1;
         self.dirty.insert(id.job);
         if !job.phase.is_final() {
-            let rank = super::Rank {
-                priority: job.priority,
-                due_ms: job.due_ms,
-                task: id,
-            };
-            self.ready.insert(rank);
+            self.ready.insert(job.rank(id));
         }
     }
 }
