refactor(entry): one piece for writes under the owner's condition

The summary, what was learned, removals and records each put the same transaction together: now `Group::owned_txn`, and `Group::note` for what the group can do without. A summary that can't be encoded is logged, as what was learned was already. A write of a key that must not exist stood in submit and in peers: `Txn::create`. An owner looks at other members only if it owns a group.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -4,6 +4,7 @@
     platform::{Expected, Item, Platform, Txn, TxnOutcome, Write},
 };
 use persimmon_sched::{Commit, JobId};
+use serde::Serialize;
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 /// Records in one transaction: with the owner's key and two entries each they stay within 32.
@@ -57,21 +58,15 @@
     }
 
     fn txn_of(&self, commits: &[Commit]) -> Option<Txn> {
-        let mut txn = Txn {
-            expected: vec![self.ownership()],
-            ..Txn::default()
-        };
+        let mut txn = self.owned_txn();
         for commit in commits {
             let key = keys::record(self.id, commit.job);
             txn.expected.push(Expected {
                 key: key.clone(),
                 revision: commit.revision,
             });
-            txn.writes.push(Write {
-                key,
-                value: commit.record.encode().ok()?,
-                lease: None,
-            });
+            txn.writes
+                .push(Write::lasting(key, commit.record.encode().ok()?));
         }
         Some(txn)
     }
@@ -112,28 +107,36 @@
         let mut last = None;
         loop {
             let waiting = self.engine.borrow().waiting();
-            if last.as_ref() != Some(&waiting) {
-                if let Ok(value) = postcard::to_stdvec(&waiting) {
-                    let txn = Txn {
-                        expected: vec![self.ownership()],
-                        writes: vec![Write {
-                            key: keys::summary(self.id),
-                            value,
-                            lease: None,
-                        }],
-                        remove: Vec::new(),
-                    };
-                    match self.shared.platform.txn(&txn).await {
-                        Ok(TxnOutcome::Done { .. }) => last = Some(waiting),
-                        Ok(outcome) => log::debug!("event=summary.write outcome={outcome:?}"),
-                        Err(fault) => log::debug!("event=summary.write fault=\"{fault}\""),
-                    }
-                }
+            if last.as_ref() != Some(&waiting)
+                && self.note("summary", keys::summary(self.id), &waiting).await
+            {
+                last = Some(waiting);
             }
             tokio::time::sleep(SUMMARY_EVERY).await;
         }
     }
 
+    /// Writes something that the group can do without; `false` if that is not certain to have happened.
+    pub(super) async fn note(&self, what: &str, key: String, value: &impl Serialize) -> bool {
+        let value = match postcard::to_stdvec(value) {
+            Ok(value) => value,
+            Err(err) => {
+                log::error!("event={what}.encode fault=\"{err}\"");
+                return false;
+            }
+        };
+        let txn = Txn {
+            writes: vec![Write::lasting(key, value)],
+            ..self.owned_txn()
+        };
+        match self.shared.platform.txn(&txn).await {
+            Ok(TxnOutcome::Done { .. }) => return true,
+            Ok(outcome) => log::debug!("event={what}.write outcome={outcome:?}"),
+            Err(fault) => log::debug!("event={what}.write fault=\"{fault}\""),
+        }
+        false
+    }
+
     /// Removes what the store holds of jobs that ended long ago.
     pub(super) async fn remove(&self, jobs: &[JobId]) {
         let keys: Vec<_> = jobs
@@ -148,9 +151,8 @@
             .collect();
         for remove in keys.chunks(REMOVALS_MAX) {
             let txn = Txn {
-                expected: vec![self.ownership()],
-                writes: Vec::new(),
                 remove: remove.to_vec(),
+                ..self.owned_txn()
             };
             if let Err(fault) = self.shared.platform.txn(&txn).await {
                 log::warn!("event=job.remove fault=\"{fault}\"");
--- a/crates/persimmon-entry/src/group/learned.rs
+++ b/crates/persimmon-entry/src/group/learned.rs
@@ -1,8 +1,5 @@
 use super::Group;
-use crate::{
-    keys,
-    platform::{Platform, Txn, TxnOutcome, Write},
-};
+use crate::{keys, platform::Platform};
 use std::{rc::Rc, time::Duration};
 
 /// Between two writes of what was learned: it changes slowly, and is lost with its owner at worst.
@@ -32,27 +29,8 @@
         loop {
             tokio::time::sleep(REMEMBER_EVERY).await;
             let learned = self.engine.borrow().learned();
-            let value = match postcard::to_stdvec(&learned) {
-                Ok(value) => value,
-                Err(err) => {
-                    log::error!("event=learned.encode fault=\"{err}\"");
-                    continue;
-                }
-            };
-            let txn = Txn {
-                expected: vec![self.ownership()],
-                writes: vec![Write {
-                    key: keys::learned(self.id),
-                    value,
-                    lease: None,
-                }],
-                remove: Vec::new(),
-            };
-            match self.shared.platform.txn(&txn).await {
-                Ok(TxnOutcome::Done { .. }) => {}
-                Ok(outcome) => log::debug!("event=learned.write outcome={outcome:?}"),
-                Err(fault) => log::debug!("event=learned.write fault=\"{fault}\""),
-            }
+            // A write that fails is made up for by the next.
+            self.note("learned", keys::learned(self.id), &learned).await;
         }
     }
 }
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -10,7 +10,7 @@
 use self::standing::Standing;
 use crate::{
     keys::{self, GroupId},
-    platform::{Expected, Platform},
+    platform::{Expected, Platform, Txn},
     state::Shared,
 };
 use persimmon_sched::{Engine, RunnerInfo};
@@ -149,14 +149,6 @@
         self.tasks.borrow_mut().spawn_local(task);
     }
 
-    /// The condition that this process still owns the group.
-    fn ownership(&self) -> Expected {
-        Expected {
-            key: keys::owner(self.id),
-            revision: self.fence,
-        }
-    }
-
     /// Logs what the group carries, for good.
     async fn tell_load(self: Rc<Self>) {
         loop {
@@ -178,6 +170,22 @@
 }
 
 impl<P> Group<P> {
+    /// The condition that this process still owns the group.
+    pub(crate) fn ownership(&self) -> Expected {
+        Expected {
+            key: keys::owner(self.id),
+            revision: self.fence,
+        }
+    }
+
+    /// A transaction, yet empty, that happens only while this process owns the group.
+    fn owned_txn(&self) -> Txn {
+        Txn {
+            expected: vec![self.ownership()],
+            ..Txn::default()
+        }
+    }
+
     /// Lets a round of decisions come soon.
     pub(crate) fn wake(&self) {
         self.wake.notify_one();
--- a/crates/persimmon-entry/src/owners.rs
+++ b/crates/persimmon-entry/src/owners.rs
@@ -150,9 +150,11 @@
     loop {
         tokio::time::sleep(COMPARE_EVERY).await;
         let group = shared.groups.borrow().values().next().map(Rc::clone);
-        let is_outdone = !shared.store_is_silent()
-            && member::should_give_way(&shared.members.borrow(), &owned(shared), &own);
-        let Some(group) = group.filter(|_| is_outdone) else {
+        let is_outdone = || {
+            !shared.store_is_silent()
+                && member::should_give_way(&shared.members.borrow(), &owned(shared), &own)
+        };
+        let Some(group) = group.filter(|_| is_outdone()) else {
             outdone_since = None;
             continue;
         };
@@ -174,10 +176,7 @@
     let mut txn = Txn::default();
     for group in groups {
         group.lose(reason);
-        txn.expected.push(Expected {
-            key: keys::owner(group.id),
-            revision: group.fence,
-        });
+        txn.expected.push(group.ownership());
         txn.remove.push(keys::owner(group.id));
     }
     if !txn.remove.is_empty() {
@@ -237,11 +236,7 @@
                 value: format!("{name} {}", shared.options.peer_address).into_bytes(),
                 lease: Some(lease),
             },
-            Write {
-                key: keys::last_owner(group),
-                value: line_of(&name, &last).into_bytes(),
-                lease: None,
-            },
+            Write::lasting(keys::last_owner(group), line_of(&name, &last).into_bytes()),
         ],
         remove: Vec::new(),
     };
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     keys::{self, GroupId},
-    platform::{Expected, Platform, Txn, TxnOutcome, Write},
+    platform::{Platform, Txn, TxnOutcome},
     state::Shared,
 };
 use persimmon_mesh::{Authority, Handler, Keys, KeysError, Mesh, Options};
@@ -140,19 +140,7 @@
         part: "authority",
         reason: err.to_string(),
     })?;
-    let key = keys::AUTHORITY.to_owned();
-    let txn = Txn {
-        expected: vec![Expected {
-            key: key.clone(),
-            revision: 0,
-        }],
-        writes: vec![Write {
-            key,
-            value,
-            lease: None,
-        }],
-        remove: Vec::new(),
-    };
+    let txn = Txn::create(keys::AUTHORITY.to_owned(), value);
     // Whoever wrote first wins; the next look finds it.
     match shared.platform.txn(&txn).await {
         Ok(TxnOutcome::Done { .. }) => log::info!("event=peers.authority outcome=created"),
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -98,6 +98,17 @@
     pub lease: Option<Lease>,
 }
 
+impl Write {
+    /// A write that no lease ends.
+    pub fn lasting(key: String, value: Vec<u8>) -> Self {
+        Self {
+            key,
+            value,
+            lease: None,
+        }
+    }
+}
+
 /// Writes and removals that happen together or not at all.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Txn {
@@ -109,6 +120,20 @@
     pub remove: Vec<String>,
 }
 
+impl Txn {
+    /// Writes a key that must not exist.
+    pub fn create(key: String, value: Vec<u8>) -> Self {
+        Self {
+            expected: vec![Expected {
+                key: key.clone(),
+                revision: 0,
+            }],
+            writes: vec![Write::lasting(key, value)],
+            remove: Vec::new(),
+        }
+    }
+}
+
 /// The answer to a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TxnOutcome {
--- a/crates/persimmon-entry/src/submit.rs
+++ b/crates/persimmon-entry/src/submit.rs
@@ -4,7 +4,7 @@
     front::{Accepted, Cancelled, Rejection, Request},
     keys,
     peers::{self, Question, Reply},
-    platform::{Effect, Expected, Fault, Item, Platform, Txn, TxnOutcome, Write},
+    platform::{Effect, Fault, Item, Platform, Txn, TxnOutcome},
     state::Shared,
 };
 use persimmon_sched::{JobId, JobSpec, Phase, Queue, Record};
@@ -148,7 +148,7 @@
     refuse_in_outage(shared)?;
     let group = shared.home(job);
     let key = keys::submission(group, job);
-    let txn = create(&key, Submission::Job(spec.clone()).encode()?);
+    let txn = Txn::create(key, Submission::Job(spec.clone()).encode()?);
     match settle(shared, &txn, give_up_at).await? {
         TxnOutcome::Done { .. } => {
             peers::tell(shared, group, Question::Submitted(spec));
@@ -158,21 +158,6 @@
     }
 }
 
-fn create(key: &str, value: Vec<u8>) -> Txn {
-    Txn {
-        expected: vec![Expected {
-            key: key.to_owned(),
-            revision: 0,
-        }],
-        writes: vec![Write {
-            key: key.to_owned(),
-            value,
-            lease: None,
-        }],
-        remove: Vec::new(),
-    }
-}
-
 /// Cancels a job. One that is not known is kept from ever running.
 pub(crate) async fn cancel<P: Platform>(
     shared: &Rc<Shared<P>>,
@@ -182,7 +167,7 @@
     let Target { job, .. } = target(shared, request)?;
     refuse_in_outage(shared)?;
     let group = shared.home(job);
-    let txn = create(&keys::submission(group, job), Submission::Never.encode()?);
+    let txn = Txn::create(keys::submission(group, job), Submission::Never.encode()?);
     let items = match settle(shared, &txn, give_up_at).await? {
         TxnOutcome::Done { .. } | TxnOutcome::NoLease => return Ok(Cancelled::Unknown),
         TxnOutcome::Conflict { items } => items,
@@ -190,7 +175,7 @@
     if is_never(&items) {
         return Ok(Cancelled::Unknown);
     }
-    let txn = create(&keys::cancellation(group, job), Vec::new());
+    let txn = Txn::create(keys::cancellation(group, job), Vec::new());
     settle(shared, &txn, give_up_at).await?;
     peers::tell(shared, group, Question::Cancelled(job));
     Ok(Cancelled::Known)
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -447,11 +447,7 @@
         };
         let link = site.link();
         let put = |key: &str| {
-            let write = Write {
-                key: key.to_owned(),
-                value: Vec::new(),
-                lease: None,
-            };
+            let write = Write::lasting(key.to_owned(), Vec::new());
             link.put(&write, link.next_revision());
         };
         put(POLICY);
