refactor(entry): one type for what servers see of readiness

`Front` and `Calls` each held the same two flags, `Calls::show` set them and so did the process, flag by flag: now `Signs`. Behaviour as before.

--- a/crates/persimmon-entry/src/front.rs
+++ b/crates/persimmon-entry/src/front.rs
@@ -77,35 +77,44 @@
     Waiting(Request, Reply<u64>),
 }
 
+/// What a server's threads see of whether callers should come.
+#[derive(Clone, Default)]
+pub(crate) struct Signs {
+    is_ready: Arc<AtomicBool>,
+    is_draining: Arc<AtomicBool>,
+}
+
+impl Signs {
+    pub(crate) fn show(&self, is_ready: bool, is_draining: bool) {
+        self.is_ready.store(is_ready, Ordering::Relaxed);
+        self.is_draining.store(is_draining, Ordering::Relaxed);
+    }
+}
+
 /// The handle by which a server's threads reach the thread that decides.
 #[derive(Clone)]
 pub struct Front {
     calls: mpsc::Sender<Call>,
-    is_ready: Arc<AtomicBool>,
-    is_draining: Arc<AtomicBool>,
+    signs: Signs,
 }
 
 /// The other end of a [`Front`].
 pub struct Calls {
     calls: mpsc::Receiver<Call>,
-    is_ready: Arc<AtomicBool>,
-    is_draining: Arc<AtomicBool>,
+    signs: Signs,
 }
 
 /// Joins a server's threads with the thread that decides.
 pub fn front() -> (Front, Calls) {
     let (sender, receiver) = mpsc::channel(CALLS_MAX);
-    let is_ready = Arc::new(AtomicBool::new(false));
-    let is_draining = Arc::new(AtomicBool::new(false));
+    let signs = Signs::default();
     let front = Front {
         calls: sender,
-        is_ready: Arc::clone(&is_ready),
-        is_draining: Arc::clone(&is_draining),
+        signs: signs.clone(),
     };
     let calls = Calls {
         calls: receiver,
-        is_ready,
-        is_draining,
+        signs,
     };
     (front, calls)
 }
@@ -134,12 +143,12 @@
 
     /// Tells whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed)
+        self.signs.is_ready.load(Ordering::Relaxed)
     }
 
     /// Tells whether the process is about to stop.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.signs.is_draining.load(Ordering::Relaxed)
     }
 
     async fn call<T>(&self, make: impl FnOnce(Reply<T>) -> Call) -> Result<T, Rejection> {
@@ -161,14 +170,9 @@
         }
     }
 
-    /// Lets the server's threads see whether callers should come.
-    pub(crate) fn show(&self, is_ready: bool, is_draining: bool) {
-        self.is_ready.store(is_ready, Ordering::Relaxed);
-        self.is_draining.store(is_draining, Ordering::Relaxed);
-    }
-
-    pub(crate) fn flags(&self) -> (Arc<AtomicBool>, Arc<AtomicBool>) {
-        (Arc::clone(&self.is_ready), Arc::clone(&self.is_draining))
+    /// Where the server's threads see whether callers should come.
+    pub(crate) fn signs(&self) -> Signs {
+        self.signs.clone()
     }
 }
 
--- a/crates/persimmon-entry/src/node.rs
+++ b/crates/persimmon-entry/src/node.rs
@@ -78,8 +78,7 @@
         silent_peers: RefCell::default(),
         draining: Cell::default(),
     });
-    let (is_ready, is_draining) = calls.flags();
-    calls.show(false, false);
+    let signs = calls.signs();
     tokio::task::spawn_local(session::keep(Rc::clone(&shared)));
     tokio::task::spawn_local(follow_policy(Rc::clone(&shared)));
     tokio::task::spawn_local(owners::contest(Rc::clone(&shared)));
@@ -88,9 +87,7 @@
     tokio::task::spawn_local(async move { calls.serve(&for_calls).await });
     let show = async {
         loop {
-            let order = std::sync::atomic::Ordering::Relaxed;
-            is_ready.store(shared.is_ready(), order);
-            is_draining.store(shared.draining.get(), order);
+            signs.show(shared.is_ready(), shared.draining.get());
             tokio::time::sleep(READY_EVERY).await;
         }
     };
@@ -98,8 +95,7 @@
         () = show => {}
         () = stop => {}
     }
-    is_ready.store(false, std::sync::atomic::Ordering::Relaxed);
-    is_draining.store(true, std::sync::atomic::Ordering::Relaxed);
+    signs.show(false, true);
     shared.draining.set(true);
     log::info!("event=process.drain");
     let groups = shared.groups.borrow().values().map(Rc::clone).collect();
