--- a/crates/persimmon-types/src/lib.rs
+++ b/crates/persimmon-types/src/lib.rs
@@ -1,11 +1,13 @@
-//! Sizes, identifiers and the clock that the other crates share.
+//! Sizes, identifiers, the clock and the error of a failed step that the other crates share.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 mod clock;
 mod id;
 mod size;
+mod step;
 
 pub use clock::{unix_ms, BootClock, Clock, SystemClock};
 pub use id::{shard_of, JobId, ParseJobIdError};
 pub use size::Size;
+pub use step::StepError;
--- a/crates/persimmon-types/tests/all/main.rs
+++ b/crates/persimmon-types/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of what the other crates share.
 
 mod clock;
+mod step;
--- a/crates/persimmonshift-load/src/lib.rs
+++ b/crates/persimmonshift-load/src/lib.rs
@@ -18,21 +18,7 @@
 use std::process::ExitCode;
 
 /// A run that could not be made, or that broke a promise.
-#[derive(Debug, thiserror::Error)]
-#[error("{step}: {reason}")]
-pub(crate) struct Error {
-    step: &'static str,
-    reason: String,
-}
-
-impl Error {
-    pub(crate) fn new(step: &'static str, reason: impl std::fmt::Display) -> Self {
-        Self {
-            step,
-            reason: reason.to_string(),
-        }
-    }
-}
+pub(crate) use persimmon_types::StepError as Error;
 
 /// Does what `args` says.
 pub fn run(args: Args) -> ExitCode {
--- a/crates/persimmonshift-standin/src/lib.rs
+++ b/crates/persimmonshift-standin/src/lib.rs
@@ -16,21 +16,7 @@
 pub use args::{Args, Command};
 
 /// A stand-in could not start.
-#[derive(Debug, thiserror::Error)]
-#[error("{step}: {reason}")]
-pub struct Error {
-    step: &'static str,
-    reason: String,
-}
-
-impl Error {
-    pub(crate) fn new(step: &'static str, reason: impl std::fmt::Display) -> Self {
-        Self {
-            step,
-            reason: reason.to_string(),
-        }
-    }
-}
+pub use persimmon_types::StepError as Error;
 
 /// Runs a stand-in until the process is ended.
 pub fn run(args: Args) -> Result<(), Error> {
--- a/crates/persimmonshiftd/src/start.rs
+++ b/crates/persimmonshiftd/src/start.rs
@@ -16,7 +16,7 @@
 use persimmon_mesh::{Mesh, Options};
 use persimmon_shard::Charts;
 use persimmon_store::{HttpStore, Store};
-use persimmon_types::{unix_ms, Clock, SystemClock};
+use persimmon_types::{unix_ms, Clock, StepError, SystemClock};
 use std::{
     future::Future,
     net::SocketAddr,
@@ -31,23 +31,6 @@
 /// How often the address is looked for while the server starts.
 const BOUND_POLL: Duration = Duration::from_millis(20);
 
-/// The process could not start.
-#[derive(Debug, thiserror::Error)]
-#[error("{step}: {reason}")]
-struct StartError {
-    step: &'static str,
-    reason: String,
-}
-
-impl StartError {
-    fn of<E: std::fmt::Display>(step: &'static str) -> impl Fn(E) -> Self {
-        move |err| Self {
-            step,
-            reason: err.to_string(),
-        }
-    }
-}
-
 /// Runs the daemon until it is told to stop.
 pub fn run(args: &Args) -> ExitCode {
     let clock = Arc::new(SystemClock);
@@ -86,21 +69,21 @@
     }
 }
 
-fn start(settings: Settings) -> Result<(), StartError> {
-    life::check().map_err(StartError::of("charts"))?;
-    let charts = Arc::new(Charts::load().map_err(StartError::of("charts"))?);
+fn start(settings: Settings) -> Result<(), StepError> {
+    life::check().map_err(StepError::of("charts"))?;
+    let charts = Arc::new(Charts::load().map_err(StepError::of("charts"))?);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .thread_name("main")
         .enable_all()
         .build()
-        .map_err(StartError::of("runtime"))?;
+        .map_err(StepError::of("runtime"))?;
     runtime.block_on(serve(settings, charts))
 }
 
-async fn serve(settings: Settings, charts: Arc<Charts>) -> Result<(), StartError> {
+async fn serve(settings: Settings, charts: Arc<Charts>) -> Result<(), StepError> {
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-        .map_err(StartError::of("signals"))?;
+        .map_err(StepError::of("signals"))?;
     let (shard_handle, shard_ring) = shards::ring();
     let (context, mesh) = build(settings, shard_handle)?;
     check_store(&context).await?;
@@ -112,7 +95,7 @@
     let life = Life::new(Arc::clone(&context));
     let bound = api::Bound::default();
     let server = api::build(Arc::clone(&context), Arc::clone(&bound));
-    let server = server.ignite().await.map_err(StartError::of("api"))?;
+    let server = server.ignite().await.map_err(StepError::of("api"))?;
     let shutdown = server.shutdown();
     let served = tokio::spawn(server.launch());
     announce(&context, &bound, &served).await;
@@ -128,7 +111,7 @@
     terminate: &mut tokio::signal::unix::Signal,
     mut served: tokio::task::JoinHandle<Result<rocket::Rocket<rocket::Ignite>, rocket::Error>>,
     shutdown: rocket::Shutdown,
-) -> Result<(), StartError> {
+) -> Result<(), StepError> {
     tokio::select! {
         _ = terminate.recv() => {}
         () = context.stop.notified() => {}
@@ -138,7 +121,7 @@
                 Ok(Err(err)) => format!("{}: {err}", context.settings.api_listen),
                 Err(err) => err.to_string(),
             };
-            return Err(StartError { step: "api.listen", reason });
+            return Err(StepError::new("api.listen", reason));
         }
     }
     let closing = life.drain().await.close().await;
@@ -154,17 +137,17 @@
 fn build(
     settings: Settings,
     shard_handle: shards::ShardHandle,
-) -> Result<(Arc<Context>, Arc<MeshEnd>), StartError> {
+) -> Result<(Arc<Context>, Arc<MeshEnd>), StepError> {
     let clock = Arc::new(SystemClock);
     let started_at = clock.now();
     // Two starts of one member within a millisecond can't both own its address.
     let incarnation = unix_ms(clock.wall());
     let mesh = Mesh::open(settings.mesh_listen, &settings.keys, Options::default())
-        .map_err(StartError::of("mesh"))?;
+        .map_err(StepError::of("mesh"))?;
     let mesh = Arc::new(mesh);
-    let local = mesh.local_address().map_err(StartError::of("mesh"))?;
+    let local = mesh.local_address().map_err(StepError::of("mesh"))?;
     let client = || reqwest::Client::builder().no_proxy().build();
-    let store_client = client().map_err(StartError::of("store.client"))?;
+    let store_client = client().map_err(StepError::of("store.client"))?;
     let store = HttpStore::new(
         store_client,
         settings.store.to_string(),
@@ -172,10 +155,10 @@
     );
     let ttl = settings.request_key_ttl;
     let keys = Keys::new(&settings.member_id, incarnation, started_at, ttl);
-    let clients = Clients::build().map_err(StartError::of("endpoint.client"))?;
+    let clients = Clients::build().map_err(StepError::of("endpoint.client"))?;
     let context = Context::new(Parts {
         mesh_address: settings.mesh_advertise.unwrap_or(local),
-        worker_client: client().map_err(StartError::of("worker.client"))?,
+        worker_client: client().map_err(StepError::of("worker.client"))?,
         services: Services::new(keys, clients),
         shards: shard_handle,
         mesh: Arc::clone(&mesh),
@@ -190,7 +173,7 @@
 
 /// Tells of an unreachable store at once; the daemon starts all the same, since peers may know the
 /// configuration.
-async fn check_store(context: &Context) -> Result<(), StartError> {
+async fn check_store(context: &Context) -> Result<(), StepError> {
     if let Err(err) = context.store.get(config::HEAD_KEY).await {
         log::error!(
             "step=start.store peer={} reason=\"{err}\"",
@@ -205,7 +188,7 @@
     context: &Arc<Context>,
     charts: Arc<Charts>,
     ring: tokio::sync::mpsc::Receiver<shards::ShardMessage>,
-) -> Result<(), StartError> {
+) -> Result<(), StepError> {
     let of = || Arc::clone(context);
     duty("session", member::run_session(of()))?;
     duty("config-watch", config::run_watch(of()))?;
@@ -219,14 +202,14 @@
 fn duty(
     name: &'static str,
     work: impl Future<Output = ()> + Send + 'static,
-) -> Result<(), StartError> {
+) -> Result<(), StepError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(StartError::of("runtime"))?;
+        .map_err(StepError::of("runtime"))?;
     let body = move || runtime.block_on(work);
     let spawned = thread::Builder::new().name(name.to_owned()).spawn(body);
-    spawned.map(drop).map_err(StartError::of("thread"))
+    spawned.map(drop).map_err(StepError::of("thread"))
 }
 
 /// Prints where this daemon listens, once it does.
