feat(sched,entry): log tasks that have not run for long, and why

The owner logged what it did, never what it left undone: a task outside the ready queue, one kept off backed-off runners and one in a stage without an end looked the same, no line at all. Engine::stalled lists tasks of open steps that have not run for a while and names the cause; the owner logs up to four of them with its load, every two seconds, from four seconds on. It looks at the tasks' state alone and keeps its own notes, so it does not depend on the indexes it is meant to check.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -35,6 +35,10 @@
 const IDLE_WAIT_MAX: Duration = Duration::from_millis(60);
 /// Interval at which the group's load is logged.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(2);
+/// A task that has not run for this long is logged.
+const STALLED_AFTER: Duration = Duration::from_secs(4);
+/// Maximum number of stalled tasks logged per interval; their total number is always logged.
+const STALLED_LOG_MAX: usize = 4;
 /// Interval between checks for jobs that may be removed.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -168,6 +172,17 @@
             tokio::time::sleep(LOAD_LOG_INTERVAL).await;
             let load = self.engine.borrow().load(self.shared.now());
             log::info!("event=group.load group={} {load}", self.id.0);
+            self.log_stalled();
+        }
+    }
+
+    /// Logs tasks that have not run for long for no known reason.
+    fn log_stalled(&self) {
+        let now = self.shared.now();
+        let stalled = self.engine.borrow_mut().stalled(STALLED_AFTER, now);
+        let total = stalled.len();
+        for it in stalled.iter().take(STALLED_LOG_MAX) {
+            log::warn!("event=task.stalled group={} total={total} {it}", self.id.0);
         }
     }
 
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -85,6 +85,20 @@
     }
 }
 
+impl Stage {
+    /// Name used in log lines.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Committing(_) => "committing",
+            Self::Ordered => "ordered",
+            Self::Restored => "restored",
+            Self::Running(_) => "running",
+            Self::Unconfirmed { .. } => "unconfirmed",
+            Self::Stopping { .. } => "stopping",
+        }
+    }
+}
+
 impl Step {
     pub(crate) fn new(count: usize) -> Self {
         let task = Task {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -9,11 +9,13 @@
 mod load;
 mod place;
 mod report;
+mod stalled;
 mod start;
 mod types;
 
 pub use learned::Learned;
 pub use load::Load;
+pub use stalled::{StallCause, Stalled};
 
 pub use types::{Answer, Commit, Options, Order, StoredRecord};
 
@@ -51,6 +53,7 @@
     /// Jobs whose changes are not part of a commit yet.
     dirty: BTreeSet<JobId>,
     orders: Vec<Order>,
+    idle_tasks: stalled::IdleTasks,
     /// Runs with an unconfirmed start or an ordered stop; some may have ended already.
     unsettled_runs: HashSet<(TaskId, u32)>,
     image_keys: HashMap<String, ImageKey>,
@@ -75,6 +78,7 @@
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
             orders: Vec::new(),
+            idle_tasks: HashMap::new(),
             unsettled_runs: HashSet::new(),
             image_keys: HashMap::new(),
             interference: InterferenceModel::default(),
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -300,7 +300,7 @@
     }
 
     /// Counts the placed tasks of the same step and occurrence, by runner.
-    fn siblings(&self, id: TaskId) -> HashMap<RunnerKey, u32> {
+    pub(super) fn siblings(&self, id: TaskId) -> HashMap<RunnerKey, u32> {
         let mut counts = HashMap::new();
         let Some(job) = self.jobs.get(&id.job) else {
             return counts;
@@ -331,7 +331,7 @@
     }
 }
 
-fn satisfies_constraints(step: &StepSpec, runner: &Runner, sibling_count: u32) -> bool {
+pub(super) fn satisfies_constraints(step: &StepSpec, runner: &Runner, sibling_count: u32) -> bool {
     let has_label = step
         .constraint
         .as_ref()
--- a/crates/persimmon-sched/src/lib.rs
+++ b/crates/persimmon-sched/src/lib.rs
@@ -15,7 +15,9 @@
 mod record;
 mod spec;
 
-pub use engine::{Answer, Commit, Engine, Learned, Load, Options, Order, StoredRecord};
+pub use engine::{
+    Answer, Commit, Engine, Learned, Load, Options, Order, StallCause, Stalled, StoredRecord,
+};
 pub use fleet::{End, EndKind, Report, RunStatus, RunnerInfo, RunnerState};
 pub use id::{JobId, ParseIdError, TaskId};
 pub use policy::{Policy, Queue, Service};
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod policy;
 mod simulation;
 mod spec;
+mod stalled;
 mod support;
