--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod spec;
 mod stalled;
 mod support;
+mod waiting_tasks;
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -0,0 +1,330 @@
+//! Each task whose turn has come is placed again within a bound, whatever ended its last run.
+
+use crate::support::{job, listed, report, starts, step, stops, task, TestEngine};
+use persimmon_sched::{
+    Answer, End, EndKind, JobId, Order, Phase, RunnerInfo, RunnerState, StepSpec, TaskId,
+};
+use std::collections::BTreeMap;
+
+/// Time within which a task runs while there are no faults and a runner has room for it.
+const PLACED_WITHIN_MS: u64 = 3_000;
+/// Time after its last run within which a task runs again.
+const RUNS_AGAIN_WITHIN_MS: u64 = 6_000 + PLACED_WITHIN_MS;
+const ROUND_MS: u64 = 100;
+
+fn long_running(count: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(count)
+    }
+}
+
+fn checkpointing(count: u32) -> StepSpec {
+    StepSpec {
+        checkpointing: true,
+        ..step(count)
+    }
+}
+
+/// A gang with at most one member on a runner.
+fn gang(count: u32) -> StepSpec {
+    StepSpec {
+        gang: true,
+        per_runner_max: 1,
+        ..checkpointing(count)
+    }
+}
+
+/// Runners that answer all calls: they start what is ordered and end what is stopped.
+struct Fleet {
+    harness: TestEngine,
+    runners: BTreeMap<String, Vec<(TaskId, u32)>>,
+    /// Runs that ended, with the number of their end.
+    ends: BTreeMap<String, Vec<End>>,
+    /// The started runs, in order.
+    started: Vec<(String, TaskId, u32)>,
+    stopped: Vec<(TaskId, u32)>,
+}
+
+impl Fleet {
+    fn new(ids: &[&str], cpu_millis: u32) -> Self {
+        Self {
+            harness: TestEngine::with_runners(ids, cpu_millis),
+            runners: ids.iter().map(|&id| (id.to_owned(), vec![])).collect(),
+            ends: BTreeMap::new(),
+            started: Vec::new(),
+            stopped: Vec::new(),
+        }
+    }
+
+    /// Ends the answers and reports of a runner, without an end of its runs.
+    fn silence(&mut self, id: &str) {
+        self.runners.remove(id);
+    }
+
+    fn drain(&mut self, id: &str) {
+        let info = RunnerInfo {
+            state: RunnerState::Draining,
+            ..crate::support::runner(id, 4_000)
+        };
+        self.harness.engine.update_runner(info, self.harness.now);
+    }
+
+    /// Lets one round pass.
+    fn round(&mut self) {
+        self.harness.advance(ROUND_MS);
+        for (id, running) in &self.runners {
+            let runs = running.iter().map(|&(task, run)| listed(task, run));
+            let mut report = report(self.harness.clock_ms(), runs.collect());
+            report.ended = self.ends.get(id).cloned().unwrap_or_default();
+            let now = self.harness.now;
+            self.harness.engine.handle_report(id, &report, now, now);
+        }
+        for order in self.harness.round() {
+            self.execute(order);
+        }
+    }
+
+    fn execute(&mut self, order: Order) {
+        match order {
+            Order::Start {
+                runner, task, run, ..
+            } => {
+                if let Some(running) = self.runners.get_mut(&runner) {
+                    running.push((task, run));
+                    self.harness.answer_start(task, run, Answer::Started);
+                    self.started.push((runner, task, run));
+                }
+            }
+            Order::Stop { runner, task, run } => {
+                self.stopped.push((task, run));
+                if let Some(running) = self.runners.get_mut(&runner) {
+                    running.retain(|&it| it != (task, run));
+                    let now = self.harness.now;
+                    self.harness.engine.handle_stop_answer(task, run, now);
+                }
+            }
+            Order::Throttle { .. } => {}
+        }
+    }
+
+    fn rounds(&mut self, ms: u64) {
+        for _ in 0..ms / ROUND_MS {
+            self.round();
+        }
+    }
+
+    /// Runs in progress of a task.
+    fn runs(&self, task: TaskId) -> Vec<(&str, u32)> {
+        let all = self.runners.iter();
+        let all = all.flat_map(|(id, runs)| runs.iter().map(move |run| (id.as_str(), run)));
+        all.filter(|(_, run)| run.0 == task)
+            .map(|(id, run)| (id, run.1))
+            .collect()
+    }
+}
+
+/// Starts to drain runner `a` while the only task is placed there, uncommitted; `b` has room.
+fn drain_before_commit(step: StepSpec) -> Fleet {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.harness.submit(job(1, vec![step]));
+    fleet.harness.engine.tick(0, fleet.harness.now);
+    fleet.harness.add_runner("b", 4_000);
+    fleet.runners.insert("b".to_owned(), vec![]);
+    fleet.drain("a");
+    fleet.rounds(PLACED_WITHIN_MS);
+    fleet
+}
+
+#[test]
+fn long_running_task_evacuated_before_its_commit_is_placed_again() {
+    let fleet = drain_before_commit(long_running(1));
+    assert_eq!(fleet.runs(task(1, 0, 0)), [("b", 2)]);
+}
+
+#[test]
+fn checkpointing_task_evacuated_before_its_commit_is_placed_again() {
+    let fleet = drain_before_commit(checkpointing(1));
+    assert_eq!(fleet.runs(task(1, 0, 0)), [("b", 2)]);
+}
+
+#[test]
+fn gang_with_a_member_evacuated_before_its_commit_is_placed_again() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    fleet.harness.submit(job(1, vec![gang(2)]));
+    fleet.harness.engine.tick(0, fleet.harness.now);
+    fleet.harness.add_runner("c", 4_000);
+    fleet.runners.insert("c".to_owned(), vec![]);
+    fleet.drain("a");
+    fleet.rounds(PLACED_WITHIN_MS);
+    let runs = [0, 1].map(|index| fleet.runs(task(1, 0, index)));
+    assert!(runs.iter().all(|runs| runs.len() == 1), "{runs:?}");
+    assert_eq!(runs[0][0].1, runs[1][0].1, "one run number");
+    assert!(
+        fleet.started.iter().all(|&(_, _, run)| run == 2),
+        "a member of run 1 would wait alone: {:?}",
+        fleet.started
+    );
+}
+
+#[test]
+fn gang_with_a_refused_member_is_placed_again() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    fleet.harness.submit(job(1, vec![gang(2)]));
+    let orders = fleet.harness.round();
+    assert_eq!(starts(&orders).len(), 2);
+    let (refused, started) = (task(1, 0, 0), task(1, 0, 1));
+    let runner = starts(&orders)[1].0.clone();
+    fleet
+        .runners
+        .get_mut(&runner)
+        .expect("a runner")
+        .push((started, 1));
+    fleet.harness.answer_start(started, 1, Answer::Started);
+    fleet.harness.answer_start(refused, 1, Answer::Room);
+    fleet.rounds(PLACED_WITHIN_MS);
+    let runs = [0, 1].map(|index| fleet.runs(task(1, 0, index)));
+    assert!(runs.iter().all(|runs| runs.len() == 1), "{runs:?}");
+    assert_eq!(runs[0][0].1, runs[1][0].1, "one run number");
+}
+
+#[test]
+fn gang_is_done_although_a_runner_is_lost_before_its_member_reports_the_end() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    fleet.harness.submit(job(1, vec![gang(2)]));
+    fleet.round();
+    let runner = fleet.started[0].0.clone();
+    let lost = fleet.started[1].0.clone();
+    fleet.runners.insert(runner.clone(), vec![]);
+    let done = End {
+        number: 1,
+        task: fleet.started[0].1,
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    };
+    fleet.ends.insert(runner, vec![done]);
+    fleet.silence(&lost);
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    assert_eq!(fleet.harness.engine.phase(JobId(1)), Some(Phase::Completed));
+}
+
+#[test]
+fn start_that_is_never_answered_does_not_hold_its_task_once_the_runner_left() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    let orders = fleet.harness.round();
+    assert_eq!(starts(&orders).len(), 1);
+    fleet.silence("a");
+    fleet.harness.engine.unlist_runner("a");
+    fleet.harness.add_runner("b", 4_000);
+    fleet.runners.insert("b".to_owned(), vec![]);
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    assert_eq!(fleet.runs(task(1, 0, 0)), [("b", 2)]);
+}
+
+#[test]
+fn start_that_is_never_answered_does_not_hold_its_task_on_a_runner_that_reports() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    let orders = fleet.harness.round();
+    assert_eq!(starts(&orders).len(), 1);
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    assert_eq!(fleet.stopped, [(task(1, 0, 0), 1)]);
+    assert_eq!(fleet.runs(task(1, 0, 0)), [("a", 2)]);
+}
+
+#[test]
+fn run_listed_after_its_acknowledged_stop_is_stopped_again() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    let id = task(1, 0, 0);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.harness.round();
+    fleet.harness.answer_start(id, 1, Answer::Unknown);
+    fleet.harness.advance(300);
+    assert_eq!(stops(&fleet.harness.round()), [(id, 1)]);
+    fleet
+        .harness
+        .engine
+        .handle_stop_answer(id, 1, fleet.harness.now);
+    fleet.runners.get_mut("a").expect("a runner").push((id, 1));
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    assert_eq!(fleet.runs(id), [("a", 2)]);
+}
+
+#[test]
+fn evacuated_run_listed_after_its_acknowledged_stop_is_stopped_again() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    let id = task(1, 0, 0);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.round();
+    let runner = fleet.started[0].0.clone();
+    fleet.drain(&runner);
+    assert_eq!(stops(&fleet.harness.engine.take_orders()), [(id, 1)]);
+    fleet
+        .harness
+        .engine
+        .handle_stop_answer(id, 1, fleet.harness.now);
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    let runs = fleet.runs(id);
+    assert_eq!(runs.len(), 1);
+    assert!(runs[0].0 != runner && runs[0].1 == 2, "{runs:?}");
+}
+
+#[test]
+fn job_cancelled_before_its_commit_frees_the_runner_and_starts_nothing() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.harness.submit(job(1, vec![long_running(4)]));
+    fleet.harness.engine.tick(0, fleet.harness.now);
+    fleet.harness.engine.cancel(JobId(1), fleet.harness.now);
+    fleet.harness.submit(job(2, vec![long_running(4)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    assert!(fleet.started.iter().all(|(_, id, _)| id.job == JobId(2)));
+    assert_eq!(fleet.started.len(), 4);
+}
+
+#[test]
+fn job_failed_before_a_commit_frees_the_runner_and_starts_nothing_more() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.harness.submit(job(1, vec![step(1), step(3)]));
+    let failing = task(1, 0, 0);
+    for run in 1..=2 {
+        fleet.rounds(PLACED_WITHIN_MS);
+        assert_eq!(fleet.runs(failing), [("a", run)]);
+        // The other runs are gone without an end: their tasks are placed again, uncommitted.
+        let running = listed(failing, run);
+        fleet.harness.advance(ROUND_MS);
+        fleet.harness.report("a", vec![running]);
+        fleet.harness.engine.tick(0, fleet.harness.now);
+        let failed = End {
+            number: u64::from(run),
+            task: failing,
+            run,
+            kind: EndKind::Failed,
+            checkpoint: String::new(),
+        };
+        fleet.runners.insert("a".to_owned(), vec![]);
+        fleet.ends.insert("a".to_owned(), vec![failed]);
+    }
+    let started = fleet.started.len();
+    fleet.harness.submit(job(2, vec![long_running(4)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    let engine = &fleet.harness.engine;
+    assert_eq!(engine.phase(JobId(1)), Some(Phase::Failed));
+    let later = &fleet.started[started..];
+    let is_new = |(_, id, _): &(String, TaskId, u32)| id.job == JobId(2);
+    assert!(later.iter().all(is_new), "{later:?}");
+    assert_eq!(later.len(), 4);
+}
+
+#[test]
+fn engine_fenced_by_a_runner_places_nothing_more() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.harness.round();
+    fleet.harness.answer_start(task(1, 0, 0), 1, Answer::Fenced);
+    fleet.harness.submit(job(2, vec![long_running(1)]));
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    assert!(fleet.harness.engine.is_fenced());
+    assert!(fleet.started.is_empty(), "{:?}", fleet.started);
+}
