fix(sched): derive the ready queue, claims and versions from a task's state

Callers saw an accepted long-running task that never ran again, with room for it on other runners, for as long as its owner lived.

Cause: a task's state and the indexes that drive it were kept in step by each caller. `end_run` returned a task whose placement was not committed to `Waiting`, and of its callers only `place_gang` put it back into the ready queue; `evacuate` and the eviction of an interfering run did not. Nor was the change marked for a commit.

`Engine::set_state` and `Engine::place_run` are now the only functions that change a task's state, which is private to their module. They derive from the old and the new state whether the task is ready, which claim ends, whether the run is unsettled, how many tasks of the step are done and whether the change must be committed.

Ruled out: the runner's capacity and backoff; the free runner reports all the time and takes other tasks.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -72,12 +72,9 @@
                     };
                     into.done += u32::from(task.state == TaskState::Done);
                     let state = self.restore_task(&spec, id, task, record, now);
-                    into.tasks.push(Task {
-                        state,
-                        run: task.run,
-                        failures: task.failures,
-                        checkpoint: task.checkpoint.clone(),
-                    });
+                    let checkpoint = task.checkpoint.clone();
+                    let task = Task::restored(state, task.run, task.failures, checkpoint);
+                    into.tasks.push(task);
                 }
                 restored.push(into);
             }
@@ -144,6 +141,7 @@
         if job.phase.is_final() {
             return;
         }
+        let mut opened = Vec::new();
         for at in 0..job.spec.steps.len() {
             let steps = &mut job.tasks[occurrence as usize];
             let after = &job.spec.steps[at].after;
@@ -152,17 +150,17 @@
                 continue;
             }
             steps[at].open = true;
-            let tasks = steps[at].tasks.iter().enumerate();
-            let waiting = tasks.filter(|(_, task)| matches!(task.state, State::Waiting { .. }));
-            let waiting: Vec<_> = waiting.map(|(index, _)| index as u16).collect();
-            self.ready.extend(waiting.into_iter().map(|index| {
-                job.rank(TaskId {
+            for index in 0..steps[at].tasks.len() {
+                opened.push(TaskId {
                     job: id,
                     occurrence,
                     step: at as u16,
-                    index,
-                })
-            }));
+                    index: index as u16,
+                });
+            }
+        }
+        for task in opened {
+            self.update_ready(task);
         }
     }
 }
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -35,7 +35,7 @@
         let mut runners = Vec::new();
         let mut indexes = HashMap::new();
         let mut write = |task: &Task| {
-            let state = match task.state {
+            let state = match task.state() {
                 State::Waiting { .. } => TaskState::Waiting,
                 State::Done => TaskState::Done,
                 State::Placed { runner, .. } => {
@@ -87,24 +87,21 @@
     }
 
     fn order_start(&mut self, id: crate::TaskId, version: u64) {
-        let Some(task) = self.task_mut(id) else {
+        let Some(task) = self.task(id) else {
             return;
         };
         let State::Placed {
             runner,
             stage: Stage::Committing(needed),
-        } = task.state
+        } = task.state()
         else {
             return;
         };
         if needed > version {
             return;
         }
-        task.state = State::Placed {
-            runner,
-            stage: Stage::Ordered,
-        };
         let (run, checkpoint) = (task.run, task.checkpoint.clone());
+        self.set_stage(id, Stage::Ordered);
         let it = self.runner(runner);
         let order = Order::Start {
             runner: it.info.id.clone(),
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -1,3 +1,4 @@
+use super::Task;
 use crate::{fleet::RunnerKey, JobSpec, Phase, TaskId};
 use std::{sync::Arc, time::Instant};
 
@@ -38,14 +39,6 @@
     pub(crate) open: bool,
 }
 
-#[derive(Debug, Clone)]
-pub(crate) struct Task {
-    pub(crate) state: State,
-    pub(crate) run: u32,
-    pub(crate) failures: u32,
-    pub(crate) checkpoint: String,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum State {
     Waiting { not_before: Option<Instant> },
@@ -101,14 +94,8 @@
 
 impl Step {
     pub(crate) fn new(count: usize) -> Self {
-        let task = Task {
-            state: State::Waiting { not_before: None },
-            run: 0,
-            failures: 0,
-            checkpoint: String::new(),
-        };
         Self {
-            tasks: vec![task; count],
+            tasks: vec![Task::new(); count],
             done: 0,
             open: false,
         }
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -1,4 +1,4 @@
-use super::{Engine, Stage, State};
+use super::{Engine, Stage};
 use crate::fleet::RunnerKey;
 use std::time::Instant;
 
@@ -26,17 +26,11 @@
     pub(crate) fn requeue_lost_runs(&mut self, key: RunnerKey, is_lost: impl Fn(Stage) -> bool) {
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
-            let state = self
-                .task(id)
-                .filter(|task| task.run == run)
-                .map(|task| task.state);
-            match state {
-                Some(State::Placed { runner, stage }) if runner == key => {
-                    if is_lost(stage) && !matches!(stage, Stage::Committing(_)) {
-                        self.requeue(id, run, None);
-                    }
-                }
-                _ => self.runner_mut(key).release(id, run),
+            match self.stage_on(key, id, run) {
+                Some(Stage::Committing(_)) => {}
+                Some(stage) if is_lost(stage) => self.requeue(id, run, None),
+                Some(_) => {}
+                None => self.runner_mut(key).release(id, run),
             }
         }
     }
@@ -58,18 +52,12 @@
         self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage));
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
-            let Some(task) = self.task_mut(id).filter(|task| task.run == run) else {
-                continue;
-            };
-            if let State::Placed { runner, stage } = task.state {
-                if is_unconfirmed(stage) {
-                    let stage = Stage::Unconfirmed {
-                        requested_at: now,
-                        stop_acknowledged_at: None,
-                    };
-                    task.state = State::Placed { runner, stage };
-                    self.unsettled_runs.insert((id, run));
-                }
+            if self.stage_on(key, id, run).is_some_and(is_unconfirmed) {
+                let stage = Stage::Unconfirmed {
+                    requested_at: now,
+                    stop_acknowledged_at: None,
+                };
+                self.set_stage(id, stage);
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod report;
 mod stalled;
 mod start;
+mod task;
 mod types;
 
 pub use learned::Learned;
@@ -19,7 +20,8 @@
 
 pub use types::{Answer, Commit, Options, Order, StoredRecord};
 
-pub(crate) use job::{Job, Rank, Stage, State, Step, Task};
+pub(crate) use job::{Job, Rank, Stage, State, Step};
+pub(crate) use task::Task;
 
 use self::durations::Durations;
 
@@ -54,7 +56,7 @@
     dirty: BTreeSet<JobId>,
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
-    /// Runs with an unconfirmed start or an ordered stop; some may have ended already.
+    /// Runs with an unconfirmed start or an ordered stop.
     unsettled_runs: HashSet<(TaskId, u32)>,
     image_keys: HashMap<String, ImageKey>,
     interference: InterferenceModel,
@@ -147,12 +149,11 @@
         log::info!("event=job.end job={id} phase={phase:?}");
         job.phase = phase;
         job.finished_at = Some(now);
-        job.version += 1;
-        self.dirty.insert(id);
-        self.ready.retain(|rank| rank.task.job != id);
+        self.mark_changed(id);
         self.timers.retain(|&(_, job, _)| job != id);
         for task in self.task_ids(id) {
             self.end_run(task, now);
+            self.update_ready(task);
         }
     }
 
@@ -176,28 +177,21 @@
     /// Ends a task's run: releases the placement if its start was not ordered yet, else orders a
     /// stop.
     fn end_run(&mut self, id: TaskId, now: Instant) {
-        let Some(task) = self.task_mut(id) else {
+        let Some(run) = self.task(id).map(|task| task.run) else {
             return;
         };
-        let run = task.run;
-        let State::Placed { runner, stage } = task.state else {
+        let Some((runner, stage)) = self.placement(id, run) else {
             return;
         };
         match stage {
-            Stage::Committing(_) => {
-                task.state = State::Waiting { not_before: None };
-                self.runner_mut(runner).release(id, run);
-            }
+            Stage::Committing(_) => self.requeue(id, run, None),
             Stage::Stopping { .. } => {}
             Stage::Ordered | Stage::Restored | Stage::Running(_) | Stage::Unconfirmed { .. } => {
-                task.state = State::Placed {
-                    runner,
-                    stage: Stage::Stopping {
-                        requested_at: now,
-                        stop_acknowledged_at: None,
-                    },
+                let stage = Stage::Stopping {
+                    requested_at: now,
+                    stop_acknowledged_at: None,
                 };
-                self.unsettled_runs.insert((id, run));
+                self.set_stage(id, stage);
                 self.order_stop(runner, id, run);
             }
         }
@@ -292,9 +286,16 @@
         let expired = |job: &Job| job.finished_at.is_some_and(|at| now >= at + retention);
         let ids: Vec<_> = self.jobs.iter().filter(|(_, job)| expired(job)).collect();
         let ids: Vec<_> = ids.into_iter().map(|(&id, _)| id).collect();
-        ids.iter().for_each(|id| {
+        if ids.is_empty() {
+            return ids;
+        }
+        for id in &ids {
             self.jobs.remove(id);
-        });
+            self.dirty.remove(id);
+        }
+        let jobs = &self.jobs;
+        self.unsettled_runs
+            .retain(|(task, _)| jobs.contains_key(&task.job));
         ids
     }
 
@@ -355,10 +356,13 @@
         step.tasks.get(usize::from(id.index))
     }
 
-    fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+    fn step_mut(&mut self, id: TaskId) -> Option<&mut Step> {
         let job = self.jobs.get_mut(&id.job)?;
         let steps = job.tasks.get_mut(id.occurrence as usize)?;
-        let step = steps.get_mut(usize::from(id.step))?;
-        step.tasks.get_mut(usize::from(id.index))
+        steps.get_mut(usize::from(id.step))
+    }
+
+    fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        self.step_mut(id)?.tasks.get_mut(usize::from(id.index))
     }
 }
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -1,6 +1,6 @@
 use super::{
     infeasible::{Demand, InfeasibleDemands},
-    Engine, Rank, Stage, State,
+    Engine, Rank, State, Task,
 };
 use crate::{
     fleet::{Claim, Runner, RunnerKey},
@@ -177,7 +177,7 @@
     }
 
     fn may_place(&self, id: TaskId, now: Instant) -> bool {
-        let state = self.task(id).map(|task| task.state);
+        let state = self.task(id).map(Task::state);
         match state {
             Some(State::Waiting { not_before }) => not_before.is_none_or(|at| now >= at),
             _ => false,
@@ -198,7 +198,7 @@
         let job = &self.jobs[&id.job];
         let tasks = &job.tasks[id.occurrence as usize][usize::from(id.step)].tasks;
         let waiting = |state| matches!(state, State::Waiting { .. });
-        if !tasks.iter().all(|task| waiting(task.state)) {
+        if !tasks.iter().all(|task| waiting(task.state())) {
             return false;
         }
         let run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
@@ -214,7 +214,6 @@
             let Some(key) = self.choose(member, &claim, now) else {
                 for &placed in &members[..at] {
                     self.end_run(placed, now);
-                    self.mark_ready(placed);
                 }
                 return false;
             };
@@ -226,31 +225,18 @@
         true
     }
 
-    fn mark_ready(&mut self, id: TaskId) {
-        self.ready.insert(self.jobs[&id.job].rank(id));
-    }
-
     fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>, claim: Claim) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        job.version += 1;
         if job.phase == Phase::Queued {
             job.phase = Phase::Active;
         }
-        let (version, rank) = (job.version, job.rank(id));
-        let Some(task) = self.task_mut(id) else {
+        let Some(task) = self.task(id) else {
             return;
         };
-        task.run = run.unwrap_or(task.run + 1);
-        task.state = State::Placed {
-            runner: key,
-            stage: Stage::Committing(version),
-        };
-        let run = task.run;
-        self.runner_mut(key).claim(id, run, claim);
-        self.ready.remove(&rank);
-        self.dirty.insert(id.job);
+        let run = run.unwrap_or(task.run + 1);
+        self.place_run(id, run, key, claim);
         log::debug!(
             "event=task.place task={id} run={run} runner={} room={}",
             self.runner(key).info.id,
@@ -307,7 +293,7 @@
         };
         let step = &job.tasks[id.occurrence as usize][usize::from(id.step)];
         for task in &step.tasks {
-            if let State::Placed { runner, .. } = task.state {
+            if let State::Placed { runner, .. } = task.state() {
                 *counts.entry(runner).or_default() += 1;
             }
         }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -5,6 +5,7 @@
 };
 use std::{
     collections::HashSet,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -92,9 +93,7 @@
         }
         runner.processed = end.number;
         runner.release(end.task, end.run);
-        let placed = |state| matches!(state, State::Placed { runner, .. } if runner == key);
-        let task = self.task(end.task);
-        let current = task.is_some_and(|task| task.run == end.run && placed(task.state));
+        let current = self.stage_on(key, end.task, end.run).is_some();
         log::debug!(
             "event=run.end task={} run={} runner={} kind={:?} current={current}",
             end.task,
@@ -125,14 +124,13 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        job.version += 1;
         job.has_run = true;
-        self.dirty.insert(id.job);
-        let spec = &job.spec.steps[usize::from(id.step)];
-        let (long_running, attempts_max) = (spec.long_running, job.attempts_max);
+        let spec = Arc::clone(&job.spec);
+        let long_running = spec.steps[usize::from(id.step)].long_running;
+        let attempts_max = job.attempts_max;
         let step = &mut job.tasks[id.occurrence as usize][usize::from(id.step)];
         let task = &mut step.tasks[usize::from(id.index)];
-        let began_at = match task.state {
+        let began_at = match task.state() {
             State::Placed {
                 stage: Stage::Running(at),
                 ..
@@ -144,12 +142,10 @@
         }
         match end.kind {
             EndKind::Done if !long_running => {
-                task.state = State::Done;
-                step.done += 1;
+                self.set_state(id, State::Done);
                 if let Some(at) = began_at {
-                    let queue = &job.spec.queue;
                     self.durations
-                        .learn(queue, now.saturating_duration_since(at));
+                        .learn(&spec.queue, now.saturating_duration_since(at));
                 }
                 self.runner_mut(key).failures = 0;
                 self.advance(id, now);
@@ -201,31 +197,27 @@
 
     /// Handles a run that a report lists as running.
     fn handle_listed_run(&mut self, key: RunnerKey, run: &RunStatus, now: Instant) {
-        let placed = |state| matches!(state, State::Placed { runner, .. } if runner == key);
-        let current = self
-            .task_mut(run.task)
-            .filter(|task| task.run == run.run && placed(task.state));
-        let Some(task) = current else {
+        let Some(stage) = self.stage_on(key, run.task, run.run) else {
             self.stop_unknown_run(key, run, now);
             return;
         };
-        if !run.checkpoint.is_empty() {
+        if let Some(task) = self
+            .task_mut(run.task)
+            .filter(|_| !run.checkpoint.is_empty())
+        {
             task.checkpoint.clone_from(&run.checkpoint);
         }
-        if let State::Placed { runner, stage } = task.state {
-            let is_confirmed = match stage {
-                Stage::Ordered | Stage::Restored => true,
-                Stage::Unconfirmed {
-                    stop_acknowledged_at,
-                    ..
-                } => stop_acknowledged_at.is_none(),
-                Stage::Committing(_) | Stage::Running(_) | Stage::Stopping { .. } => false,
-            };
-            if is_confirmed {
-                let stage = Stage::Running(now);
-                task.state = State::Placed { runner, stage };
-                self.mark_has_run(run.task);
-            }
+        let is_confirmed = match stage {
+            Stage::Ordered | Stage::Restored => true,
+            Stage::Unconfirmed {
+                stop_acknowledged_at,
+                ..
+            } => stop_acknowledged_at.is_none(),
+            Stage::Committing(_) | Stage::Running(_) | Stage::Stopping { .. } => false,
+        };
+        if is_confirmed {
+            self.set_stage(run.task, Stage::Running(now));
+            self.mark_has_run(run.task);
         }
     }
 
@@ -256,14 +248,10 @@
             if listed.contains(&(id, run)) {
                 continue;
             }
-            let state = self
-                .task(id)
-                .filter(|task| task.run == run)
-                .map(|task| task.state);
-            let is_lost = match state {
-                Some(State::Placed { runner, stage }) if runner == key => match stage {
-                    Stage::Restored => true,
-                    Stage::Running(since) => requested_at > since,
+            let is_lost = match self.stage_on(key, id, run) {
+                Some(Stage::Restored) => true,
+                Some(Stage::Running(since)) => requested_at > since,
+                Some(
                     Stage::Unconfirmed {
                         stop_acknowledged_at,
                         ..
@@ -271,10 +259,10 @@
                     | Stage::Stopping {
                         stop_acknowledged_at,
                         ..
-                    } => stop_acknowledged_at.is_some_and(|at| requested_at > at),
-                    Stage::Committing(_) | Stage::Ordered => false,
-                },
-                _ => {
+                    },
+                ) => stop_acknowledged_at.is_some_and(|at| requested_at > at),
+                Some(Stage::Committing(_) | Stage::Ordered) => false,
+                None => {
                     self.runner_mut(key).release(id, run);
                     false
                 }
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -136,7 +136,7 @@
     }
 
     fn stall_cause(&self, job: &Job, id: TaskId, now: Instant) -> Option<StallCause> {
-        match self.task(id)?.state {
+        match self.task(id)?.state() {
             State::Waiting { .. } if !self.ready.contains(&job.rank(id)) => {
                 Some(StallCause::NotQueued)
             }
@@ -192,6 +192,6 @@
     };
     let tasks = step.tasks.iter().enumerate().filter(|_| step.open);
     tasks
-        .filter(move |(_, task)| is_idle(task.state))
+        .filter(move |(_, task)| is_idle(task.state()))
         .map(|(index, task)| (index as u16, task.run))
 }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -1,4 +1,4 @@
-use super::{Answer, Engine, Stage, State};
+use super::{Answer, Engine, Stage};
 use crate::{fleet::RunnerKey, TaskId};
 use std::time::{Duration, Instant};
 
@@ -17,33 +17,21 @@
 impl Engine {
     /// Handles a runner's answer to a start.
     pub fn handle_start_answer(&mut self, id: TaskId, run: u32, answer: Answer, now: Instant) {
-        let Some(task) = self.task_mut(id).filter(|task| task.run == run) else {
+        let Some((runner, Stage::Ordered)) = self.placement(id, run) else {
             return;
         };
-        let State::Placed { runner, stage } = task.state else {
-            return;
-        };
-        if stage != Stage::Ordered {
-            return;
-        }
         log::debug!("event=start.answer task={id} run={run} answer={answer:?}");
         match answer {
             Answer::Started => {
-                task.state = State::Placed {
-                    runner,
-                    stage: Stage::Running(now),
-                };
+                self.set_stage(id, Stage::Running(now));
                 self.mark_has_run(id);
             }
             Answer::Unknown => {
-                task.state = State::Placed {
-                    runner,
-                    stage: Stage::Unconfirmed {
-                        requested_at: now,
-                        stop_acknowledged_at: None,
-                    },
+                let stage = Stage::Unconfirmed {
+                    requested_at: now,
+                    stop_acknowledged_at: None,
                 };
-                self.unsettled_runs.insert((id, run));
+                self.set_stage(id, stage);
                 self.back_off_runner(runner, now);
             }
             Answer::Fenced => self.fenced = true,
@@ -75,71 +63,35 @@
 
     /// Handles a runner's answer to a stop: the run is ending, or will never start.
     pub fn handle_stop_answer(&mut self, id: TaskId, run: u32, now: Instant) {
-        let Some(task) = self.task_mut(id).filter(|task| task.run == run) else {
+        let Some((_, stage)) = self.placement(id, run) else {
             return;
         };
-        if let State::Placed { runner, stage } = task.state {
-            let stage = match stage {
-                Stage::Unconfirmed { requested_at, .. } => Stage::Unconfirmed {
-                    requested_at,
-                    stop_acknowledged_at: Some(now),
-                },
-                Stage::Stopping { requested_at, .. } => Stage::Stopping {
-                    requested_at,
-                    stop_acknowledged_at: Some(now),
-                },
-                other => other,
-            };
-            task.state = State::Placed { runner, stage };
-        }
+        let stage = match stage {
+            Stage::Unconfirmed { requested_at, .. } => Stage::Unconfirmed {
+                requested_at,
+                stop_acknowledged_at: Some(now),
+            },
+            Stage::Stopping { requested_at, .. } => Stage::Stopping {
+                requested_at,
+                stop_acknowledged_at: Some(now),
+            },
+            other => other,
+        };
+        self.set_stage(id, stage);
     }
 
     /// Orders stops of runs whose start was not answered and that no report lists, and repeats
     /// unanswered stops.
     pub(crate) fn send_stops(&mut self, now: Instant) {
-        let mut unsettled_runs = std::mem::take(&mut self.unsettled_runs);
-        let mut stops = Vec::new();
-        unsettled_runs.retain(|&(id, run)| {
-            let Some(task) = self.task(id).filter(|task| task.run == run) else {
-                return false;
-            };
-            let State::Placed { runner, stage } = task.state else {
-                return false;
-            };
-            if is_stop_due(stage, now) {
-                stops.push((runner, id, run));
-            }
-            matches!(stage, Stage::Unconfirmed { .. } | Stage::Stopping { .. })
+        let due = self.unsettled_runs.iter().filter_map(|&(id, run)| {
+            let (runner, stage) = self.placement(id, run)?;
+            is_stop_due(stage, now).then_some((runner, stage, id, run))
         });
-        self.unsettled_runs = unsettled_runs;
-        for (key, id, run) in stops {
-            if let Some(task) = self.task_mut(id) {
-                if let State::Placed { stage, .. } = &mut task.state {
-                    postpone_stop(stage, now);
-                }
-            }
-            self.order_stop(key, id, run);
-        }
-    }
-
-    /// Requeues a task whose run has ended or never started.
-    pub(crate) fn requeue(&mut self, id: TaskId, run: u32, not_before: Option<Instant>) {
-        let Some(task) = self.task_mut(id).filter(|task| task.run == run) else {
-            return;
-        };
-        let State::Placed { runner, .. } = task.state else {
-            return;
-        };
-        task.state = State::Waiting { not_before };
-        self.runner_mut(runner).release(id, run);
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        // Committed too, so that the next owner does not wait for a run that is known not to exist.
-        job.version += 1;
-        self.dirty.insert(id.job);
-        if !job.phase.is_final() {
-            self.ready.insert(job.rank(id));
+        let due: Vec<_> = due.collect();
+        for (runner, mut stage, id, run) in due {
+            postpone_stop(&mut stage, now);
+            self.set_stage(id, stage);
+            self.order_stop(runner, id, run);
         }
     }
 }
--- /dev/null
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -0,0 +1,179 @@
+//! The state of a task, and all that follows from it.
+
+use super::{Engine, Job, Stage, State};
+use crate::{
+    fleet::{Claim, RunnerKey},
+    JobId, TaskId,
+};
+use std::time::Instant;
+
+/// A task. Its state is changed by [`Engine::set_state`] and [`Engine::place_run`] alone.
+#[derive(Debug, Clone)]
+pub(crate) struct Task {
+    state: State,
+    pub(crate) run: u32,
+    pub(crate) failures: u32,
+    pub(crate) checkpoint: String,
+}
+
+impl Task {
+    /// A task that has not run.
+    pub(crate) fn new() -> Self {
+        Self::restored(State::Waiting { not_before: None }, 0, 0, String::new())
+    }
+
+    pub(crate) fn restored(state: State, run: u32, failures: u32, checkpoint: String) -> Self {
+        Self {
+            state,
+            run,
+            failures,
+            checkpoint,
+        }
+    }
+
+    pub(crate) fn state(&self) -> State {
+        self.state
+    }
+}
+
+impl State {
+    /// The runner that holds a claim of the task.
+    fn runner(self) -> Option<RunnerKey> {
+        match self {
+            Self::Placed { runner, .. } => Some(runner),
+            Self::Waiting { .. } | Self::Done => None,
+        }
+    }
+
+    /// Returns whether a record holds the same for both states of a run.
+    fn is_recorded_as(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Waiting { .. }, Self::Waiting { .. }) | (Self::Done, Self::Done) => true,
+            _ => self.runner().is_some() && self.runner() == other.runner(),
+        }
+    }
+
+    /// Returns whether the run is settled by time: a stop is due, or is repeated, until it ended.
+    fn is_unsettled(self) -> bool {
+        match self {
+            Self::Placed { stage, .. } => {
+                matches!(stage, Stage::Unconfirmed { .. } | Stage::Stopping { .. })
+            }
+            Self::Waiting { .. } | Self::Done => false,
+        }
+    }
+}
+
+impl Engine {
+    /// Sets the state of a task, except that of a new run, see [`Self::place_run`]. Updates all
+    /// that follows from it: the ready queue, the claim on the runner, the runs to settle, the
+    /// number of tasks done, and the version to commit.
+    pub(super) fn set_state(&mut self, id: TaskId, state: State) {
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        let (run, old) = (task.run, std::mem::replace(&mut task.state, state));
+        if let Some(runner) = old.runner().filter(|&it| state.runner() != Some(it)) {
+            self.runner_mut(runner).release(id, run);
+        }
+        if state.is_unsettled() {
+            self.unsettled_runs.insert((id, run));
+        } else {
+            self.unsettled_runs.remove(&(id, run));
+        }
+        if !state.is_recorded_as(old) {
+            self.mark_changed(id.job);
+        }
+        self.count_done(id, old, state);
+        self.update_ready(id);
+        debug_assert!(
+            state
+                .runner()
+                .is_none_or(|runner| self.runner(runner).claims.contains_key(&(id, run))),
+            "{id} has no claim on its runner"
+        );
+    }
+
+    /// Sets the stage of a placed task.
+    pub(super) fn set_stage(&mut self, id: TaskId, stage: Stage) {
+        if let Some(State::Placed { runner, .. }) = self.task(id).map(Task::state) {
+            self.set_state(id, State::Placed { runner, stage });
+        }
+    }
+
+    /// Places a waiting task with a new run, which starts once the placement is committed.
+    pub(super) fn place_run(&mut self, id: TaskId, run: u32, runner: RunnerKey, claim: Claim) {
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        task.run = run;
+        self.runner_mut(runner).claim(id, run, claim);
+        // The change of the state makes this version.
+        let version = self.jobs.get(&id.job).map_or(0, |job| job.version) + 1;
+        let stage = Stage::Committing(version);
+        self.set_state(id, State::Placed { runner, stage });
+    }
+
+    /// Marks a change of a job that must be committed to the store.
+    pub(super) fn mark_changed(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.version += 1;
+            self.dirty.insert(id);
+        }
+    }
+
+    /// Adds a task to the ready queue if it can be placed, else removes it.
+    pub(super) fn update_ready(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let rank = job.rank(id);
+        if is_ready(job, id) {
+            self.ready.insert(rank);
+        } else {
+            self.ready.remove(&rank);
+        }
+    }
+
+    fn count_done(&mut self, id: TaskId, old: State, state: State) {
+        if old == State::Done || state != State::Done {
+            return;
+        }
+        if let Some(step) = self.step_mut(id) {
+            step.done += 1;
+        }
+    }
+
+    /// The task if `run` is its latest run and is placed on a runner; with the runner and stage.
+    pub(super) fn placement(&self, id: TaskId, run: u32) -> Option<(RunnerKey, Stage)> {
+        let task = self.task(id).filter(|task| task.run == run)?;
+        match task.state {
+            State::Placed { runner, stage } => Some((runner, stage)),
+            State::Waiting { .. } | State::Done => None,
+        }
+    }
+
+    /// Returns the stage of a run if it is the latest of its task and placed on `runner`.
+    pub(super) fn stage_on(&self, runner: RunnerKey, id: TaskId, run: u32) -> Option<Stage> {
+        let placement = self.placement(id, run);
+        placement.filter(|it| it.0 == runner).map(|it| it.1)
+    }
+
+    /// Requeues a task whose run has ended or never started.
+    pub(crate) fn requeue(&mut self, id: TaskId, run: u32, not_before: Option<Instant>) {
+        if self.placement(id, run).is_some() {
+            self.set_state(id, State::Waiting { not_before });
+        }
+    }
+}
+
+/// Returns whether a task waits and its turn has come.
+fn is_ready(job: &Job, id: TaskId) -> bool {
+    let steps = job.tasks.get(id.occurrence as usize);
+    let step = steps.and_then(|steps| steps.get(usize::from(id.step)));
+    let Some(step) = step.filter(|step| step.open && !job.phase.is_final()) else {
+        return false;
+    };
+    let task = step.tasks.get(usize::from(id.index));
+    task.is_some_and(|task| matches!(task.state, State::Waiting { .. }))
+}
