fix(sched): repeat an acknowledged stop while the run goes on

Callers saw a task that never ran again after an unanswered start: the runner's reports went on listing the run, nothing confirmed it, stopped it or requeued it.

Cause: an acknowledged stop was the last one, and only a report without the run ended the stage. A run that is carried out after its stop, or whose stop had no effect, kept its task for as long as the runner reported.

The stop that is repeated is that of the same run: it stays certain that the run ended before its task is placed again.

--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -56,14 +56,15 @@
     Restored,
     /// Known to have been running at this time.
     Running(Instant),
-    /// The start was not answered: the run may exist, appear later or never exist.
+    /// The start was not answered: the run may exist, appear later or never exist. It is stopped
+    /// unless a report lists it by the time that the first stop is due.
     Unconfirmed {
-        requested_at: Instant,
+        stop_due_at: Instant,
         stop_acknowledged_at: Option<Instant>,
     },
-    /// A stop has been ordered.
+    /// A stop has been ordered; it is repeated until the run is known to have ended.
     Stopping {
-        requested_at: Instant,
+        stop_due_at: Instant,
         stop_acknowledged_at: Option<Instant>,
     },
 }
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -53,11 +53,7 @@
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             if self.stage_on(key, id, run).is_some_and(is_unconfirmed) {
-                let stage = Stage::Unconfirmed {
-                    requested_at: now,
-                    stop_acknowledged_at: None,
-                };
-                self.set_stage(id, stage);
+                self.set_stage(id, Stage::unconfirmed(now));
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -187,11 +187,7 @@
             Stage::Committing(_) => self.requeue(id, run, None),
             Stage::Stopping { .. } => {}
             Stage::Ordered | Stage::Restored | Stage::Running(_) | Stage::Unconfirmed { .. } => {
-                let stage = Stage::Stopping {
-                    requested_at: now,
-                    stop_acknowledged_at: None,
-                };
-                self.set_stage(id, stage);
+                self.set_stage(id, Stage::stopping(now));
                 self.order_stop(runner, id, run);
             }
         }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -13,6 +13,9 @@
 const UNCONFIRMED_START_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval after which an unanswered stop is sent again.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(600);
+/// Interval after which an acknowledged stop is sent again while the run has not ended; longer than
+/// a run takes to stop.
+const ACKNOWLEDGED_STOP_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
 impl Engine {
     /// Handles a runner's answer to a start.
@@ -27,11 +30,7 @@
                 self.mark_has_run(id);
             }
             Answer::Unknown => {
-                let stage = Stage::Unconfirmed {
-                    requested_at: now,
-                    stop_acknowledged_at: None,
-                };
-                self.set_stage(id, stage);
+                self.set_stage(id, Stage::unconfirmed(now));
                 self.back_off_runner(runner, now);
             }
             Answer::Fenced => self.fenced = true,
@@ -66,55 +65,71 @@
         let Some((_, stage)) = self.placement(id, run) else {
             return;
         };
-        let stage = match stage {
-            Stage::Unconfirmed { requested_at, .. } => Stage::Unconfirmed {
-                requested_at,
-                stop_acknowledged_at: Some(now),
-            },
-            Stage::Stopping { requested_at, .. } => Stage::Stopping {
-                requested_at,
-                stop_acknowledged_at: Some(now),
-            },
-            other => other,
-        };
-        self.set_stage(id, stage);
+        let (stop_due_at, acknowledged_at) = (now + ACKNOWLEDGED_STOP_RETRY_INTERVAL, Some(now));
+        self.set_stage(id, stage.with_stop(stop_due_at, acknowledged_at));
     }
 
-    /// Orders stops of runs whose start was not answered and that no report lists, and repeats
-    /// unanswered stops.
+    /// Orders stops of runs whose start was not answered and that no report lists, and repeats the
+    /// stops of runs that have not ended.
     pub(crate) fn send_stops(&mut self, now: Instant) {
-        let due = self.unsettled_runs.iter().filter_map(|&(id, run)| {
+        let unsettled = self.unsettled_runs.iter();
+        let unsettled = unsettled.filter_map(|&(id, run)| {
             let (runner, stage) = self.placement(id, run)?;
-            is_stop_due(stage, now).then_some((runner, stage, id, run))
+            let (stop_due_at, acknowledged_at) = stage.stop()?;
+            (now >= stop_due_at).then_some((id, run, runner, stage, acknowledged_at))
         });
-        let due: Vec<_> = due.collect();
-        for (runner, mut stage, id, run) in due {
-            postpone_stop(&mut stage, now);
+        let due: Vec<_> = unsettled.collect();
+        for (id, run, runner, stage, acknowledged_at) in due {
+            let stage = stage.with_stop(now + STOP_RETRY_INTERVAL, acknowledged_at);
             self.set_stage(id, stage);
             self.order_stop(runner, id, run);
         }
     }
 }
 
-/// Returns whether a first or repeated stop is due.
-fn is_stop_due(stage: Stage, now: Instant) -> bool {
-    match stage {
-        Stage::Unconfirmed {
-            requested_at,
+impl Stage {
+    /// A run whose start was not answered by `now`.
+    pub(super) fn unconfirmed(now: Instant) -> Self {
+        Self::Unconfirmed {
+            stop_due_at: now + UNCONFIRMED_START_TIMEOUT,
             stop_acknowledged_at: None,
-        } => now >= requested_at + UNCONFIRMED_START_TIMEOUT,
-        Stage::Stopping {
-            requested_at,
+        }
+    }
+
+    /// A run whose stop is ordered at `now`.
+    pub(super) fn stopping(now: Instant) -> Self {
+        Self::Stopping {
+            stop_due_at: now + STOP_RETRY_INTERVAL,
             stop_acknowledged_at: None,
-        } => now >= requested_at + STOP_RETRY_INTERVAL,
-        _ => false,
+        }
     }
-}
 
-fn postpone_stop(stage: &mut Stage, now: Instant) {
-    match stage {
-        Stage::Unconfirmed { requested_at, .. } => *requested_at = now + STOP_RETRY_INTERVAL,
-        Stage::Stopping { requested_at, .. } => *requested_at = now,
-        _ => {}
+    /// When the next stop is due, and when the last one was acknowledged.
+    fn stop(self) -> Option<(Instant, Option<Instant>)> {
+        match self {
+            Self::Unconfirmed {
+                stop_due_at,
+                stop_acknowledged_at,
+            }
+            | Self::Stopping {
+                stop_due_at,
+                stop_acknowledged_at,
+            } => Some((stop_due_at, stop_acknowledged_at)),
+            Self::Committing(_) | Self::Ordered | Self::Restored | Self::Running(_) => None,
+        }
+    }
+
+    fn with_stop(self, stop_due_at: Instant, stop_acknowledged_at: Option<Instant>) -> Self {
+        match self {
+            Self::Unconfirmed { .. } => Self::Unconfirmed {
+                stop_due_at,
+                stop_acknowledged_at,
+            },
+            Self::Stopping { .. } => Self::Stopping {
+                stop_due_at,
+                stop_acknowledged_at,
+            },
+            Self::Committing(_) | Self::Ordered | Self::Restored | Self::Running(_) => self,
+        }
     }
 }
