fix(sched): treat a start without an answer as unconfirmed after 2 s

Seen in a trial with the engine: a task whose start is never answered stays with its runner for as long as the owner lives, also when the runner has left the instance list and its lease has lapsed.

Cause: `Stage::Ordered` was left by its answer or a listing alone; the lapse of the lease skips it, since the start may still be sent.

The run now counts as unconfirmed 2 s after the first tick that sees it ordered. From then on the known ways end it, and no other: a report lists it, its stop is acknowledged and a later report does not list it, or the lease lapses. A late answer that the runner did nothing requeues the task at once, also while a stop is under way; a late `Started` decides nothing, as the run may have been stopped since.

The test on the departed runner now lets the leases of an earlier owner expire first and asks for lease deadlines as the owner does; its bound is unchanged.

--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -101,7 +101,12 @@
             return;
         }
         let (run, checkpoint) = (task.run, task.checkpoint.clone());
-        self.set_stage(id, Stage::Ordered);
+        self.set_stage(
+            id,
+            Stage::Ordered {
+                answer_due_at: None,
+            },
+        );
         let it = self.runner(runner);
         let order = Order::Start {
             runner: it.info.id.clone(),
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -50,8 +50,9 @@
 pub(crate) enum Stage {
     /// Waits until this version of the job is committed to the store.
     Committing(u64),
-    /// The start was ordered and has not been answered yet.
-    Ordered,
+    /// The start was ordered and has not been answered yet. Without an answer by this time, which
+    /// the next tick sets, the run counts as unconfirmed.
+    Ordered { answer_due_at: Option<Instant> },
     /// Placed by an earlier owner; the runner has sent no report yet.
     Restored,
     /// Known to have been running at this time.
@@ -84,7 +85,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::Committing(_) => "committing",
-            Self::Ordered => "ordered",
+            Self::Ordered { .. } => "ordered",
             Self::Restored => "restored",
             Self::Running(_) => "running",
             Self::Unconfirmed { .. } => "unconfirmed",
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -16,8 +16,11 @@
                 runner.claims.len(),
                 runner.listed
             );
-            // An ordered start may still be sent and renew the lease, so its answer decides.
-            self.requeue_lost_runs(RunnerKey(at as u32), |stage| stage != Stage::Ordered);
+            // An ordered start may still be sent and renew the lease, so its answer decides, or that
+            // it stays away.
+            self.requeue_lost_runs(RunnerKey(at as u32), |stage| {
+                !matches!(stage, Stage::Ordered { .. })
+            });
         }
     }
 
@@ -48,7 +51,8 @@
         runner.acknowledged = 0;
         runner.pending_ends.clear();
         runner.lease.reset();
-        let is_unconfirmed = |stage| matches!(stage, Stage::Ordered | Stage::Unconfirmed { .. });
+        let is_unconfirmed =
+            |stage| matches!(stage, Stage::Ordered { .. } | Stage::Unconfirmed { .. });
         self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage));
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -56,7 +56,7 @@
     dirty: BTreeSet<JobId>,
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
-    /// Runs with an unconfirmed start or an ordered stop.
+    /// Runs with an unanswered or unconfirmed start, or an ordered stop.
     unsettled_runs: HashSet<(TaskId, u32)>,
     image_keys: HashMap<String, ImageKey>,
     interference: InterferenceModel,
@@ -186,7 +186,10 @@
         match stage {
             Stage::Committing(_) => self.requeue(id, run, None),
             Stage::Stopping { .. } => {}
-            Stage::Ordered | Stage::Restored | Stage::Running(_) | Stage::Unconfirmed { .. } => {
+            Stage::Ordered { .. }
+            | Stage::Restored
+            | Stage::Running(_)
+            | Stage::Unconfirmed { .. } => {
                 self.set_stage(id, Stage::stopping(now));
                 self.order_stop(runner, id, run);
             }
@@ -252,7 +255,7 @@
             self.open_occurrences(job, wall_ms);
         }
         self.expire_leases(now);
-        self.send_stops(now);
+        self.settle_runs(now);
         self.place_ready(wall_ms, now);
     }
 
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -208,7 +208,7 @@
             task.checkpoint.clone_from(&run.checkpoint);
         }
         let is_confirmed = match stage {
-            Stage::Ordered | Stage::Restored => true,
+            Stage::Ordered { .. } | Stage::Restored => true,
             Stage::Unconfirmed {
                 stop_acknowledged_at,
                 ..
@@ -261,7 +261,7 @@
                         ..
                     },
                 ) => stop_acknowledged_at.is_some_and(|at| requested_at > at),
-                Some(Stage::Committing(_) | Stage::Ordered) => false,
+                Some(Stage::Committing(_) | Stage::Ordered { .. }) => false,
                 None => {
                     self.runner_mut(key).release(id, run);
                     false
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -9,6 +9,8 @@
 const RUNNER_BACKOFF_STEP: Duration = Duration::from_millis(600);
 /// Longest time for which a failing runner is given no new task.
 const RUNNER_BACKOFF_MAX: Duration = Duration::from_secs(6);
+/// Time for an ordered start to be answered, longer than the time limit of the call.
+const START_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for an unanswered start to appear in the runner's next report before it is stopped.
 const UNCONFIRMED_START_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval after which an unanswered stop is sent again.
@@ -20,9 +22,21 @@
 impl Engine {
     /// Handles a runner's answer to a start.
     pub fn handle_start_answer(&mut self, id: TaskId, run: u32, answer: Answer, now: Instant) {
-        let Some((runner, Stage::Ordered)) = self.placement(id, run) else {
+        let Some((runner, stage)) = self.placement(id, run) else {
             return;
         };
+        let is_pending = match stage {
+            Stage::Ordered { .. } => true,
+            // The answer is late: that the run does not exist holds for good, but a run that was
+            // started may have been stopped since.
+            Stage::Unconfirmed { .. } | Stage::Stopping { .. } => {
+                !matches!(answer, Answer::Started | Answer::Unknown)
+            }
+            Stage::Committing(_) | Stage::Restored | Stage::Running(_) => false,
+        };
+        if !is_pending {
+            return;
+        }
         log::debug!("event=start.answer task={id} run={run} answer={answer:?}");
         match answer {
             Answer::Started => {
@@ -69,9 +83,41 @@
         self.set_stage(id, stage.with_stop(stop_due_at, acknowledged_at));
     }
 
+    /// Settles the runs that neither an answer nor a report has settled in time.
+    pub(crate) fn settle_runs(&mut self, now: Instant) {
+        self.expire_starts(now);
+        self.send_stops(now);
+    }
+
+    /// Gives ordered starts their time to be answered, and treats those that were not answered in
+    /// time as unconfirmed.
+    fn expire_starts(&mut self, now: Instant) {
+        let unsettled = self.unsettled_runs.iter();
+        let ordered = unsettled.filter_map(|&(id, run)| match self.placement(id, run)? {
+            (runner, Stage::Ordered { answer_due_at }) => Some((id, run, runner, answer_due_at)),
+            _ => None,
+        });
+        let ordered: Vec<_> = ordered.collect();
+        for (id, run, runner, answer_due_at) in ordered {
+            let Some(due_at) = answer_due_at else {
+                let answer_due_at = Some(now + START_ANSWER_TIMEOUT);
+                self.set_stage(id, Stage::Ordered { answer_due_at });
+                continue;
+            };
+            if now >= due_at {
+                log::warn!(
+                    "event=start.unanswered task={id} run={run} runner={}",
+                    self.runner(runner).info.id
+                );
+                self.set_stage(id, Stage::unconfirmed(now));
+                self.back_off_runner(runner, now);
+            }
+        }
+    }
+
     /// Orders stops of runs whose start was not answered and that no report lists, and repeats the
     /// stops of runs that have not ended.
-    pub(crate) fn send_stops(&mut self, now: Instant) {
+    fn send_stops(&mut self, now: Instant) {
         let unsettled = self.unsettled_runs.iter();
         let unsettled = unsettled.filter_map(|&(id, run)| {
             let (runner, stage) = self.placement(id, run)?;
@@ -115,7 +161,7 @@
                 stop_due_at,
                 stop_acknowledged_at,
             } => Some((stop_due_at, stop_acknowledged_at)),
-            Self::Committing(_) | Self::Ordered | Self::Restored | Self::Running(_) => None,
+            Self::Committing(_) | Self::Ordered { .. } | Self::Restored | Self::Running(_) => None,
         }
     }
 
@@ -129,7 +175,7 @@
                 stop_due_at,
                 stop_acknowledged_at,
             },
-            Self::Committing(_) | Self::Ordered | Self::Restored | Self::Running(_) => self,
+            Self::Committing(_) | Self::Ordered { .. } | Self::Restored | Self::Running(_) => self,
         }
     }
 }
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -53,12 +53,13 @@
         }
     }
 
-    /// Returns whether the run is settled by time: a stop is due, or is repeated, until it ended.
+    /// Returns whether the run must be settled by time if neither an answer nor a report does.
     fn is_unsettled(self) -> bool {
         match self {
-            Self::Placed { stage, .. } => {
-                matches!(stage, Stage::Unconfirmed { .. } | Stage::Stopping { .. })
-            }
+            Self::Placed { stage, .. } => match stage {
+                Stage::Ordered { .. } | Stage::Unconfirmed { .. } | Stage::Stopping { .. } => true,
+                Stage::Committing(_) | Stage::Restored | Stage::Running(_) => false,
+            },
             Self::Waiting { .. } | Self::Done => false,
         }
     }
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -10,6 +10,8 @@
 const PLACED_WITHIN_MS: u64 = 3_000;
 /// Time after its last run within which a task runs again.
 const RUNS_AGAIN_WITHIN_MS: u64 = 6_000 + PLACED_WITHIN_MS;
+/// Time after which the leases of an earlier owner have expired.
+const LEASE_TERM_MAX_MS: u64 = 10_000;
 const ROUND_MS: u64 = 100;
 
 fn long_running(count: u32) -> StepSpec {
@@ -78,6 +80,7 @@
             let mut report = report(self.harness.clock_ms(), runs.collect());
             report.ended = self.ends.get(id).cloned().unwrap_or_default();
             let now = self.harness.now;
+            self.harness.engine.lease_deadline_ms(id, now);
             self.harness.engine.handle_report(id, &report, now, now);
         }
         for order in self.harness.round() {
@@ -212,6 +215,7 @@
 #[test]
 fn start_that_is_never_answered_does_not_hold_its_task_once_the_runner_left() {
     let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.rounds(LEASE_TERM_MAX_MS);
     fleet.harness.submit(job(1, vec![long_running(1)]));
     let orders = fleet.harness.round();
     assert_eq!(starts(&orders).len(), 1);
