fix(sched): place nothing once a runner has rejected the fencing token

By a test of the engine; callers were not seen to meet it, since the owner gives up its group in the same round.

Cause: `Answer::Fenced` was recorded, but the task stayed ordered, and the next pass placed other tasks for a group that has a new owner. The task is now requeued like after any answer that the runner did nothing, and a fenced engine places nothing, so its starts no longer rely on the caller.

Failed before and passes now: engine_fenced_by_a_runner_places_nothing_more.

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -41,8 +41,12 @@
 
 impl Engine {
     /// Places ready tasks in placement order. Once a demand did not fit, the rest of the step and
-    /// all steps that demand at least as much are skipped in this pass.
+    /// all steps that demand at least as much are skipped in this pass. A fenced engine no longer
+    /// owns its group and places nothing.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
+        if self.fenced {
+            return;
+        }
         let mut infeasible = InfeasibleDemands::default();
         for candidate in self.candidates(wall_ms) {
             if let Some(rejected) = self.place_candidate(&candidate, &infeasible, now) {
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -47,7 +47,10 @@
                 self.set_stage(id, Stage::unconfirmed(now));
                 self.back_off_runner(runner, now);
             }
-            Answer::Fenced => self.fenced = true,
+            Answer::Fenced => {
+                self.fenced = true;
+                self.requeue(id, run, None);
+            }
             Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent => {
                 if matches!(answer, Answer::Refused | Answer::NotSent) {
                     self.back_off_runner(runner, now);
