fix(sched): end a gang's run when one of its members leaves it

By a test of the engine; no site of ours has gangs.

Cause: a gang is placed again once all of its members wait. A member whose placement was released by an evacuation, whose start was refused or whose run was lost waited alone, while the others stayed in a run that can't begin without it, until the runner ended them as `alone`.

`requeue` and `end_run` now end the runs of the other members: placements that are not committed are released, the rest is stopped.

--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -78,6 +78,12 @@
             task,
         }
     }
+
+    /// The step of a task.
+    pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
+        let steps = self.tasks.get(id.occurrence as usize)?;
+        steps.get(usize::from(id.step))
+    }
 }
 
 impl Stage {
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -18,20 +18,27 @@
             );
             // An ordered start may still be sent and renew the lease, so its answer decides, or that
             // it stays away.
-            self.requeue_lost_runs(RunnerKey(at as u32), |stage| {
-                !matches!(stage, Stage::Ordered { .. })
-            });
+            self.requeue_lost_runs(
+                RunnerKey(at as u32),
+                |stage| !matches!(stage, Stage::Ordered { .. }),
+                now,
+            );
         }
     }
 
     /// Requeues the runs on a runner that match `is_lost`: they no longer exist, and their outcome
     /// is unknown.
-    pub(crate) fn requeue_lost_runs(&mut self, key: RunnerKey, is_lost: impl Fn(Stage) -> bool) {
+    pub(crate) fn requeue_lost_runs(
+        &mut self,
+        key: RunnerKey,
+        is_lost: impl Fn(Stage) -> bool,
+        now: Instant,
+    ) {
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             match self.stage_on(key, id, run) {
                 Some(Stage::Committing(_)) => {}
-                Some(stage) if is_lost(stage) => self.requeue(id, run, None),
+                Some(stage) if is_lost(stage) => self.requeue(id, run, None, now),
                 Some(_) => {}
                 None => self.runner_mut(key).release(id, run),
             }
@@ -53,7 +60,7 @@
         runner.lease.reset();
         let is_unconfirmed =
             |stage| matches!(stage, Stage::Ordered { .. } | Stage::Unconfirmed { .. });
-        self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage));
+        self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage), now);
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             if self.stage_on(key, id, run).is_some_and(is_unconfirmed) {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -174,28 +174,6 @@
         tasks
     }
 
-    /// Ends a task's run: releases the placement if its start was not ordered yet, else orders a
-    /// stop.
-    fn end_run(&mut self, id: TaskId, now: Instant) {
-        let Some(run) = self.task(id).map(|task| task.run) else {
-            return;
-        };
-        let Some((runner, stage)) = self.placement(id, run) else {
-            return;
-        };
-        match stage {
-            Stage::Committing(_) => self.requeue(id, run, None),
-            Stage::Stopping { .. } => {}
-            Stage::Ordered { .. }
-            | Stage::Restored
-            | Stage::Running(_)
-            | Stage::Unconfirmed { .. } => {
-                self.set_stage(id, Stage::stopping(now));
-                self.order_stop(runner, id, run);
-            }
-        }
-    }
-
     fn order_stop(&mut self, runner: RunnerKey, task: TaskId, run: u32) {
         let runner = self.runner(runner).info.id.clone();
         self.orders.push(Order::Stop { runner, task, run });
@@ -349,10 +327,12 @@
         &mut self.runners[key.0 as usize]
     }
 
+    fn step(&self, id: TaskId) -> Option<&Step> {
+        self.jobs.get(&id.job)?.step(id)
+    }
+
     fn task(&self, id: TaskId) -> Option<&Task> {
-        let steps = self.jobs.get(&id.job)?.tasks.get(id.occurrence as usize)?;
-        let step = steps.get(usize::from(id.step))?;
-        step.tasks.get(usize::from(id.index))
+        self.step(id)?.tasks.get(usize::from(id.index))
     }
 
     fn step_mut(&mut self, id: TaskId) -> Option<&mut Step> {
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -82,7 +82,7 @@
             listed.insert((run.task, run.run));
             self.handle_listed_run(key, run, now);
         }
-        self.requeue_unlisted(key, &listed, requested_at);
+        self.requeue_unlisted(key, &listed, requested_at, now);
         self.process_measurements(key, &report.running, now);
     }
 
@@ -153,7 +153,7 @@
             EndKind::Failed if !long_running => {
                 task.failures += 1;
                 let attempts_exhausted = task.failures >= attempts_max;
-                self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF));
+                self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF), now);
                 self.count_failure(key, now);
                 if attempts_exhausted && !self.is_final(id) {
                     self.finish(id.job, Phase::Failed, now);
@@ -163,7 +163,7 @@
                 if end.kind == EndKind::Failed {
                     self.count_failure(key, now);
                 }
-                self.requeue(id, end.run, None);
+                self.requeue(id, end.run, None, now);
             }
         }
     }
@@ -242,6 +242,7 @@
         key: RunnerKey,
         listed: &HashSet<(TaskId, u32)>,
         requested_at: Instant,
+        now: Instant,
     ) {
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
@@ -272,7 +273,7 @@
                     "event=run.absent task={id} run={run} runner={}",
                     self.runner(key).info.id
                 );
-                self.requeue(id, run, None);
+                self.requeue(id, run, None, now);
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -49,13 +49,13 @@
             }
             Answer::Fenced => {
                 self.fenced = true;
-                self.requeue(id, run, None);
+                self.requeue(id, run, None, now);
             }
             Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent => {
                 if matches!(answer, Answer::Refused | Answer::NotSent) {
                     self.back_off_runner(runner, now);
                 }
-                self.requeue(id, run, Some(now + REFUSED_START_BACKOFF));
+                self.requeue(id, run, Some(now + REFUSED_START_BACKOFF), now);
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -160,18 +160,82 @@
         placement.filter(|it| it.0 == runner).map(|it| it.1)
     }
 
-    /// Requeues a task whose run has ended or never started.
-    pub(crate) fn requeue(&mut self, id: TaskId, run: u32, not_before: Option<Instant>) {
-        if self.placement(id, run).is_some() {
-            self.set_state(id, State::Waiting { not_before });
+    /// Requeues a task whose run has ended or never started. The other members of a gang can't go
+    /// on without it, so their runs end as well.
+    pub(crate) fn requeue(
+        &mut self,
+        id: TaskId,
+        run: u32,
+        not_before: Option<Instant>,
+        now: Instant,
+    ) {
+        if self.placement(id, run).is_none() {
+            return;
+        }
+        self.set_state(id, State::Waiting { not_before });
+        for member in self.other_members(id, run) {
+            self.release_or_stop(member, now);
+        }
+    }
+
+    /// Ends a task's run: releases the placement if its start was not ordered yet, else orders a
+    /// stop.
+    pub(super) fn end_run(&mut self, id: TaskId, now: Instant) {
+        let Some(run) = self.task(id).map(|task| task.run) else {
+            return;
+        };
+        if self.release_or_stop(id, now) {
+            for member in self.other_members(id, run) {
+                self.release_or_stop(member, now);
+            }
+        }
+    }
+
+    /// Ends a task's run like [`Self::end_run`], without regard to its gang. Returns whether the
+    /// placement was released.
+    fn release_or_stop(&mut self, id: TaskId, now: Instant) -> bool {
+        let Some(State::Placed { runner, stage }) = self.task(id).map(Task::state) else {
+            return false;
+        };
+        match stage {
+            Stage::Committing(_) => {
+                self.set_state(id, State::Waiting { not_before: None });
+                return true;
+            }
+            Stage::Stopping { .. } => {}
+            Stage::Ordered { .. }
+            | Stage::Restored
+            | Stage::Running(_)
+            | Stage::Unconfirmed { .. } => {
+                self.set_stage(id, Stage::stopping(now));
+                let run = self.task(id).map_or(0, |task| task.run);
+                self.order_stop(runner, id, run);
+            }
         }
+        false
+    }
+
+    /// Lists the other tasks that take part in a run of a gang.
+    pub(super) fn other_members(&self, id: TaskId, run: u32) -> Vec<TaskId> {
+        let Some(step) = self.step(id).filter(|_| self.is_gang(id)) else {
+            return Vec::new();
+        };
+        let members = step.tasks.iter().enumerate();
+        let members = members.map(|(index, task)| (index as u16, task.run));
+        members
+            .filter(|&(index, number)| index != id.index && number == run)
+            .map(|(index, _)| TaskId { index, ..id })
+            .collect()
+    }
+
+    fn is_gang(&self, id: TaskId) -> bool {
+        self.step_of(id).is_some_and(|step| step.gang)
     }
 }
 
 /// Returns whether a task waits and its turn has come.
 fn is_ready(job: &Job, id: TaskId) -> bool {
-    let steps = job.tasks.get(id.occurrence as usize);
-    let step = steps.and_then(|steps| steps.get(usize::from(id.step)));
+    let step = job.step(id);
     let Some(step) = step.filter(|step| step.open && !job.phase.is_final()) else {
         return false;
     };
