fix(sched): take one member's done as the end of its gang

By a test of the engine; no site of ours has gangs.

The platform says that the members of a gang end done together and that one such end stands for all. Only the task that it named was marked done: if the runner of another member was lost before its end was read, that member was requeued and waited for ever, since a gang is placed once all members wait.

Failed before and passes now: gang_is_done_although_a_runner_is_lost_before_its_member_reports_the_end.

--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -143,6 +143,10 @@
         match end.kind {
             EndKind::Done if !long_running => {
                 self.set_state(id, State::Done);
+                // One such end stands for the whole gang.
+                for member in self.other_members(id, end.run) {
+                    self.set_state(member, State::Done);
+                }
                 if let Some(at) = began_at {
                     self.durations
                         .learn(&spec.queue, now.saturating_duration_since(at));
