--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{job, listed, report, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
-    Answer, End, EndKind, JobId, Order, Phase, RunnerInfo, RunnerState, StepSpec, TaskId,
+    Answer, End, EndKind, JobId, Options, Order, Phase, Record, RunnerInfo, RunnerState, StepSpec,
+    StoredRecord, TaskId, TaskRecord, TaskState,
 };
 use std::collections::BTreeMap;
 
@@ -332,3 +333,41 @@
     assert!(fleet.harness.engine.is_fenced());
     assert!(fleet.started.is_empty(), "{:?}", fleet.started);
 }
+
+/// The next owner relies on it that leases of an earlier one end a term after its last call.
+#[test]
+fn first_lease_that_an_owner_grants_is_no_longer_than_its_term() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    let (clock_ms, now) = (fleet.harness.clock_ms(), fleet.harness.now);
+    let term = Options::default().lease_term.as_millis() as u64;
+    let deadline_ms = fleet.harness.engine.lease_deadline_ms("a", now);
+    assert_eq!(deadline_ms, Some(clock_ms + term));
+}
+
+#[test]
+fn runner_lost_right_after_a_takeover_does_not_hold_its_tasks_beyond_a_lease_term() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    let id = task(1, 0, 0);
+    let record = Record {
+        phase: Phase::Active,
+        runners: vec!["a".to_owned()],
+        tasks: vec![vec![vec![TaskRecord {
+            state: TaskState::Placed(0),
+            run: 1,
+            failures: 0,
+            checkpoint: String::new(),
+        }]]],
+    };
+    let stored = StoredRecord {
+        revision: 1,
+        record,
+    };
+    let spec = job(1, vec![long_running(1)]);
+    fleet.harness.restore_job(spec, stored);
+    fleet.runners.insert("a".to_owned(), vec![(id, 1)]);
+    fleet.harness.engine.predecessor_ended(fleet.harness.now);
+    fleet.round();
+    fleet.silence("a");
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    assert_eq!(fleet.runs(id), [("b", 2)]);
+}
