fix(sched): keep an owner's own lease deadlines apart from earlier ones

By the randomized test, extended with runners that leave: a long-running task whose runner left just after a takeover ran again only 10.5 s after the runner's last report.

Cause: the first report of a runner set its deadline to the longest term that a runner grants, 10 s, because earlier owners may have sent as much. The engine kept one deadline for both: it waited for 10 s although the earlier owners were known to have ended, and it sent that deadline itself, so that its own leases were longer than the one term after which the next owner counts them as expired (`predecessor_ended`); a task could have run twice.

The deadline that this owner sent and the bound on those of earlier owners are now kept apart. The latter ends with `unknown_leases_until`, which `predecessor_ended` lowers and a restart of the runner raises again.

--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -48,6 +48,7 @@
     /// Requeues the runs of an earlier incarnation of a runner. The new incarnation may still carry
     /// out a start that had no answer, so such a run stays unconfirmed.
     pub(crate) fn handle_restart(&mut self, key: RunnerKey, incarnation_ms: u64, now: Instant) {
+        let lease_term_max = self.options.lease_term_max;
         let runner = self.runner_mut(key);
         let known = runner.incarnation_ms.replace(incarnation_ms);
         if known.is_none_or(|known| known == incarnation_ms) {
@@ -57,7 +58,7 @@
         runner.processed = 0;
         runner.acknowledged = 0;
         runner.pending_ends.clear();
-        runner.lease.reset();
+        runner.lease.reset(lease_term_max, now);
         let is_unconfirmed =
             |stage| matches!(stage, Stage::Ordered { .. } | Stage::Unconfirmed { .. });
         self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage), now);
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -26,19 +26,16 @@
 use self::durations::Durations;
 
 use crate::{
-    fleet::{Claim, ImageKey, Runner, RunnerKey},
+    fleet::{Claim, ImageKey, Runner, RunnerKey, LEASE_CLOCK_SLACK},
     JobId, Phase, Policy, RunnerInfo, RunnerState, StepSpec, TaskId,
 };
 use persimmon_interference::InterferenceModel;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-/// Maximum lag of a runner's clock over one lease term.
-const LEASE_CLOCK_SLACK: Duration = Duration::from_millis(500);
-
 /// Schedules the jobs of one group on its runners.
 #[derive(Debug)]
 pub struct Engine {
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -168,16 +168,20 @@
 /// Lease that bounds how long the runs of an unreachable runner may continue.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Lease {
-    /// Latest deadline, on the runner's clock, that this or an earlier owner may have sent.
+    /// Latest deadline, on the runner's clock, that this owner has sent; 0 before the first.
     pub(crate) deadline_ms: u64,
+    /// Latest deadline, on the runner's clock, that an earlier owner may have sent.
+    pub(crate) earlier_deadline_ms: u64,
     /// Reading of the runner's clock in its last report, and when the report arrived.
     pub(crate) clock_sample: Option<(u64, Instant)>,
-    /// When leases granted by earlier owners have expired if the runner has sent no report.
+    /// When leases granted by earlier owners have expired, whatever the runner's clock.
     pub(crate) unknown_leases_until: Instant,
 }
 
 /// Maximum drift of a runner's clock, in thousandths.
 const CLOCK_DRIFT_PERMILLE: u64 = 20;
+/// Maximum lag of a runner's clock over one lease term.
+pub(crate) const LEASE_CLOCK_SLACK: Duration = Duration::from_millis(500);
 /// Safety margin after the end of a lease before its runs count as ended.
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(300);
 
@@ -186,15 +190,18 @@
     /// deadlines up to `lease_term_max` after it.
     pub(crate) fn update_clock(&mut self, clock_ms: u64, lease_term_max: Duration, now: Instant) {
         if self.clock_sample.is_none() {
-            self.deadline_ms = clock_ms + lease_term_max.as_millis() as u64;
+            self.earlier_deadline_ms = clock_ms + lease_term_max.as_millis() as u64;
         }
         self.clock_sample = Some((clock_ms, now));
     }
 
-    /// Discards the clock of an earlier incarnation.
-    pub(crate) fn reset(&mut self) {
+    /// Discards the clock of an earlier incarnation. A call without an answer that was meant for
+    /// it may have given the new one a lease of up to `lease_term_max`.
+    pub(crate) fn reset(&mut self, lease_term_max: Duration, now: Instant) {
         self.deadline_ms = 0;
         self.clock_sample = None;
+        let until = now + lease_term_max + LEASE_CLOCK_SLACK;
+        self.unknown_leases_until = self.unknown_leases_until.max(until);
     }
 
     /// Returns when all runs on the runner have ended, unless the lease is renewed.
@@ -202,9 +209,13 @@
         let Some((clock_ms, at)) = self.clock_sample else {
             return self.unknown_leases_until;
         };
-        let left_ms = self.deadline_ms.saturating_sub(clock_ms);
-        let drift_ms = left_ms * CLOCK_DRIFT_PERMILLE / 1_000;
-        at + Duration::from_millis(left_ms + drift_ms) + LEASE_EXPIRY_MARGIN
+        let expires_at = |deadline_ms: u64| {
+            let left_ms = deadline_ms.saturating_sub(clock_ms);
+            let drift_ms = left_ms * CLOCK_DRIFT_PERMILLE / 1_000;
+            at + Duration::from_millis(left_ms + drift_ms) + LEASE_EXPIRY_MARGIN
+        };
+        let earlier = expires_at(self.earlier_deadline_ms).min(self.unknown_leases_until);
+        expires_at(self.deadline_ms).max(earlier)
     }
 }
 
@@ -217,6 +228,7 @@
             last_report_at: None,
             lease: Lease {
                 deadline_ms: 0,
+                earlier_deadline_ms: 0,
                 clock_sample: None,
                 unknown_leases_until,
             },
