--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -77,7 +77,7 @@
             timers: BTreeSet::new(),
             dirty: BTreeSet::new(),
             orders: Vec::new(),
-            idle_tasks: HashMap::new(),
+            idle_tasks: stalled::IdleTasks::new(),
             unsettled_runs: HashSet::new(),
             image_keys: HashMap::new(),
             interference: InterferenceModel::default(),
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -3,13 +3,27 @@
 use super::{place::satisfies_constraints, Engine, Job, Stage, State, Step};
 use crate::{fleet::Runner, RunnerState, TaskId};
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     fmt,
     time::{Duration, Instant},
 };
 
-/// When each task that does not run was first seen so, with the number of its latest run.
-pub(super) type IdleTasks = HashMap<TaskId, (u32, Instant)>;
+/// Tasks that did not run when last looked at.
+pub(super) type IdleTasks = BTreeMap<TaskId, Idle>;
+
+/// Maximum number of queued tasks for which runners with free capacity are sought in one call.
+const SEARCHES_MAX: usize = 64;
+
+/// A task that does not run.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Idle {
+    /// Number of its latest run.
+    run: u32,
+    /// When it was first seen not to run.
+    since: Instant,
+    /// Whether it was queued while a runner had free capacity for it.
+    had_room: bool,
+}
 
 /// A task whose turn has come and that has not run for long.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -89,31 +103,45 @@
 
 impl Engine {
     /// Lists tasks whose turn has come and that have not run for at least `min`, as far as earlier
-    /// calls saw. A queued task is listed only if a ready runner has free capacity for it;
-    /// best-effort tasks are not listed, as capacity alone does not decide about them.
+    /// calls saw. A queued task is listed only if a ready runner has free capacity for it in two
+    /// calls in a row; best-effort tasks are not listed, as capacity alone does not decide about
+    /// them.
     pub fn stalled(&mut self, min: Duration, now: Instant) -> Vec<Stalled> {
         let idle = self.idle_tasks();
         let mut seen = std::mem::take(&mut self.idle_tasks);
-        seen.retain(|id, (run, _)| idle.get(id) == Some(run));
+        seen.retain(|id, it| idle.get(id) == Some(&it.run));
         for (id, run) in idle {
-            seen.entry(id).or_insert((run, now));
-        }
-        let long_idle = seen.iter().filter(|(_, &(_, since))| now >= since + min);
-        let stalled = long_idle.filter_map(|(&id, &(run, since))| {
-            let job = self.jobs.get(&id.job)?;
-            Some(Stalled {
-                task: id,
+            seen.entry(id).or_insert(Idle {
                 run,
-                idle: now - since,
-                uncommitted: job.version > job.committed_version,
-                cause: self.stall_cause(job, id, now)?,
-            })
-        });
-        let stalled = stalled.collect();
+                since: now,
+                had_room: false,
+            });
+        }
+        let mut stalled = Vec::new();
+        let mut searches_left = SEARCHES_MAX;
+        for (&id, it) in seen.iter_mut().filter(|(_, it)| now >= it.since + min) {
+            let cause = self.stall_cause(id, &mut searches_left, now);
+            let had_room = it.had_room;
+            it.had_room = matches!(cause, Some(StallCause::NotPlaced { .. }));
+            if let Some(cause) = cause.filter(|_| had_room || !it.had_room) {
+                stalled.push(self.describe(id, it, cause, now));
+            }
+        }
         self.idle_tasks = seen;
         stalled
     }
 
+    fn describe(&self, id: TaskId, idle: &Idle, cause: StallCause, now: Instant) -> Stalled {
+        let is_uncommitted = |job: &Job| job.version > job.committed_version;
+        Stalled {
+            task: id,
+            run: idle.run,
+            idle: now.saturating_duration_since(idle.since),
+            uncommitted: self.jobs.get(&id.job).is_some_and(is_uncommitted),
+            cause,
+        }
+    }
+
     /// Tasks of open steps that neither run nor are done, with their run.
     fn idle_tasks(&self) -> HashMap<TaskId, u32> {
         let mut idle = HashMap::new();
@@ -135,12 +163,21 @@
         idle
     }
 
-    fn stall_cause(&self, job: &Job, id: TaskId, now: Instant) -> Option<StallCause> {
+    fn stall_cause(
+        &self,
+        id: TaskId,
+        searches_left: &mut usize,
+        now: Instant,
+    ) -> Option<StallCause> {
+        let job = self.jobs.get(&id.job)?;
         match self.task(id)?.state() {
             State::Waiting { .. } if !self.ready.contains(&job.rank(id)) => {
                 Some(StallCause::NotQueued)
             }
-            State::Waiting { .. } => self.not_placed(job, id, now),
+            State::Waiting { .. } => {
+                *searches_left = searches_left.checked_sub(1)?;
+                self.not_placed(job, id, now)
+            }
             State::Placed { runner, stage } => {
                 let runner = self.runner(runner);
                 Some(StallCause::NotRunning {
--- a/crates/persimmon-sched/tests/all/stalled.rs
+++ b/crates/persimmon-sched/tests/all/stalled.rs
@@ -51,6 +51,7 @@
     harness.advance(4_000);
     assert!(causes(&mut harness).is_empty(), "no runner has room");
     harness.add_runner("b", 4_000);
+    assert!(causes(&mut harness).is_empty(), "the runner is new");
     let cause = StallCause::NotPlaced {
         schedulable: 0,
         backing_off: 0,
@@ -63,10 +64,14 @@
 fn runner_that_is_backed_off_from_is_counted() {
     let mut harness = TestEngine::with_runners(&["a"], 4_000);
     harness.submit(job(1, vec![serving_step()]));
-    causes(&mut harness);
+    assert!(causes(&mut harness).is_empty(), "it was just submitted");
     harness.advance(4_000);
     harness.report("a", vec![]);
     harness.engine.handle_missed_report("a", harness.now);
+    assert!(
+        causes(&mut harness).is_empty(),
+        "it may be placed in the next pass"
+    );
     let cause = StallCause::NotPlaced {
         schedulable: 0,
         backing_off: 1,
