fix(sched): write the job whose change is oldest first

Callers saw an accepted task wait though a runner had room for it. A task is started once its placement is committed; `take_commits` took the lowest ids of a `BTreeSet`, so with more changed jobs than a batch carries, jobs with high ids waited for as long as ones with low ids changed again. Ids are chosen by the callers, so this hit the same jobs each time.

Changed jobs are now queued by their oldest change that no commit holds. A job whose commit is in flight keeps its place and is passed over, still with one commit in flight at most. Jobs that were removed meanwhile leave the queue; they stayed in the set for good before.

The new test plays 20 placed jobs, batches of 4 and a refused start after each commit: before, jobs 5 to 20 were not written after 5 batches; now each is. Not seen in a process: a backlog needs more than 60 changed jobs within one round trip to the store.

--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -3,19 +3,12 @@
 use std::{collections::HashMap, sync::Arc};
 
 impl Engine {
-    /// Returns up to `max` records to write to the store, at most one in flight for each job.
+    /// Returns up to `max` records to write to the store, oldest change first and at most one in
+    /// flight for each job.
     pub fn take_commits(&mut self, max: usize) -> Vec<Commit> {
-        let commit_in_flight =
-            |id: &JobId| self.jobs.get(id).is_none_or(|job| job.commit_in_flight);
-        let ids = self
-            .dirty
-            .iter()
-            .filter(|id| !commit_in_flight(id))
-            .take(max);
-        let ids: Vec<_> = ids.copied().collect();
+        let ids = self.dirty.take(max, &self.jobs);
         let mut commits = Vec::with_capacity(ids.len());
         for id in ids {
-            self.dirty.remove(&id);
             let record = self.record(id);
             if let (Some(job), Some(record)) = (self.jobs.get_mut(&id), record) {
                 job.commit_in_flight = true;
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,5 +1,6 @@
 mod add_job;
 mod commit;
+mod dirty;
 mod durations;
 mod infeasible;
 mod interference;
@@ -23,7 +24,7 @@
 pub(crate) use job::{Job, Rank, Stage, State, Step};
 pub(crate) use task::Task;
 
-use self::durations::Durations;
+use self::{dirty::DirtyJobs, durations::Durations};
 
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, LEASE_CLOCK_SLACK},
@@ -49,8 +50,7 @@
     /// the Unix epoch, job and number of the occurrence, counted from 0. An occurrence is one
     /// repetition of a scheduled job; other jobs have a single one.
     timers: BTreeSet<(u64, JobId, u32)>,
-    /// Jobs whose changes are not part of a commit yet.
-    dirty: BTreeSet<JobId>,
+    dirty: DirtyJobs,
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
     /// Runs with an unanswered or unconfirmed start, or an ordered stop.
@@ -75,7 +75,7 @@
             runner_keys: HashMap::new(),
             ready: BTreeSet::new(),
             timers: BTreeSet::new(),
-            dirty: BTreeSet::new(),
+            dirty: DirtyJobs::default(),
             orders: Vec::new(),
             idle_tasks: HashMap::new(),
             unsettled_runs: HashSet::new(),
