--- /dev/null
+++ b/crates/persimmon-entry/src/group/activity.rs
@@ -0,0 +1,30 @@
+use std::{fmt, time::Duration};
+
+/// What an owner did in an interval.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Activity {
+    rounds: u32,
+    longest_round: Duration,
+    pub(super) polls_answered: u32,
+    pub(super) polls_failed: u32,
+}
+
+impl Activity {
+    pub(super) fn add_round(&mut self, duration: Duration) {
+        self.rounds += 1;
+        self.longest_round = self.longest_round.max(duration);
+    }
+}
+
+impl fmt::Display for Activity {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            out,
+            "rounds={} longest_round_ms={} polls_answered={} polls_failed={}",
+            self.rounds,
+            self.longest_round.as_millis(),
+            self.polls_answered,
+            self.polls_failed
+        )
+    }
+}
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -1,5 +1,6 @@
 //! The owner of one group: passes events to the engine and carries out its orders.
 
+mod activity;
 mod commit;
 mod inbox;
 mod learned;
@@ -7,7 +8,7 @@
 mod orders;
 mod polling;
 
-use self::lease_authority::LeaseAuthority;
+use self::{activity::Activity, lease_authority::LeaseAuthority};
 use crate::{
     keys::{self, GroupId},
     platform::{Platform, Precondition, Txn},
@@ -61,6 +62,8 @@
     written: Notify,
     is_stopping: Cell<bool>,
     stop_requested: Notify,
+    /// What was done since the last log line about it.
+    activity: Cell<Activity>,
 }
 
 impl<P: Platform> OwnedGroup<P> {
@@ -88,6 +91,7 @@
             written: Notify::new(),
             is_stopping: Cell::new(false),
             stop_requested: Notify::new(),
+            activity: Cell::default(),
             shared: Rc::clone(&shared),
         });
         shared.groups.borrow_mut().insert(id, Rc::clone(&group));
@@ -141,6 +145,7 @@
             self.commit_wake.notify_one();
             while self.background_tasks.borrow_mut().try_join_next().is_some() {}
             let duration = self.shared.now().saturating_duration_since(started_at);
+            self.record(|it| it.add_round(duration));
             tokio::time::sleep(
                 (duration * ROUND_PAUSE_FACTOR).clamp(ROUND_PAUSE_MIN, ROUND_PAUSE_MAX),
             )
@@ -162,12 +167,18 @@
         self.background_tasks.borrow_mut().spawn_local(future);
     }
 
-    /// Logs the group's load periodically. Never returns.
+    /// Logs the group's load and activity periodically. Never returns.
     async fn log_load(self: Rc<Self>) {
         loop {
             tokio::time::sleep(LOAD_LOG_INTERVAL).await;
             let load = self.engine.borrow().load(self.shared.now());
             log::info!("event=group.load group={} {load}", self.id.0);
+            let runners = self.polled_runners.borrow().len();
+            let activity = self.activity.take();
+            log::info!(
+                "event=group.activity group={} polled_runners={runners} {activity}",
+                self.id.0
+            );
         }
     }
 
@@ -199,6 +210,12 @@
         }
     }
 
+    fn record(&self, change: impl FnOnce(&mut Activity)) {
+        let mut activity = self.activity.get();
+        change(&mut activity);
+        self.activity.set(activity);
+    }
+
     /// Triggers a decision round.
     pub(crate) fn wake(&self) {
         self.wake.notify_one();
--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -118,6 +118,7 @@
             };
             match self.shared.platform.poll(&info, request).await {
                 Ok(report) => {
+                    self.record(|it| it.polls_answered += 1);
                     let now = self.shared.now();
                     self.engine
                         .borrow_mut()
@@ -128,6 +129,7 @@
                     tokio::time::sleep(POLL_PAUSE).await;
                 }
                 Err(err) => {
+                    self.record(|it| it.polls_failed += 1);
                     log::debug!("event=runner.poll_failed runner={id} fault=\"{err}\"");
                     self.engine
                         .borrow_mut()
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -16,6 +16,21 @@
 /// Delay before a failed read or watch is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// A warning is logged for every this many calls that fail in a row.
+const FAILURES_PER_WARNING: u32 = 10;
+
+fn log_failure(event: &str, prefix: &str, failures: u32, err: &CallError) {
+    let level = if failures % FAILURES_PER_WARNING == 0 {
+        log::Level::Warn
+    } else {
+        log::Level::Debug
+    };
+    log::log!(
+        level,
+        "event={event} prefix={prefix} failures={failures} fault=\"{err}\""
+    );
+}
+
 /// Reads all items under `prefix`. Returns them with the revision to watch from.
 pub(crate) async fn list<P: Platform>(
     shared: &Shared<P>,
@@ -23,6 +38,7 @@
 ) -> Result<(Vec<Item>, u64), CallError> {
     let mut items: Vec<Item> = Vec::new();
     let mut revision = None;
+    let mut pages = 0;
     loop {
         let after = items.last().map_or("", |item| item.key.as_str());
         let page = shared.platform.range(prefix, after).await?;
@@ -32,7 +48,12 @@
         let first_revision = *revision.get_or_insert(page.revision);
         let is_empty = page.items.is_empty();
         items.extend(page.items);
+        pages += 1;
         if !page.has_more || is_empty {
+            log::info!(
+                "event=store.list prefix={prefix} items={} pages={pages}",
+                items.len()
+            );
             return Ok((items, first_revision));
         }
     }
@@ -49,6 +70,7 @@
     mut on_change: impl FnMut(Change),
 ) {
     let mut start = start;
+    let mut failures = 0;
     loop {
         let (mut known, mut revision) = start.take().unwrap_or_default();
         if revision == 0 {
@@ -61,7 +83,8 @@
                     }
                 }
                 Err(err) => {
-                    log::debug!("event=store.list prefix={prefix} fault=\"{err}\"");
+                    failures += 1;
+                    log_failure("store.list", prefix, failures, &err);
                     tokio::time::sleep(RETRY_DELAY).await;
                     continue;
                 }
@@ -89,6 +112,7 @@
     known_before: BTreeSet<String>,
     on_change: &mut impl FnMut(Change),
 ) -> Option<(BTreeSet<String>, u64)> {
+    let mut failures = 0;
     loop {
         match list(shared, prefix).await {
             Ok((items, revision)) => {
@@ -105,7 +129,8 @@
                 return Some((known, revision));
             }
             Err(err) => {
-                log::debug!("event=store.list prefix={prefix} fault=\"{err}\"");
+                failures += 1;
+                log_failure("store.list", prefix, failures, &err);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
@@ -121,6 +146,7 @@
     revision: &mut u64,
     on_change: &mut impl FnMut(Change),
 ) {
+    let mut failures = 0;
     loop {
         match shared.platform.watch(prefix, *revision, options.wait).await {
             Ok(WatchOutcome::Changes {
@@ -128,6 +154,7 @@
                 revision: new_revision,
             }) => {
                 shared.record_store_answer();
+                failures = 0;
                 *revision = new_revision.max(*revision);
                 for change in changes {
                     match &change {
@@ -143,7 +170,8 @@
                 return;
             }
             Err(err) => {
-                log::debug!("event=store.watch prefix={prefix} fault=\"{err}\"");
+                failures += 1;
+                log_failure("store.watch", prefix, failures, &err);
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
--- a/crates/persimmon-entry/src/session.rs
+++ b/crates/persimmon-entry/src/session.rs
@@ -18,9 +18,12 @@
         if let Some(lease) = open_session(&shared).await {
             shared.lease.set(Some(lease));
             log::info!("event=session.open lease={}", lease.0);
-            renew(&shared, lease).await;
+            let failed_renewals = renew(&shared, lease).await;
             shared.lease.set(None);
-            log::warn!("event=session.lost lease={}", lease.0);
+            log::warn!(
+                "event=session.lost lease={} failed_renewals={failed_renewals}",
+                lease.0
+            );
         }
         tokio::time::sleep(RENEW_INTERVAL / 5).await;
     }
@@ -57,8 +60,10 @@
     }
 }
 
-/// Renews the lease until the store reports that it has ended.
-async fn renew<P: Platform>(shared: &Shared<P>, lease: crate::Lease) {
+/// Renews the lease until the store reports that it has ended. Returns the number of renewals that
+/// failed since the last successful one.
+async fn renew<P: Platform>(shared: &Shared<P>, lease: crate::Lease) -> u32 {
+    let mut failed = 0;
     loop {
         tokio::time::sleep(RENEW_INTERVAL).await;
         let sent_at = shared.now();
@@ -66,9 +71,13 @@
             Ok(true) => {
                 shared.session_proven_at.set(Some(sent_at));
                 shared.record_store_answer();
+                failed = 0;
+            }
+            Ok(false) => return failed,
+            Err(err) => {
+                failed += 1;
+                log::debug!("event=session.renew fault=\"{err}\"");
             }
-            Ok(false) => return,
-            Err(err) => log::debug!("event=session.renew fault=\"{err}\""),
         }
     }
 }
