fix(entry): answer before the caller's timeout while the store is silent

A caller that waits 500 ms got its answer after 700 ms, when it had given up: a request without an answer as far as it could see. The deadline was only checked between calls to the store, each of which may take 700 ms, a state up to two and 250 ms for the owner; the count of waiting jobs had no deadline.

A call to the store now ends at the deadline. A submission or a cancellation that is in flight then is answered as unknown, a read as not run. The time reserved for sending the answer is a quarter of short timeouts, so that these leave time for the call.

answers_come_before_the_callers_deadline_while_the_store_is_silent failed before: 700 ms for a limit of 500.

Ruled out with expired_job_whose_keys_remain_does_not_run_again, which passes before and after: a job whose keys could not be removed when it expired, and which a new listing reports again, is not run twice. Its record conflicts with the new one, and the group is loaded again.

--- a/crates/persimmon-entry/src/requests.rs
+++ b/crates/persimmon-entry/src/requests.rs
@@ -11,12 +11,15 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
+    future::Future,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 /// Part of a caller's timeout that is reserved for sending the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// The reserved part is at most this fraction of the timeout.
+const ANSWER_MARGIN_DIVISOR: u32 = 4;
 /// Timeout of a request that names none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a transaction that the store refuses is retried before the request is rejected.
@@ -31,6 +34,11 @@
 /// Retry time given to callers while the process has no policy yet.
 const RETRY_AFTER_START: Duration = Duration::from_secs(1);
 
+const STORE_DOES_NOT_ANSWER: Rejection = Rejection::NotRun {
+    retry_after: RETRY_AFTER_OUTAGE,
+    reason: "the store does not answer",
+};
+
 /// Value of a job's submission key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Submission {
@@ -77,9 +85,21 @@
     Ok(JobTarget { queue, job })
 }
 
+/// When the answer must be ready.
 fn deadline<P>(shared: &Shared<P>, request: &Request) -> Instant {
     let timeout = request.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
-    shared.now() + timeout.saturating_sub(ANSWER_MARGIN)
+    let margin = ANSWER_MARGIN.min(timeout / ANSWER_MARGIN_DIVISOR);
+    shared.now() + (timeout - margin)
+}
+
+/// Runs a future until the deadline at the latest.
+async fn run_until<P, T>(
+    shared: &Shared<P>,
+    deadline: Instant,
+    future: impl Future<Output = T>,
+) -> Option<T> {
+    let remaining = deadline.saturating_duration_since(shared.now());
+    tokio::time::timeout(remaining, future).await.ok()
 }
 
 /// Sends a transaction until its outcome is certain or the deadline has passed.
@@ -91,12 +111,13 @@
     let started_at = shared.now();
     let mut effect = Effect::None;
     loop {
-        match shared.platform.txn(txn).await {
-            Ok(outcome) => {
+        match run_until(shared, deadline, shared.platform.txn(txn)).await {
+            Some(Ok(outcome)) => {
                 shared.record_store_answer();
                 return Ok(outcome);
             }
-            Err(err) => {
+            None => return Err(Rejection::Unknown),
+            Some(Err(err)) => {
                 log::debug!("event=store.txn fault=\"{err}\"");
                 if err.effect == Effect::Unknown {
                     effect = Effect::Unknown;
@@ -105,13 +126,14 @@
         }
         let now = shared.now();
         let retried_for = now.saturating_duration_since(started_at);
-        if effect == Effect::None && (now >= deadline || retried_for >= REFUSED_RETRY_LIMIT) {
+        let is_late = now + RETRY_DELAY >= deadline;
+        if effect == Effect::None && (is_late || retried_for >= REFUSED_RETRY_LIMIT) {
             return Err(Rejection::NotRun {
                 retry_after: RETRY_AFTER_OUTAGE,
                 reason: "the store refuses",
             });
         }
-        if effect == Effect::Unknown && (now >= deadline || retried_for >= UNANSWERED_RETRY_LIMIT) {
+        if effect == Effect::Unknown && (is_late || retried_for >= UNANSWERED_RETRY_LIMIT) {
             return Err(Rejection::Unknown);
         }
         tokio::time::sleep(RETRY_DELAY).await;
@@ -194,28 +216,34 @@
     shared: &Shared<P>,
     request: &Request,
 ) -> Result<Option<Phase>, Rejection> {
+    let deadline = deadline(shared, request);
     let JobTarget { job, .. } = parse_target(shared, request)?;
     if let Some(phase) = local_phase(shared, job) {
         return Ok(Some(phase));
     }
+    let phase = run_until(shared, deadline, remote_phase(shared, job)).await;
+    phase.unwrap_or(Err(STORE_DOES_NOT_ANSWER))
+}
+
+/// Returns the phase of a job from its group's owner or from the store.
+async fn remote_phase<P: Platform>(
+    shared: &Shared<P>,
+    job: JobId,
+) -> Result<Option<Phase>, Rejection> {
     let group = shared.home_group(job);
     if let Some(PeerReply::Phase(phase)) =
         peers::call_owner(shared, group, &PeerRequest::Phase(job)).await
     {
         return Ok(Some(phase));
     }
-    let deadline = deadline(shared, request);
     loop {
         let error = match read_phase(shared, job).await {
             Ok(phase) => return Ok(phase),
             Err(err) => err,
         };
         log::debug!("event=job.phase job={job} fault=\"{error}\"");
-        if shared.now() >= deadline || shared.store_is_unreachable() {
-            return Err(Rejection::NotRun {
-                retry_after: RETRY_AFTER_OUTAGE,
-                reason: "the store does not answer",
-            });
+        if shared.store_is_unreachable() {
+            return Err(STORE_DOES_NOT_ANSWER);
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -261,7 +289,13 @@
     shared: &Shared<P>,
     request: &Request,
 ) -> Result<u64, Rejection> {
+    let deadline = deadline(shared, request);
     let queue = find_queue(shared, request)?;
+    let total = run_until(shared, deadline, count_waiting(shared, &queue.name)).await;
+    total.unwrap_or(Err(STORE_DOES_NOT_ANSWER))
+}
+
+async fn count_waiting<P: Platform>(shared: &Shared<P>, queue: &str) -> Result<u64, Rejection> {
     let mut total = 0;
     for number in 0..shared.options.group_count {
         let group = keys::GroupId(number);
@@ -277,7 +311,7 @@
                 _ => read_summary(shared, group).await?,
             },
         };
-        total += counts.get(&queue.name).copied().unwrap_or(0);
+        total += counts.get(queue).copied().unwrap_or(0);
     }
     Ok(total)
 }
@@ -286,15 +320,14 @@
     shared: &Shared<P>,
     group: keys::GroupId,
 ) -> Result<BTreeMap<String, u64>, Rejection> {
-    let not_run = |reason| Rejection::NotRun {
-        retry_after: RETRY_AFTER_OUTAGE,
-        reason,
-    };
     let item = shared.platform.get(&keys::summary(group)).await;
-    let item = item.map_err(|_| not_run("the store does not answer"))?;
+    let item = item.map_err(|_| STORE_DOES_NOT_ANSWER)?;
     shared.record_store_answer();
     let Some(item) = item else {
         return Ok(BTreeMap::new());
     };
-    postcard::from_bytes(&item.value).map_err(|_| not_run("the summary can't be read"))
+    postcard::from_bytes(&item.value).map_err(|_| Rejection::NotRun {
+        retry_after: RETRY_AFTER_OUTAGE,
+        reason: "the summary can't be read",
+    })
 }
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of whole processes on an in-memory platform, in virtual time.
 
+mod accepted_jobs;
 mod faults;
 mod jobs;
 mod owners;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -54,6 +54,8 @@
     history: RefCell<Vec<(u64, Change)>>,
     changed: Notify,
     leases: RefCell<HashMap<u64, Instant>>,
+    /// Watches from a revision below this one fail as compacted.
+    pub(crate) compacted: Cell<u64>,
     /// While set, calls to the store time out.
     pub(crate) store_is_down: Cell<bool>,
     /// The answer to every n-th write is lost; 0 for never.
@@ -98,6 +100,18 @@
     started_at: Instant,
 }
 
+fn queue(name: &str) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        service: SERVICE.to_owned(),
+        attempts_max: 2,
+        stretch: 2.0,
+        ..Queue::default()
+    }
+}
+
 fn call_error(operation: &'static str, effect: Effect) -> CallError {
     CallError {
         operation,
@@ -243,6 +257,9 @@
         loop {
             let changed = self.state.changed.notified();
             self.expire();
+            if revision < self.state.compacted.get() {
+                return Ok(WatchOutcome::Compacted);
+            }
             let changes = self.changes(prefix, revision);
             let is_over = tokio::time::Instant::now() >= until;
             if !changes.is_empty() || is_over || self.state.store_is_down.get() {
@@ -411,18 +428,13 @@
         RUNNERS
     }
 
-    fn decode_policy(&self, _value: &[u8]) -> Result<Policy, CallError> {
+    fn decode_policy(&self, value: &[u8]) -> Result<Policy, CallError> {
+        let text = String::from_utf8_lossy(value);
+        let mut words = text.split(' ');
+        let version = words.next().and_then(|it| it.parse().ok()).unwrap_or(1);
         Ok(Policy {
-            version: 1,
-            queues: vec![Queue {
-                name: "quotes".to_owned(),
-                host: HOST.to_owned(),
-                prefix: PREFIX.to_owned(),
-                service: SERVICE.to_owned(),
-                attempts_max: 2,
-                stretch: 2.0,
-                ..Queue::default()
-            }],
+            version,
+            queues: words.map(queue).collect(),
             ..Policy::default()
         })
     }
@@ -463,12 +475,12 @@
             started_at: now(),
             processes: Vec::new(),
         };
+        cluster.write_policy(1, &["quotes"]);
         let client = cluster.client();
         let put = |key: &str| {
             let write = Write::unleased(key.to_owned(), Vec::new());
             client.put(&write, client.next_revision());
         };
-        put(POLICY);
         for id in runners {
             put(&format!("{RUNNERS}{id}"));
             let fake_runner = FakeRunner::default();
@@ -478,6 +490,14 @@
         cluster
     }
 
+    /// Writes a policy with the given queues.
+    pub(crate) fn write_policy(&self, version: u64, queues: &[&str]) {
+        let text = format!("{version} {}", queues.join(" "));
+        let client = self.client();
+        let write = Write::unleased(POLICY.to_owned(), text.trim().as_bytes().to_vec());
+        client.put(&write, client.next_revision());
+    }
+
     fn client(&self) -> PlatformClient {
         PlatformClient {
             state: Rc::clone(&self.state),
@@ -516,6 +536,11 @@
         handle
     }
 
+    /// Drops the store's history, so that all watches start again.
+    pub(crate) fn compact(&self) {
+        self.state.compacted.set(self.client().next_revision());
+    }
+
     /// Kills the process that was started as number `index`.
     pub(crate) fn kill(&mut self, index: usize) {
         self.processes[index] = None;
