test(sched): draining and departing runners and lasting tasks in the simulation

The random test drew neither runners that drain, leave or join nor tasks that last, and asserted only that jobs end within a minute without faults. It now draws these, lost answers to starts, missed reports and cancelled jobs, and goes on draining runners and handing over to new owners after the faults end.

After each tick a waiting task of an open step must be in the ready queue. From 9 s after the last fault or handover (6 s after its last run and 3 s of calm, the users' bound) each long-running task runs, or has run within these 9 s, and no task with room for it waits or is in one stage for 3 s.

--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -1,9 +1,9 @@
 //! Simulation of owners and runners under faults that checks the invariants on the running tasks.
 
-use crate::support::{job, policy, runner, step};
+use crate::support::{job, policy, runner, step, task};
 use persimmon_sched::{
     Answer, Commit, End, EndKind, Engine, JobId, JobSpec, Options, Order, Record, Report,
-    RunStatus, StepSpec, StoredRecord, TaskId,
+    RunStatus, RunnerInfo, RunnerState, StallCause, StepSpec, StoredRecord, TaskId,
 };
 use proptest::prelude::{any, proptest, ProptestConfig};
 use rand::{Rng, SeedableRng};
@@ -18,6 +18,17 @@
 const TICK_MS: u64 = 20;
 const FAULTS_MS: u64 = 30_000;
 const RECOVERY_MS: u64 = 60_000;
+/// Time without faults after which a task with room for it runs.
+const CALM_MS: u64 = 3_000;
+/// Time after its last run within which a long-running task runs again, once there are no faults.
+const RUNS_AGAIN_MS: u64 = 6_000 + CALM_MS;
+/// Job of long-running tasks, and number of its tasks.
+const LONG_RUNNING_JOB: u64 = 100;
+const LONG_RUNNING_TASKS: u32 = 3;
+/// Job of checkpointing tasks.
+const CHECKPOINTING_JOB: u64 = 101;
+/// Longest time that a change of the instance list takes to reach an owner.
+const LIST_DELAY_MAX_MS: u64 = 1_500;
 /// Longest lease term that a worker grants.
 const LEASE_MAX_MS: u64 = 10_000;
 
@@ -36,6 +47,25 @@
     /// does not make a task done.
     first_valid_end: u64,
     unreachable_until_ms: u64,
+    presence: Presence,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Presence {
+    Ready,
+    /// Leaves at this time.
+    Draining {
+        leaves_at_ms: u64,
+    },
+    Gone,
+}
+
+/// A change of the instance list that has not reached the owners yet.
+#[derive(Clone)]
+struct ListChange {
+    at_ms: u64,
+    worker: usize,
+    presence: Presence,
 }
 
 struct Running {
@@ -72,6 +102,10 @@
     now_ms: u64,
     workers: Vec<Worker>,
     delayed_starts: Vec<StartCall>,
+    list_changes: Vec<ListChange>,
+    cancelled: BTreeSet<JobId>,
+    /// When each long-running task was last seen running.
+    last_run_ms: BTreeMap<TaskId, u64>,
     specs: BTreeMap<JobId, JobSpec>,
     records: BTreeMap<JobId, (u64, Record)>,
     revision: u64,
@@ -79,34 +113,30 @@
     owners: Vec<Owner>,
     done: BTreeSet<TaskId>,
     faults_enabled: bool,
+    /// When the last fault ended or the last owner took over, which ends the leases of the earlier
+    /// one only after a term.
+    calm_since_ms: u64,
 }
 
 impl Simulation {
     fn new(seed: u64) -> Self {
-        let workers = (0..RUNNERS).map(|at| Worker {
-            id: format!("w{at}"),
-            incarnation_ms: 1,
-            fence: 0,
-            deadline_ms: 0,
-            running: BTreeMap::new(),
-            highest_ended_run: HashMap::new(),
-            ended: Vec::new(),
-            next_end: 1,
-            first_valid_end: 0,
-            unreachable_until_ms: 0,
-        });
+        let workers = (0..RUNNERS).map(|at| Worker::new(at, 1));
         let mut simulation = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             started_at: Instant::now(),
             now_ms: 0,
             workers: workers.collect(),
             delayed_starts: Vec::new(),
+            list_changes: Vec::new(),
+            cancelled: BTreeSet::new(),
+            last_run_ms: BTreeMap::new(),
             specs: BTreeMap::new(),
             records: BTreeMap::new(),
             revision: 0,
             owners: Vec::new(),
             done: BTreeSet::new(),
             faults_enabled: true,
+            calm_since_ms: 0,
         };
         simulation.take_over();
         simulation
@@ -125,9 +155,6 @@
         let fence = self.revision;
         let mut engine = Engine::new(Options::default(), self.now());
         engine.configure(policy());
-        for worker in &self.workers {
-            engine.update_runner(runner(&worker.id, 4_000), self.now());
-        }
         for (id, spec) in &self.specs {
             let stored = self.records.get(id).map(|(revision, record)| StoredRecord {
                 revision: *revision,
@@ -135,6 +162,12 @@
             });
             engine.add_job(spec.clone(), stored, 0, self.now());
         }
+        for &id in &self.cancelled {
+            engine.cancel(id, self.now());
+        }
+        for worker in &self.workers {
+            worker.list(worker.presence, &mut engine, self.now());
+        }
         self.owners.push(Owner {
             engine,
             fence,
@@ -151,15 +184,56 @@
             after: vec![0],
             ..step(2)
         };
-        let spec = job(id, vec![step(3), second]);
+        self.submit_job(job(id, vec![step(3), second]));
+    }
+
+    fn submit_lasting_jobs(&mut self) {
+        let long_running = StepSpec {
+            long_running: true,
+            ..step(LONG_RUNNING_TASKS)
+        };
+        self.submit_job(job(LONG_RUNNING_JOB, vec![long_running]));
+        let checkpointing = StepSpec {
+            checkpointing: true,
+            ..step(2)
+        };
+        self.submit_job(job(CHECKPOINTING_JOB, vec![checkpointing]));
+    }
+
+    fn submit_job(&mut self, spec: JobSpec) {
         self.specs.insert(spec.id, spec.clone());
         let now = self.now();
         let owner = self.owners.last_mut().expect("an owner");
         owner.engine.add_job(spec, None, 0, now);
     }
 
+    fn cancel(&mut self, id: u64) {
+        let now = self.now();
+        self.cancelled.insert(JobId(id));
+        let owner = self.owners.last_mut().expect("an owner");
+        owner.engine.cancel(JobId(id), now);
+    }
+
+    /// Ends all faults: from now on there is nothing but what they left behind.
+    fn end_faults(&mut self) {
+        self.faults_enabled = false;
+        for worker in &mut self.workers {
+            worker.unreachable_until_ms = 0;
+        }
+        self.retire_earlier_owners();
+    }
+
+    fn retire_earlier_owners(&mut self) {
+        let now = self.now();
+        self.owners.drain(..self.owners.len() - 1);
+        self.owners[0].engine.predecessor_ended(now);
+        self.calm_since_ms = self.now_ms;
+    }
+
     fn tick(&mut self) {
         self.now_ms += TICK_MS;
+        self.remove_leaving_workers();
+        self.deliver_list_changes();
         self.end_due_runs();
         self.deliver_delayed_starts();
         for at in 0..self.owners.len() {
@@ -169,8 +243,135 @@
             self.take_over();
         }
         if self.chance(1) {
-            let at = self.rng.random_range(0..RUNNERS);
-            self.inject_runner_fault(at);
+            let present = self.present();
+            let at = present[self.rng.random_range(0..present.len())];
+            match self.rng.random_range(0..4) {
+                0 => self.drain(at),
+                1 if self.rng.random_range(0..2) == 0 => self.remove(at),
+                _ => self.inject_runner_fault(at),
+            }
+        }
+        if !self.faults_enabled {
+            self.do_planned_work();
+        }
+        self.check_waiting_tasks();
+    }
+
+    /// Drains a worker or hands over to a new owner at times.
+    fn do_planned_work(&mut self) {
+        match self.rng.random_range(0..1_000) {
+            0..3 => {
+                let present = self.present();
+                let at = present[self.rng.random_range(0..present.len())];
+                self.drain(at);
+            }
+            3 => {
+                self.take_over();
+                self.retire_earlier_owners();
+            }
+            _ => {}
+        }
+    }
+
+    /// Checks that each task of an open step that waits is queued, and that nothing else keeps it
+    /// waiting for long once there are no faults.
+    fn check_waiting_tasks(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let engine = &mut self.owners.last_mut().expect("an owner").engine;
+        for stalled in engine.stalled(Duration::ZERO, now) {
+            assert!(
+                stalled.cause != StallCause::NotQueued,
+                "{stalled} at {now_ms} ms"
+            );
+        }
+        let calm_since_ms = self.calm_since_ms;
+        if !self.faults_enabled && now_ms >= calm_since_ms + RUNS_AGAIN_MS {
+            let stalled = engine.stalled(Duration::from_millis(CALM_MS), now);
+            assert!(stalled.is_empty(), "{} at {now_ms} ms", stalled[0]);
+        }
+        for index in 0..LONG_RUNNING_TASKS {
+            let id = task(LONG_RUNNING_JOB, 0, index as u16);
+            let runs = self.workers.iter();
+            let runs = runs.filter(|it| it.running.contains_key(&id)).count();
+            let last_run_ms = self.last_run_ms.entry(id).or_default();
+            if runs > 0 || self.faults_enabled {
+                *last_run_ms = now_ms;
+            }
+            assert!(
+                now_ms - calm_since_ms.max(*last_run_ms) <= RUNS_AGAIN_MS,
+                "{id} has not run since {last_run_ms} ms at {now_ms} ms"
+            );
+        }
+    }
+
+    /// Workers that have not left.
+    fn present(&self) -> Vec<usize> {
+        let all = 0..self.workers.len();
+        all.filter(|&at| self.workers[at].presence != Presence::Gone)
+            .collect()
+    }
+
+    /// A worker announces that it leaves, and a new one takes its place.
+    fn drain(&mut self, at: usize) {
+        if self.workers[at].presence != Presence::Ready {
+            return;
+        }
+        let leaves_at_ms = self.now_ms + self.rng.random_range(2_000..6_000);
+        self.set_presence(at, Presence::Draining { leaves_at_ms });
+        self.add_worker();
+    }
+
+    /// A worker leaves without notice, and a new one takes its place.
+    fn remove(&mut self, at: usize) {
+        self.leave(at);
+        self.add_worker();
+    }
+
+    fn add_worker(&mut self) {
+        let at = self.workers.len();
+        self.workers.push(Worker::new(at, self.now_ms));
+        self.set_presence(at, Presence::Ready);
+    }
+
+    fn leave(&mut self, at: usize) {
+        self.workers[at].running.clear();
+        self.set_presence(at, Presence::Gone);
+    }
+
+    fn set_presence(&mut self, worker: usize, presence: Presence) {
+        self.workers[worker].presence = presence;
+        let at_ms = self.now_ms + self.rng.random_range(0..LIST_DELAY_MAX_MS);
+        // A later change replaces an earlier one that has not been seen.
+        self.list_changes.retain(|it| it.worker != worker);
+        self.list_changes.push(ListChange {
+            at_ms,
+            worker,
+            presence,
+        });
+    }
+
+    fn remove_leaving_workers(&mut self) {
+        for at in self.present() {
+            match self.workers[at].presence {
+                Presence::Draining { leaves_at_ms } if self.now_ms >= leaves_at_ms => {
+                    self.leave(at);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver_list_changes(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let (due, rest): (Vec<_>, Vec<_>) = self
+            .list_changes
+            .drain(..)
+            .partition(|it| it.at_ms <= now_ms);
+        self.list_changes = rest;
+        for change in due {
+            for owner in &mut self.owners {
+                self.workers[change.worker].list(change.presence, &mut owner.engine, now);
+            }
         }
     }
 
@@ -241,7 +442,7 @@
         for order in self.owners[at].engine.take_orders() {
             self.execute(at, order);
         }
-        for worker in 0..RUNNERS {
+        for worker in self.present() {
             if self.rng.random_range(0..4) == 0 {
                 self.poll(at, worker);
             }
@@ -306,6 +507,9 @@
                     deadline_ms,
                 };
                 let answer = self.send_start(start);
+                if self.chance(2) {
+                    return;
+                }
                 let engine = &mut self.owners[at].engine;
                 engine.handle_start_answer(task, run, answer, now);
             }
@@ -323,7 +527,8 @@
     }
 
     fn is_unreachable(&self, worker: usize) -> bool {
-        self.now_ms < self.workers[worker].unreachable_until_ms
+        let worker = &self.workers[worker];
+        worker.presence == Presence::Gone || self.now_ms < worker.unreachable_until_ms
     }
 
     fn send_start(&mut self, start: StartCall) -> Answer {
@@ -332,6 +537,9 @@
             self.delayed_starts.push(StartCall { at_ms, ..start });
             return Answer::Unknown;
         }
+        if self.workers[start.worker].presence == Presence::Gone {
+            return Answer::NotSent;
+        }
         if self.is_unreachable(start.worker) {
             return Answer::Unknown;
         }
@@ -347,8 +555,16 @@
         let clock_ms = self.clock_ms(start.worker);
         let run_time_ms = self.rng.random_range(100..3_000);
         let fails = self.chance(5);
-        let until_ms = self.now_ms + run_time_ms;
+        let is_lasting = start.task.job == JobId(LONG_RUNNING_JOB);
+        let until_ms = if is_lasting && !self.chance(30) {
+            u64::MAX
+        } else {
+            self.now_ms + run_time_ms
+        };
         let worker = &mut self.workers[start.worker];
+        if worker.presence == Presence::Gone {
+            return Answer::NotSent;
+        }
         if start.incarnation_ms != worker.incarnation_ms {
             return Answer::Refused;
         }
@@ -390,12 +606,13 @@
     }
 
     fn poll(&mut self, at: usize, worker: usize) {
+        let now = self.now();
+        let id = self.workers[worker].id.clone();
         if self.is_unreachable(worker) || self.chance(3) {
+            self.owners[at].engine.handle_missed_report(&id, now);
             return;
         }
-        let now = self.now();
         let clock_ms = self.clock_ms(worker);
-        let id = self.workers[worker].id.clone();
         let owner = &mut self.owners[at];
         let deadline_ms = owner.engine.lease_deadline_ms(&id, now);
         let acknowledged = owner.engine.acknowledged(&id);
@@ -412,7 +629,8 @@
         let (new, seen): (Vec<_>, Vec<_>) = it.ended.drain(..).partition(is_new);
         it.ended = new;
         for end in seen {
-            if end.kind == EndKind::Done && end.number >= it.first_valid_end {
+            let is_lasting = end.task.job == JobId(LONG_RUNNING_JOB);
+            if end.kind == EndKind::Done && !is_lasting && end.number >= it.first_valid_end {
                 self.done.insert(end.task);
             }
         }
@@ -439,6 +657,35 @@
 }
 
 impl Worker {
+    fn new(at: usize, incarnation_ms: u64) -> Self {
+        Self {
+            id: format!("w{at}"),
+            incarnation_ms,
+            fence: 0,
+            deadline_ms: 0,
+            running: BTreeMap::new(),
+            highest_ended_run: HashMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            first_valid_end: 0,
+            unreachable_until_ms: 0,
+            presence: Presence::Ready,
+        }
+    }
+
+    /// Shows the worker to an engine as the instance list does.
+    fn list(&self, presence: Presence, engine: &mut Engine, now: Instant) {
+        let info = runner(&self.id, 4_000);
+        match presence {
+            Presence::Ready => engine.update_runner(info, now),
+            Presence::Draining { .. } => {
+                let state = RunnerState::Draining;
+                engine.update_runner(RunnerInfo { state, ..info }, now);
+            }
+            Presence::Gone => engine.unlist_runner(&self.id),
+        }
+    }
+
     fn renew(&mut self, deadline_ms: u64, clock_ms: u64) {
         let shortened = deadline_ms.min(clock_ms + LEASE_MAX_MS);
         self.deadline_ms = self.deadline_ms.max(shortened);
@@ -476,18 +723,26 @@
 fn run_simulation(seed: u64) {
     let mut simulation = Simulation::new(seed);
     let mut next = 0;
+    simulation.submit_lasting_jobs();
     while simulation.now_ms < FAULTS_MS {
         if next < JOBS && simulation.now_ms >= next * 1_500 {
             next += 1;
             simulation.submit(next);
+            if next % 4 == 0 {
+                simulation.cancel(next - 1);
+            }
         }
         simulation.tick();
     }
-    simulation.faults_enabled = false;
+    simulation.end_faults();
     while simulation.now_ms < FAULTS_MS + RECOVERY_MS {
         simulation.tick();
     }
-    for id in simulation.specs.keys() {
+    for id in simulation
+        .specs
+        .keys()
+        .filter(|id| id.0 != LONG_RUNNING_JOB)
+    {
         let phase = simulation.records.get(id).map(|(_, record)| record.phase);
         let ended = phase.is_some_and(persimmon_sched::Phase::is_final);
         assert!(ended, "{id} is {phase:?} after a minute without faults");
