fix(sched): claim all runners of a gang before its tasks change

By a test of the engine, found by reading; no site of ours has gangs.

Cause: placing a gang assigned one member after the other and released them again if a later one did not fit. Each pass over a gang that fits in part raised its run number and its version, so its record was written in each commit, before the changes of jobs with higher ids, and the job counted as active though nothing had started.

Failed before and passes now: gang_that_fits_in_part_is_not_committed_in_each_pass assertion failed: fleet.harness.engine.take_commits(1).is_empty().

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -214,13 +214,10 @@
                 ..id
             })
             .collect();
-        for (at, &member) in members.iter().enumerate() {
-            let Some(key) = self.choose(member, &claim, now) else {
-                for &placed in &members[..at] {
-                    self.end_run(placed, now);
-                }
-                return false;
-            };
+        let Some(runners) = self.claim_for_gang(&members, run, claim, now) else {
+            return false;
+        };
+        for (member, key) in members.into_iter().zip(runners) {
             if let Some(task) = self.task_mut(member) {
                 task.checkpoint.clone_from(&checkpoint);
             }
@@ -229,6 +226,34 @@
         true
     }
 
+    /// Chooses a runner for each member of a gang and claims it; `None`, without claims, if a member
+    /// fits on none.
+    fn claim_for_gang(
+        &mut self,
+        members: &[TaskId],
+        run: u32,
+        claim: Claim,
+        now: Instant,
+    ) -> Option<Vec<RunnerKey>> {
+        let mut siblings = HashMap::new();
+        let mut runners = Vec::with_capacity(members.len());
+        for &member in members {
+            let Some(key) = self.choose_beside(&siblings, member, &claim, now) else {
+                break;
+            };
+            self.runner_mut(key).claim(member, run, claim);
+            *siblings.entry(key).or_default() += 1;
+            runners.push(key);
+        }
+        if runners.len() == members.len() {
+            return Some(runners);
+        }
+        for (&member, key) in members.iter().zip(runners) {
+            self.runner_mut(key).release(member, run);
+        }
+        None
+    }
+
     fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>, claim: Claim) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
@@ -250,15 +275,27 @@
 
     /// Chooses the best runner for a task; `None` if it fits on none.
     fn choose(&self, id: TaskId, claim: &Claim, now: Instant) -> Option<RunnerKey> {
-        let job = self.jobs.get(&id.job)?;
-        let step = &job.spec.steps[usize::from(id.step)];
+        let step = self.step_of(id)?;
         let needs_siblings = step.rack_local || step.per_runner_max > 0;
         let siblings = if needs_siblings {
             self.siblings(id)
         } else {
             HashMap::new()
         };
-        let rack = self.preferred_rack(step, &siblings);
+        self.choose_beside(&siblings, id, claim, now)
+    }
+
+    /// Chooses the best runner for a task while its step has this number of tasks on each.
+    fn choose_beside(
+        &self,
+        siblings: &HashMap<RunnerKey, u32>,
+        id: TaskId,
+        claim: &Claim,
+        now: Instant,
+    ) -> Option<RunnerKey> {
+        let job = self.jobs.get(&id.job)?;
+        let step = &job.spec.steps[usize::from(id.step)];
+        let rack = self.preferred_rack(step, siblings);
         let mut best: Option<(i64, RunnerKey)> = None;
         for (at, runner) in self.runners.iter().enumerate() {
             let key = RunnerKey(at as u32);
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -371,3 +371,22 @@
     fleet.rounds(RUNS_AGAIN_WITHIN_MS);
     assert_eq!(fleet.runs(id), [("b", 2)]);
 }
+
+/// Each commit of an unchanged job delays those of other jobs.
+#[test]
+fn gang_that_fits_in_part_is_not_committed_in_each_pass() {
+    let mut fleet = Fleet::new(&["a"], 4_000);
+    fleet.harness.submit(job(1, vec![gang(2)]));
+    for _ in 0..10 {
+        fleet.harness.advance(ROUND_MS);
+        fleet.harness.report("a", vec![]);
+        fleet.harness.engine.tick(0, fleet.harness.now);
+        assert!(fleet.harness.engine.take_commits(1).is_empty());
+    }
+    assert_eq!(fleet.harness.engine.phase(JobId(1)), Some(Phase::Queued));
+    fleet.harness.add_runner("b", 4_000);
+    fleet.runners.insert("b".to_owned(), vec![]);
+    fleet.rounds(PLACED_WITHIN_MS);
+    assert_eq!(fleet.runs(task(1, 0, 0)).len(), 1);
+    assert_eq!(fleet.runs(task(1, 0, 1)).len(), 1);
+}
