fix(sched): forget missed reports of a runner that answers again

Cause: the failures of a runner went back to zero only when a task was done.

Missed reports are now counted apart from failed starts, and one is forgotten for each second in which the runner answers. A done task forgets failed starts only: it is no evidence that the path to the runner is sound, which keeps a runner that is unreachable by turns out of placement. Both counts are bounded at the number that leads to the longest backoff.

missed_reports_are_forgotten_after_answered_ones failed before: assertion `left == right` failed: it has answered for 30 s but for one; left: 0, right: 1 (starts within 3 s) flapping_runner_gets_no_task_while_it_answers_for_moments passes before and after.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,4 +1,5 @@
 mod add_job;
+mod backoff;
 mod commit;
 mod durations;
 mod infeasible;
@@ -20,6 +21,7 @@
 
 pub use types::{Answer, Commit, Options, Order, StoredRecord};
 
+pub(crate) use backoff::Backoff;
 pub(crate) use job::{Job, Rank, Stage, State, Step};
 pub(crate) use task::Task;
 
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -286,7 +286,7 @@
         runner.listed
             && runner.info.state == RunnerState::Ready
             && runner.last_report_at.is_some_and(is_recent)
-            && runner.backoff_until.is_none_or(|until| now >= until)
+            && runner.backoff.is_over(now)
     }
 
     /// Counts the placed tasks of the same step and occurrence, by runner.
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -11,9 +11,6 @@
 
 /// Delay before a failed task is placed again.
 const FAILED_RUN_BACKOFF: Duration = Duration::from_millis(30);
-/// Consecutive failed runs before a runner is given no new tasks; a single one may be the job's own
-/// fault.
-const FAILURES_BEFORE_BACKOFF: u32 = 2;
 
 impl Engine {
     /// Sequence number of the last ended run on `runner` that is committed and may be acknowledged.
@@ -53,13 +50,6 @@
         Some(lease.deadline_ms)
     }
 
-    /// Handles a report request that `runner` did not answer.
-    pub fn handle_missed_report(&mut self, runner: &str, now: Instant) {
-        if let Some(&key) = self.runner_keys.get(runner) {
-            self.back_off_runner(key, now);
-        }
-    }
-
     /// Handles a runner's report, which was requested at `requested_at`.
     pub fn handle_report(
         &mut self,
@@ -151,7 +141,7 @@
                     self.durations
                         .learn(&spec.queue, now.saturating_duration_since(at));
                 }
-                self.runner_mut(key).failures = 0;
+                self.runner_mut(key).backoff.run_succeeded();
                 self.advance(id, now);
             }
             EndKind::Failed if !long_running => {
@@ -173,9 +163,8 @@
     }
 
     fn count_failure(&mut self, key: RunnerKey, now: Instant) {
-        let runner = self.runner_mut(key);
-        runner.failures += 1;
-        if runner.failures >= FAILURES_BEFORE_BACKOFF {
+        let is_repeated = self.runner_mut(key).backoff.run_failed();
+        if is_repeated {
             self.back_off_runner(key, now);
         }
     }
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -169,7 +169,7 @@
         for (_, runner) in self.runners.iter().enumerate().filter(fits) {
             if self.is_schedulable(runner, now) {
                 schedulable += 1;
-            } else if runner.backoff_until.is_some_and(|until| now < until) {
+            } else if !runner.backoff.is_over(now) {
                 backing_off += 1;
             } else {
                 silent += 1;
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -1,14 +1,9 @@
 use super::{Answer, Engine, Stage};
-use crate::{fleet::RunnerKey, TaskId};
+use crate::TaskId;
 use std::time::{Duration, Instant};
 
 /// Delay before a task whose start was refused is placed again.
 const REFUSED_START_BACKOFF: Duration = Duration::from_millis(60);
-/// A runner that refused or did not answer is given no new task for this time, multiplied by its
-/// number of failures.
-const RUNNER_BACKOFF_STEP: Duration = Duration::from_millis(600);
-/// Longest time for which a failing runner is given no new task.
-const RUNNER_BACKOFF_MAX: Duration = Duration::from_secs(6);
 /// Time for an ordered start to be answered, longer than the time limit of the call.
 const START_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for an unanswered start to appear in the runner's next report before it is stopped.
@@ -67,16 +62,6 @@
         }
     }
 
-    /// Counts a failure of a runner and gives it no new tasks for a while.
-    pub(crate) fn back_off_runner(&mut self, key: RunnerKey, now: Instant) {
-        let runner = self.runner_mut(key);
-        runner.failures = runner.failures.saturating_add(1);
-        let wait = RUNNER_BACKOFF_STEP
-            .saturating_mul(runner.failures)
-            .min(RUNNER_BACKOFF_MAX);
-        runner.backoff_until = Some(now + wait);
-    }
-
     /// Handles a runner's answer to a stop: the run is ending, or will never start.
     pub fn handle_stop_answer(&mut self, id: TaskId, run: u32, now: Instant) {
         let Some((_, stage)) = self.placement(id, run) else {
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -1,4 +1,4 @@
-use crate::{JobId, TaskId};
+use crate::{engine::Backoff, JobId, TaskId};
 use persimmon_types::Size;
 use std::{
     collections::{HashMap, VecDeque},
@@ -155,9 +155,7 @@
     pub(crate) processed: u64,
     /// Highest sequence number of an ended run that is committed.
     pub(crate) acknowledged: u64,
-    /// Failed runs and unanswered or refused calls since the last run that succeeded.
-    pub(crate) failures: u32,
-    pub(crate) backoff_until: Option<Instant>,
+    pub(crate) backoff: Backoff,
     pub(crate) tails: Vec<TailLatency>,
     /// Best-effort runs too recent to be reflected in measurements.
     pub(crate) unmeasured: Vec<UnmeasuredRun>,
@@ -239,8 +237,7 @@
             pending_ends: VecDeque::new(),
             processed: 0,
             acknowledged: 0,
-            failures: 0,
-            backoff_until: None,
+            backoff: Backoff::default(),
             tails: Vec::new(),
             unmeasured: Vec::new(),
             throttled_at: None,
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod id;
 mod interference;
 mod policy;
+mod runner_backoff;
 mod simulation;
 mod spec;
 mod stalled;
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -0,0 +1,127 @@
+//! Which runners get new tasks after failures, refusals and missed reports.
+
+use crate::support::{job, listed, starts, step, TestEngine};
+use persimmon_sched::{Answer, StepSpec, TaskId};
+
+/// Interval between two scheduling passes, and between two reports of a runner.
+const ROUND_MS: u64 = 20;
+/// Time within which a long-running task must start without disturbances.
+const LONG_RUNNING_START_MAX_MS: u64 = 3_000;
+
+fn long_running(count: u32) -> StepSpec {
+    StepSpec {
+        long_running: true,
+        ..step(count)
+    }
+}
+
+/// An engine with runners that report in each round and answer starts as told.
+struct Fleet {
+    harness: TestEngine,
+    runners: Vec<&'static str>,
+    running: Vec<(String, TaskId, u32)>,
+    /// Time and runner of each ordered start.
+    starts: Vec<(u64, String)>,
+}
+
+impl Fleet {
+    fn new(runners: &[(&'static str, u32)]) -> Self {
+        let mut harness = TestEngine::new();
+        for (id, cpu_millis) in runners {
+            harness.add_runner(id, *cpu_millis);
+            harness.report(id, vec![]);
+        }
+        Self {
+            harness,
+            runners: runners.iter().map(|it| it.0).collect(),
+            running: Vec::new(),
+            starts: Vec::new(),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.harness.clock_ms()
+    }
+
+    fn report(&mut self, id: &str) {
+        let runs = self.running.iter().filter(|it| it.0 == id);
+        let runs = runs.map(|&(_, task, run)| listed(task, run)).collect();
+        self.harness.report(id, runs);
+    }
+
+    /// Performs rounds for `ms`; `is_up` tells whether a runner answers report requests, `answer`
+    /// its answer to a start.
+    fn run(&mut self, ms: u64, is_up: impl Fn(&str, u64) -> bool, answer: impl Fn(&str) -> Answer) {
+        for _ in 0..ms / ROUND_MS {
+            self.harness.advance(ROUND_MS);
+            for id in self.runners.clone() {
+                if is_up(id, self.now_ms()) {
+                    self.report(id);
+                }
+            }
+            for (id, task, run) in starts(&self.harness.round()) {
+                self.starts.push((self.now_ms(), id.clone()));
+                let answer = answer(&id);
+                self.harness.answer_start(task, run, answer);
+                if answer == Answer::Started {
+                    self.running.push((id, task, run));
+                }
+            }
+        }
+    }
+
+    fn run_calmly(&mut self, ms: u64) {
+        self.run(ms, |_, _| true, |_| Answer::Started);
+    }
+
+    fn miss_reports(&mut self, id: &str, count: u32) {
+        for _ in 0..count {
+            let now = self.harness.now;
+            self.harness.engine.handle_missed_report(id, now);
+        }
+    }
+
+    fn starts_on(&self, id: &str, since_ms: u64) -> usize {
+        let starts = self.starts.iter();
+        starts.filter(|it| it.0 >= since_ms && it.1 == id).count()
+    }
+}
+
+#[test]
+fn missed_reports_are_forgotten_after_answered_ones() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.miss_reports("a", 12);
+    fleet.run_calmly(30_000);
+    fleet.miss_reports("a", 1);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.run_calmly(LONG_RUNNING_START_MAX_MS);
+    assert_eq!(
+        fleet.starts.len(),
+        1,
+        "it has answered for 30 s but for one"
+    );
+}
+
+/// The runner is unreachable for 3 s and answers for 3 s by turns.
+#[test]
+fn flapping_runner_gets_no_task_while_it_answers_for_moments() {
+    const PHASE_MS: u64 = 3_000;
+    const RETRY_MS: u64 = 500;
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    for _ in 0..3 {
+        for _ in 0..PHASE_MS / RETRY_MS {
+            fleet.run(RETRY_MS, |_, _| false, |_| Answer::Unknown);
+            fleet.miss_reports("a", 1);
+        }
+        fleet.run_calmly(PHASE_MS);
+    }
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    for _ in 0..5 {
+        for _ in 0..PHASE_MS / RETRY_MS {
+            fleet.run(RETRY_MS, |_, _| false, |_| Answer::Unknown);
+            fleet.miss_reports("a", 1);
+        }
+        fleet.run_calmly(PHASE_MS);
+    }
+    assert_eq!(fleet.starts_on("a", 0), 0, "{:?}", fleet.starts);
+}
