fix(sched): forget failed starts of a runner that carries long-running tasks

Cause: failed starts of a runner were forgotten when a task was done on it, which never happens on a runner that carries long-running tasks only.

A long-running task that was started after the last failed start and has run for 6 s now counts like a done task. Besides, one failed start is forgotten for each 6 s without another in which the runner answers reports. That is the longest backoff: a runner that answers its reports and fails all it starts, refuses it or does not answer, stays at the longest backoff, also beside long-running tasks from before its fault.

refused_starts_are_forgotten_after_a_long_running_task_stayed failed before: after 12 refusals, 30 s with a running task and one more refusal, the second task did not start within 3 s (left: 1, right: 2). The other three tests guard the protection against runners that fail everything; they pass before and after.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -1,7 +1,7 @@
 //! Failures of a runner, and how long it is given no new tasks because of them.
 
-use super::Engine;
-use crate::fleet::RunnerKey;
+use super::{Engine, Stage};
+use crate::{fleet::RunnerKey, StepSpec};
 use std::time::{Duration, Instant};
 
 /// A failing runner is given no new task for this time, multiplied by its number of failures.
@@ -14,6 +14,11 @@
 const FAILURES_BEFORE_BACKOFF: u32 = 2;
 /// Time for which a runner must answer all report requests for one missed report to be forgotten.
 const MISSED_REPORT_MEMORY: Duration = Duration::from_secs(1);
+/// Time without a failed start for one to be forgotten. A shorter one would let a runner that fails
+/// all it starts return sooner than after [`BACKOFF_MAX`].
+const FAILED_START_MEMORY: Duration = BACKOFF_MAX;
+/// Run time after which a long-running task counts as a run that succeeded.
+const STABLE_RUN_TIME: Duration = BACKOFF_MAX;
 
 /// Decides when a runner may be given new tasks.
 #[derive(Debug, Default)]
@@ -47,7 +52,8 @@
     }
 
     /// Handles a start that was refused or not answered.
-    pub(crate) fn start_failed(&mut self, now: Instant) {
+    pub(crate) fn start_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
+        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
         let wait = self.failed_starts.add(now);
         self.extend(now + wait);
     }
@@ -58,6 +64,13 @@
         self.failed_starts.count >= FAILURES_BEFORE_BACKOFF
     }
 
+    /// Returns whether a long-running task that has run since `started_at` shows that failed starts
+    /// are past.
+    fn is_refuted_by(&self, started_at: Instant, now: Instant) -> bool {
+        let last_at = self.failed_starts.last_at;
+        now >= started_at + STABLE_RUN_TIME && last_at.is_some_and(|at| started_at > at)
+    }
+
     /// Handles a run that succeeded.
     pub(crate) fn run_succeeded(&mut self) {
         self.failed_starts.count = 0;
@@ -100,10 +113,30 @@
 
     /// Counts a start that a runner refused or did not answer.
     pub(crate) fn back_off_runner(&mut self, key: RunnerKey, now: Instant) {
-        self.runner_mut(key).backoff.start_failed(now);
+        let runner = self.runner_mut(key);
+        runner.backoff.start_failed(runner.last_report_at, now);
         self.log_backoff(key);
     }
 
+    /// Forgets the failed starts of a runner on which a long-running task has been stable since.
+    pub(crate) fn credit_stable_runs(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner(key);
+        if runner.backoff.failed_starts.count == 0 {
+            return;
+        }
+        let is_long_running = |step: &StepSpec| step.long_running;
+        let is_stable = runner.claims.keys().any(|&(id, run)| {
+            let Some(Stage::Running(since)) = self.stage_on(key, id, run) else {
+                return false;
+            };
+            runner.backoff.is_refuted_by(since, now)
+                && self.step_of(id).is_some_and(is_long_running)
+        });
+        if is_stable {
+            self.runner_mut(key).backoff.run_succeeded();
+        }
+    }
+
     fn log_backoff(&self, key: RunnerKey) {
         let runner = self.runner(key);
         log::debug!(
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -73,6 +73,7 @@
             self.handle_listed_run(key, run, now);
         }
         self.requeue_unlisted(key, &listed, requested_at, now);
+        self.credit_stable_runs(key, now);
         self.process_measurements(key, &report.running, now);
     }
 
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -1,12 +1,14 @@
 //! Which runners get new tasks after failures, refusals and missed reports.
 
-use crate::support::{job, listed, starts, step, TestEngine};
-use persimmon_sched::{Answer, StepSpec, TaskId};
+use crate::support::{job, listed, report, starts, step, task, TestEngine};
+use persimmon_sched::{Answer, End, EndKind, StepSpec, TaskId};
 
 /// Interval between two scheduling passes, and between two reports of a runner.
 const ROUND_MS: u64 = 20;
 /// Time within which a long-running task must start without disturbances.
 const LONG_RUNNING_START_MAX_MS: u64 = 3_000;
+/// Longest time for which a failing runner is given no new task.
+const BACKOFF_MAX_MS: u64 = 6_000;
 
 fn long_running(count: u32) -> StepSpec {
     StepSpec {
@@ -49,6 +51,23 @@
         self.harness.report(id, runs);
     }
 
+    /// Reports the end of a run.
+    fn end(&mut self, number: u64, run: usize, kind: EndKind) {
+        let (id, task, run) = self.running.remove(run);
+        let mut report = report(self.harness.clock_ms(), vec![]);
+        let runs = self.running.iter().filter(|it| it.0 == id);
+        report.running = runs.map(|&(_, task, run)| listed(task, run)).collect();
+        report.ended.push(End {
+            number,
+            task,
+            run,
+            kind,
+            checkpoint: String::new(),
+        });
+        let now = self.harness.now;
+        self.harness.engine.handle_report(&id, &report, now, now);
+    }
+
     /// Performs rounds for `ms`; `is_up` tells whether a runner answers report requests, `answer`
     /// its answer to a start.
     fn run(&mut self, ms: u64, is_up: impl Fn(&str, u64) -> bool, answer: impl Fn(&str) -> Answer) {
@@ -102,6 +121,70 @@
     );
 }
 
+#[test]
+fn refused_starts_are_forgotten_after_a_long_running_task_stayed() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.run(40_000, |_, _| true, |_| Answer::Refused);
+    fleet.run_calmly(30_000);
+    assert_eq!(fleet.running.len(), 1);
+    fleet.harness.submit(job(2, vec![long_running(1)]));
+    fleet.run(ROUND_MS, |_, _| true, |_| Answer::Refused);
+    fleet.run_calmly(LONG_RUNNING_START_MAX_MS);
+    assert_eq!(fleet.running.len(), 2, "{:?}", fleet.starts);
+}
+
+#[test]
+fn runner_that_fails_all_runs_stays_backed_off_while_it_reports() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    let mut ends = 0;
+    for _ in 0..120 {
+        fleet.run_calmly(500);
+        if !fleet.running.is_empty() {
+            ends += 1;
+            fleet.end(ends, 0, EndKind::Failed);
+        }
+    }
+    let since_ms = fleet.now_ms() - 4 * BACKOFF_MAX_MS;
+    assert!((1..=4).contains(&fleet.starts_on("a", since_ms)));
+}
+
+/// Long-running tasks from before the fault go on.
+#[test]
+fn runner_that_fails_new_runs_stays_backed_off_while_others_stay() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.run_calmly(20_000);
+    fleet.harness.submit(job(2, vec![long_running(1)]));
+    let mut ends = 0;
+    for _ in 0..120 {
+        fleet.run_calmly(500);
+        if fleet.running.len() > 1 {
+            ends += 1;
+            fleet.end(ends, 1, EndKind::Failed);
+        }
+    }
+    let since_ms = fleet.now_ms() - 4 * BACKOFF_MAX_MS;
+    assert!((1..=4).contains(&fleet.starts_on("a", since_ms)));
+}
+
+#[test]
+fn runner_that_answers_reports_but_no_starts_stays_backed_off() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    for _ in 0..3_000 {
+        fleet.run(ROUND_MS, |_, _| true, |_| Answer::Unknown);
+        for run in 1..=fleet.starts.len() as u32 {
+            let now = fleet.harness.now;
+            let engine = &mut fleet.harness.engine;
+            engine.handle_stop_answer(task(1, 0, 0), run, now);
+        }
+    }
+    let since_ms = fleet.now_ms() - 4 * BACKOFF_MAX_MS;
+    assert!((1..=4).contains(&fleet.starts_on("a", since_ms)));
+}
+
 /// The runner is unreachable for 3 s and answers for 3 s by turns.
 #[test]
 fn flapping_runner_gets_no_task_while_it_answers_for_moments() {
