--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -10,7 +10,7 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(6);
 /// Number of failures that leads to [`BACKOFF_MAX`]; no more are remembered.
 const FAILURES_MAX: u32 = (BACKOFF_MAX.as_millis() / BACKOFF_STEP.as_millis()) as u32;
-/// Failed runs before a runner is given no new tasks; a single one may be the job's own fault.
+/// Failures before a failed run takes a runner out of placement; a single one may be the job's own fault.
 const FAILURES_BEFORE_BACKOFF: u32 = 2;
 /// Time for which a runner must answer all report requests for one missed report to be forgotten.
 const MISSED_REPORT_MEMORY: Duration = Duration::from_secs(1);
@@ -58,10 +58,13 @@
         self.extend(now + wait);
     }
 
-    /// Counts a failed run; returns whether it is a repeated failure.
-    pub(crate) fn run_failed(&mut self) -> bool {
-        self.failed_starts.count += 1;
-        self.failed_starts.count >= FAILURES_BEFORE_BACKOFF
+    /// Handles a run that failed.
+    fn run_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
+        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
+        let wait = self.failed_starts.add(now);
+        if self.failed_starts.count >= FAILURES_BEFORE_BACKOFF {
+            self.extend(now + wait);
+        }
     }
 
     /// Returns whether a long-running task that has run since `started_at` shows that failed starts
@@ -118,6 +121,13 @@
         self.log_backoff(key);
     }
 
+    /// Counts a run that failed on a runner.
+    pub(crate) fn count_failed_run(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner_mut(key);
+        runner.backoff.run_failed(runner.last_report_at, now);
+        self.log_backoff(key);
+    }
+
     /// Forgets the failed starts of a runner on which a long-running task has been stable since.
     pub(crate) fn credit_stable_runs(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner(key);
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -149,27 +149,20 @@
                 task.failures += 1;
                 let attempts_exhausted = task.failures >= attempts_max;
                 self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF), now);
-                self.count_failure(key, now);
+                self.count_failed_run(key, now);
                 if attempts_exhausted && !self.is_final(id) {
                     self.finish(id.job, Phase::Failed, now);
                 }
             }
             EndKind::Done | EndKind::Failed | EndKind::Cut => {
                 if end.kind == EndKind::Failed {
-                    self.count_failure(key, now);
+                    self.count_failed_run(key, now);
                 }
                 self.requeue(id, end.run, None, now);
             }
         }
     }
 
-    fn count_failure(&mut self, key: RunnerKey, now: Instant) {
-        let is_repeated = self.runner_mut(key).backoff.run_failed();
-        if is_repeated {
-            self.back_off_runner(key, now);
-        }
-    }
-
     fn is_final(&self, id: TaskId) -> bool {
         self.jobs
             .get(&id.job)
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -134,6 +134,34 @@
     assert_eq!(fleet.running.len(), 2, "{:?}", fleet.starts);
 }
 
+/// Time from the second of two failures to the next start.
+fn backoff_after_two(mut fail: impl FnMut(&mut Fleet, u64)) -> u64 {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fail(&mut fleet, 1);
+    fail(&mut fleet, 2);
+    let failed_at_ms = fleet.now_ms();
+    fleet.starts.clear();
+    fleet.run_calmly(BACKOFF_MAX_MS);
+    fleet.starts[0].0 - failed_at_ms
+}
+
+#[test]
+fn failed_run_counts_as_one_failure() {
+    let refused = backoff_after_two(|fleet, count| {
+        while fleet.starts.len() < count as usize {
+            fleet.run(ROUND_MS, |_, _| true, |_| Answer::Refused);
+        }
+    });
+    let failed = backoff_after_two(|fleet, count| {
+        while fleet.running.is_empty() {
+            fleet.run_calmly(ROUND_MS);
+        }
+        fleet.end(count, 0, EndKind::Failed);
+    });
+    assert_eq!(failed, refused);
+}
+
 #[test]
 fn runner_that_fails_all_runs_stays_backed_off_while_it_reports() {
     let mut fleet = Fleet::new(&[("a", 4_000)]);
