fix(sched): place a task elsewhere after a refusal for lack of room

Cause: a start refused for lack of free resources neither backed the runner off nor changed what the engine believed of its free resources. Best fit chose the same runner again 60 ms later, without end.

A runner that refuses a demand is now given no task that demands at least as much, for 0.6 s times the number of such refusals and at most 6 s, or until a run ends there or the runner restarts. Smaller tasks may still start there. Starts that were ordered together and are refused together count once. Each refusal is logged with the demand, the free resources that the engine assumed beside it and the number of refusals.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -1,7 +1,8 @@
 //! Failures of a runner, and how long it is given no new tasks because of them.
 
 use super::{Engine, Stage};
-use crate::{fleet::RunnerKey, StepSpec};
+use crate::{fleet::RunnerKey, StepSpec, TaskId};
+use persimmon_types::Size;
 use std::time::{Duration, Instant};
 
 /// A failing runner is given no new task for this time, multiplied by its number of failures.
@@ -28,6 +29,15 @@
     /// Failed runs and unanswered or refused starts since the last run that succeeded.
     failed_starts: Failures,
     until: Option<Instant>,
+    lack_of_room: LackOfRoom,
+}
+
+/// Demands for which a runner lacks free resources although its claims leave them free.
+#[derive(Debug, Default)]
+struct LackOfRoom {
+    refusals: Failures,
+    demands: Vec<Size>,
+    until: Option<Instant>,
 }
 
 /// Recent failures of one kind.
@@ -79,11 +89,52 @@
         self.failed_starts.count = 0;
     }
 
+    /// Returns whether a task with this demand may be placed, as far as earlier refusals tell.
+    pub(crate) fn admits(&self, demand: Size, now: Instant) -> bool {
+        self.lack_of_room.admits(demand, now)
+    }
+
+    /// Handles a start that was refused for lack of free resources.
+    pub(crate) fn room_refused(
+        &mut self,
+        demand: Size,
+        answered_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.lack_of_room.add(demand, answered_at, now);
+    }
+
+    /// Handles the end of a run on the runner, which may free what an earlier refusal lacked.
+    pub(crate) fn room_freed(&mut self) {
+        self.lack_of_room.demands.clear();
+    }
+
     fn extend(&mut self, until: Instant) {
         self.until = self.until.max(Some(until));
     }
 }
 
+impl LackOfRoom {
+    fn admits(&self, demand: Size, now: Instant) -> bool {
+        let is_past = self.until.is_none_or(|until| now >= until);
+        is_past || !self.demands.iter().any(|refused| refused.fits(demand))
+    }
+
+    fn add(&mut self, demand: Size, answered_at: Option<Instant>, now: Instant) {
+        if self.until.is_some_and(|until| now >= until) {
+            self.demands.clear();
+        }
+        // Starts that were on their way together count once.
+        if !self.admits(demand, now) {
+            return;
+        }
+        self.demands.push(demand);
+        self.refusals.forget(FAILED_START_MEMORY, answered_at);
+        let wait = self.refusals.add(now);
+        self.until = self.until.max(Some(now + wait));
+    }
+}
+
 impl Failures {
     /// Counts a failure and returns how long to back off.
     fn add(&mut self, now: Instant) -> Duration {
@@ -121,6 +172,23 @@
         self.log_backoff(key);
     }
 
+    /// Keeps tasks that demand at least as much as this run off a runner that refused it for lack of
+    /// free resources.
+    pub(crate) fn note_lack_of_room(&mut self, key: RunnerKey, run: (TaskId, u32), now: Instant) {
+        let runner = self.runner_mut(key);
+        let Some(demand) = runner.claims.get(&run).map(|claim| claim.size) else {
+            return;
+        };
+        let last_report_at = runner.last_report_at;
+        runner.backoff.room_refused(demand, last_report_at, now);
+        log::info!(
+            "event=runner.full runner={} demand=\"{demand}\" free_beside=\"{}\" refusals={}",
+            runner.info.id,
+            runner.free_capacity(),
+            runner.backoff.lack_of_room.refusals.count
+        );
+    }
+
     /// Counts a run that failed on a runner.
     pub(crate) fn count_failed_run(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner_mut(key);
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -59,6 +59,7 @@
         runner.acknowledged = 0;
         runner.pending_ends.clear();
         runner.lease.reset(lease_term_max, now);
+        runner.backoff.room_freed();
         let is_unconfirmed =
             |stage| matches!(stage, Stage::Ordered { .. } | Stage::Unconfirmed { .. });
         self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage), now);
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -265,6 +265,7 @@
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
             if runner.info.service != job.service
                 || !self.is_schedulable(runner, now)
+                || !runner.backoff.admits(claim.size, now)
                 || !satisfies_constraints(step, runner, sibling_count)
             {
                 continue;
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -84,6 +84,7 @@
         }
         runner.processed = end.number;
         runner.release(end.task, end.run);
+        runner.backoff.room_freed();
         let current = self.stage_on(key, end.task, end.run).is_some();
         log::debug!(
             "event=run.end task={} run={} runner={} kind={:?} current={current}",
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -35,7 +35,7 @@
     NotPlaced {
         /// Runners that may be given new tasks.
         schedulable: usize,
-        /// Runners that are backed off from.
+        /// Runners that are backed off from or refused such a demand.
         backing_off: usize,
         /// Runners without a recent report.
         silent: usize,
@@ -167,9 +167,10 @@
         };
         let (mut schedulable, mut backing_off, mut silent) = (0, 0, 0);
         for (_, runner) in self.runners.iter().enumerate().filter(fits) {
-            if self.is_schedulable(runner, now) {
+            let admits = runner.backoff.admits(step.claim(), now);
+            if self.is_schedulable(runner, now) && admits {
                 schedulable += 1;
-            } else if !runner.backoff.is_over(now) {
+            } else if !runner.backoff.is_over(now) || !admits {
                 backing_off += 1;
             } else {
                 silent += 1;
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -7,6 +7,8 @@
 const ROUND_MS: u64 = 20;
 /// Time within which a long-running task must start without disturbances.
 const LONG_RUNNING_START_MAX_MS: u64 = 3_000;
+/// Time within which a task must start elsewhere; urgent work has 2.8 s in all.
+const START_ELSEWHERE_MAX_MS: u64 = 1_000;
 /// Longest time for which a failing runner is given no new task.
 const BACKOFF_MAX_MS: u64 = 6_000;
 
@@ -134,6 +136,73 @@
     assert_eq!(fleet.running.len(), 2, "{:?}", fleet.starts);
 }
 
+/// The smaller runner fits best.
+fn starts_elsewhere_after(refusal: Answer) {
+    let mut fleet = Fleet::new(&[("a", 1_000), ("b", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    let answer = |id: &str| if id == "a" { refusal } else { Answer::Started };
+    fleet.run(START_ELSEWHERE_MAX_MS, |_, _| true, answer);
+    assert_eq!(fleet.starts_on("b", 0), 1, "{:?}", fleet.starts);
+    assert_eq!(fleet.starts_on("a", 0), 1, "{:?}", fleet.starts);
+}
+
+#[test]
+fn task_starts_elsewhere_after_refusal_for_lack_of_room() {
+    starts_elsewhere_after(Answer::Room);
+}
+
+/// Starts in the last 24 s of a minute in which the only runner answers each start alike.
+fn late_starts(answer: Answer) -> usize {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.run(60_000, |_, _| true, |_| answer);
+    let since_ms = fleet.now_ms() - 4 * BACKOFF_MAX_MS;
+    fleet.starts_on("a", since_ms)
+}
+
+#[test]
+fn refusing_runner_is_not_tried_in_series() {
+    for answer in [Answer::Room, Answer::Refused] {
+        let starts = late_starts(answer);
+        assert!((1..=4).contains(&starts), "{starts} after {answer:?}");
+    }
+}
+
+#[test]
+fn larger_task_refused_for_lack_of_room_does_not_hold_up_smaller_ones() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    let mut large = long_running(1);
+    large.size.cpu_millis = 3_000;
+    fleet.harness.submit(job(1, vec![large]));
+    fleet.run(ROUND_MS, |_, _| true, |_| Answer::Room);
+    fleet.harness.submit(job(2, vec![long_running(1)]));
+    fleet.run_calmly(ROUND_MS);
+    assert_eq!(fleet.running, [("a".to_owned(), task(2, 0, 0), 1)]);
+}
+
+#[test]
+fn refusals_of_starts_ordered_together_count_once() {
+    let mut fleet = Fleet::new(&[("a", 40_000)]);
+    fleet.harness.submit(job(1, vec![long_running(20)]));
+    fleet.run(ROUND_MS, |_, _| true, |_| Answer::Room);
+    assert_eq!(fleet.starts.len(), 20);
+    fleet.run_calmly(LONG_RUNNING_START_MAX_MS);
+    assert_eq!(fleet.running.len(), 20);
+}
+
+#[test]
+fn refused_task_starts_once_a_run_has_ended_there() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![step(1)]));
+    fleet.run_calmly(ROUND_MS);
+    fleet.harness.submit(job(2, vec![long_running(1)]));
+    fleet.run(20_000, |_, _| true, |_| Answer::Room);
+    fleet.starts.clear();
+    fleet.end(1, 0, EndKind::Done);
+    fleet.run_calmly(5 * ROUND_MS);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
 /// Time from the second of two failures to the next start.
 fn backoff_after_two(mut fail: impl FnMut(&mut Fleet, u64)) -> u64 {
     let mut fleet = Fleet::new(&[("a", 4_000)]);
