--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -151,6 +151,11 @@
     starts_elsewhere_after(Answer::Room);
 }
 
+#[test]
+fn task_starts_elsewhere_after_refusal_as_old() {
+    starts_elsewhere_after(Answer::Old);
+}
+
 /// Starts in the last 24 s of a minute in which the only runner answers each start alike.
 fn late_starts(answer: Answer) -> usize {
     let mut fleet = Fleet::new(&[("a", 4_000)]);
@@ -162,7 +167,7 @@
 
 #[test]
 fn refusing_runner_is_not_tried_in_series() {
-    for answer in [Answer::Room, Answer::Refused] {
+    for answer in [Answer::Room, Answer::Old, Answer::Refused] {
         let starts = late_starts(answer);
         assert!((1..=4).contains(&starts), "{starts} after {answer:?}");
     }
