fix(sched): count a start that was not sent as a missed report

Callers may see runners with room left out of placement after their owner stood still (found while the counts of failures were separated; no run of the processes has shown it yet).

Cause: a start is not sent when the runner's last report is too old to grant a lease. That is a lack of reports, often the owner's own, but it counted as a start that the runner failed: twelve starts that waited for one commit took a sound runner out of placement for 6 s, and later ones again.

It now counts as a missed report, which answered reports make forgotten.

starts_that_were_not_sent_are_forgotten_after_answered_reports failed before: 30 s of answered reports after twelve such starts, one more kept the runner out for longer than 3 s (left: 0, right: 1).

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -159,12 +159,17 @@
     /// Handles a report request that `runner` did not answer.
     pub fn handle_missed_report(&mut self, runner: &str, now: Instant) {
         if let Some(&key) = self.runner_keys.get(runner) {
-            let runner = self.runner_mut(key);
-            runner.backoff.report_missed(runner.last_report_at, now);
-            self.log_backoff(key);
+            self.count_missed_report(key, now);
         }
     }
 
+    /// Counts a report that a runner did not deliver in time.
+    pub(crate) fn count_missed_report(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner_mut(key);
+        runner.backoff.report_missed(runner.last_report_at, now);
+        self.log_backoff(key);
+    }
+
     /// Counts a start that a runner refused or did not answer.
     pub(crate) fn back_off_runner(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner_mut(key);
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -47,10 +47,10 @@
                 self.requeue(id, run, None, now);
             }
             Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent => {
-                if answer == Answer::Room {
-                    self.note_lack_of_room(runner, (id, run), now);
-                } else {
-                    self.back_off_runner(runner, now);
+                match answer {
+                    Answer::Room => self.note_lack_of_room(runner, (id, run), now),
+                    Answer::NotSent => self.count_missed_report(runner, now),
+                    _ => self.back_off_runner(runner, now),
                 }
                 self.requeue(id, run, Some(now + REFUSED_START_BACKOFF), now);
             }
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -1,7 +1,7 @@
 //! Which runners get new tasks after failures, refusals and missed reports.
 
 use crate::support::{job, listed, report, starts, step, task, TestEngine};
-use persimmon_sched::{Answer, End, EndKind, StepSpec, TaskId};
+use persimmon_sched::{Answer, End, EndKind, JobId, StepSpec, TaskId};
 
 /// Interval between two scheduling passes, and between two reports of a runner.
 const ROUND_MS: u64 = 20;
@@ -123,6 +123,21 @@
     );
 }
 
+/// A start is not sent when the last report is too old to grant a lease.
+#[test]
+fn starts_that_were_not_sent_are_forgotten_after_answered_reports() {
+    let mut fleet = Fleet::new(&[("a", 40_000)]);
+    fleet.harness.submit(job(1, vec![long_running(12)]));
+    fleet.run(ROUND_MS, |_, _| true, |_| Answer::NotSent);
+    assert_eq!(fleet.starts.len(), 12);
+    fleet.harness.engine.cancel(JobId(1), fleet.harness.now);
+    fleet.run_calmly(30_000);
+    fleet.harness.submit(job(2, vec![long_running(1)]));
+    fleet.run(ROUND_MS, |_, _| true, |_| Answer::NotSent);
+    fleet.run_calmly(LONG_RUNNING_START_MAX_MS);
+    assert_eq!(fleet.running.len(), 1, "{:?}", fleet.starts);
+}
+
 #[test]
 fn refused_starts_are_forgotten_after_a_long_running_task_stayed() {
     let mut fleet = Fleet::new(&[("a", 4_000)]);
