fix(sched): give tasks to a runner that answers again before they count as lost

Callers may see a long-running task counted as lost after an outage of the path to its runners: a task counts as lost when it has not run for 3 s, once 4 s are calm.

Cause: an outage of 5.5 s makes ten missed reports or more, and so the longest backoff of 6 s. The last report request of an outage times out up to 0.7 s after it, so the runner got tasks 6.7 s after the outage, which leaves 0.3 s for the commit and the start.

The backoff after missed reports is now at most 4 s. A runner that is unreachable and answers for up to 3 s by turns still gets no task; one that answers for longer than 4 s each time now does.

runner_that_was_unreachable_gets_tasks_before_they_count_as_lost failed before: no start within 6 s of the outage (left: 0, right: 1). Ruled out by reading: failed starts alone, since no starts are sent to a runner whose last report is older than 1.8 s; their longest backoff stays 6 s.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -9,9 +9,13 @@
 const BACKOFF_STEP: Duration = Duration::from_millis(600);
 /// Longest time for which a failing runner is given no new task.
 const BACKOFF_MAX: Duration = Duration::from_secs(6);
+/// Longest time for which a runner that answers report requests again is given no new task. A task
+/// counts as lost 7 s after a disturbance, and the last request may time out after it.
+const MISSED_REPORT_BACKOFF_MAX: Duration = Duration::from_secs(4);
 /// Number of failures that leads to [`BACKOFF_MAX`]; no more are remembered.
 const FAILURES_MAX: u32 = (BACKOFF_MAX.as_millis() / BACKOFF_STEP.as_millis()) as u32;
-/// Failures before a failed run takes a runner out of placement; a single one may be the job's own fault.
+/// Failures before a failed run takes a runner out of placement; a single one may be the job's own
+/// fault.
 const FAILURES_BEFORE_BACKOFF: u32 = 2;
 /// Time for which a runner must answer all report requests for one missed report to be forgotten.
 const MISSED_REPORT_MEMORY: Duration = Duration::from_secs(1);
@@ -57,7 +61,7 @@
     pub(crate) fn report_missed(&mut self, answered_at: Option<Instant>, now: Instant) {
         self.missed_reports
             .forget(MISSED_REPORT_MEMORY, answered_at);
-        let wait = self.missed_reports.add(now);
+        let wait = self.missed_reports.add(now).min(MISSED_REPORT_BACKOFF_MAX);
         self.extend(now + wait);
     }
 
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -123,6 +123,23 @@
     );
 }
 
+/// The last request for a report is sent just before the outage ends and times out after 0.7 s. The
+/// task counts as lost 7 s after the outage: 4 s of calm, and 3 s in which it does not run. The last
+/// second is left for its commit and its start.
+#[test]
+fn runner_that_was_unreachable_gets_tasks_before_they_count_as_lost() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    for _ in 0..10 {
+        fleet.run(560, |_, _| false, |_| Answer::Unknown);
+        fleet.miss_reports("a", 1);
+    }
+    fleet.harness.submit(job(1, vec![long_running(1)]));
+    fleet.run(700, |_, _| false, |_| Answer::Unknown);
+    fleet.miss_reports("a", 1);
+    fleet.run_calmly(6_000 - 700);
+    assert_eq!(fleet.running.len(), 1, "{:?}", fleet.starts);
+}
+
 /// A start is not sent when the last report is too old to grant a lease.
 #[test]
 fn starts_that_were_not_sent_are_forgotten_after_answered_reports() {
