fix(sched): count refusals only of starts that were not stopped

Cause: the answer to a start may come after its stop was ordered or the start was counted as unanswered. Since late refusals are handled, they also backed the runner off. A stop that overtakes its start makes a sound runner refuse it as old, and a start that was not answered in time was counted twice.

refusal_of_a_stopped_start_does_not_take_its_runner_out_of_placement failed before: no start on the only runner after Old (left: 0, right: 1).

--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -1,5 +1,5 @@
 use super::{Answer, Engine, Stage};
-use crate::TaskId;
+use crate::{fleet::RunnerKey, TaskId};
 use std::time::{Duration, Instant};
 
 /// Delay before a task whose start was refused is placed again.
@@ -47,16 +47,29 @@
                 self.requeue(id, run, None, now);
             }
             Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent => {
-                match answer {
-                    Answer::Room => self.note_lack_of_room(runner, (id, run), now),
-                    Answer::NotSent => self.count_missed_report(runner, now),
-                    _ => self.back_off_runner(runner, now),
+                // A late answer says nothing new: the start has been counted or was stopped.
+                if matches!(stage, Stage::Ordered { .. }) {
+                    self.count_refused_start(runner, (id, run), answer, now);
                 }
                 self.requeue(id, run, Some(now + REFUSED_START_BACKOFF), now);
             }
         }
     }
 
+    fn count_refused_start(
+        &mut self,
+        runner: RunnerKey,
+        run: (TaskId, u32),
+        answer: Answer,
+        now: Instant,
+    ) {
+        match answer {
+            Answer::Room => self.note_lack_of_room(runner, run, now),
+            Answer::NotSent => self.count_missed_report(runner, now),
+            _ => self.back_off_runner(runner, now),
+        }
+    }
+
     /// Records that a task of a job has run.
     pub(crate) fn mark_has_run(&mut self, id: TaskId) {
         if let Some(job) = self.jobs.get_mut(&id.job) {
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -188,6 +188,21 @@
     starts_elsewhere_after(Answer::Old);
 }
 
+/// A stop that overtakes its start makes the runner refuse the start.
+#[test]
+fn refusal_of_a_stopped_start_does_not_take_its_runner_out_of_placement() {
+    for answer in [Answer::Old, Answer::Room, Answer::Refused, Answer::NotSent] {
+        let mut fleet = Fleet::new(&[("a", 4_000)]);
+        fleet.harness.submit(job(1, vec![long_running(1)]));
+        assert_eq!(starts(&fleet.harness.round()).len(), 1);
+        fleet.harness.engine.cancel(JobId(1), fleet.harness.now);
+        fleet.harness.answer_start(task(1, 0, 0), 1, answer);
+        fleet.harness.submit(job(2, vec![long_running(1)]));
+        fleet.run_calmly(ROUND_MS);
+        assert_eq!(fleet.running.len(), 1, "after {answer:?}");
+    }
+}
+
 /// Starts in the last 24 s of a minute in which the only runner answers each start alike.
 fn late_starts(answer: Answer) -> usize {
     let mut fleet = Fleet::new(&[("a", 4_000)]);
