--- /dev/null
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -0,0 +1,236 @@
+//! Failures of a runner, and how long it is given no new tasks because of them.
+
+use super::{Engine, Stage};
+use crate::{fleet::RunnerKey, StepSpec, TaskId};
+use persimmon_types::Size;
+use std::time::{Duration, Instant};
+
+/// A failing runner is given no new task for this time, multiplied by its number of failures.
+const BACKOFF_STEP: Duration = Duration::from_millis(600);
+/// Longest time for which a failing runner is given no new task.
+const BACKOFF_MAX: Duration = Duration::from_secs(6);
+/// Longest time for which a runner that answers report requests again is given no new task. A task
+/// counts as lost 7 s after a disturbance, and the last request may time out after it.
+const MISSED_REPORT_BACKOFF_MAX: Duration = Duration::from_secs(4);
+/// Number of failures that leads to [`BACKOFF_MAX`]; no more are remembered.
+const FAILURES_MAX: u32 = (BACKOFF_MAX.as_millis() / BACKOFF_STEP.as_millis()) as u32;
+/// Failures before a failed run takes a runner out of placement; a single one may be the job's own
+/// fault.
+const FAILURES_BEFORE_BACKOFF: u32 = 2;
+/// Time for which a runner must answer all report requests for one missed report to be forgotten.
+const MISSED_REPORT_MEMORY: Duration = Duration::from_secs(1);
+/// Time without a failed start for one to be forgotten. A shorter one would let a runner that fails
+/// all it starts return sooner than after [`BACKOFF_MAX`].
+const FAILED_START_MEMORY: Duration = BACKOFF_MAX;
+/// Run time after which a long-running task counts as a run that succeeded.
+const STABLE_RUN_TIME: Duration = BACKOFF_MAX;
+
+/// Decides when a runner may be given new tasks.
+#[derive(Debug, Default)]
+pub(crate) struct Backoff {
+    /// Report requests that were not answered.
+    missed_reports: Failures,
+    /// Failed runs and unanswered or refused starts since the last run that succeeded.
+    failed_starts: Failures,
+    until: Option<Instant>,
+    lack_of_room: LackOfRoom,
+}
+
+/// Demands for which a runner lacks free resources although its claims leave them free.
+#[derive(Debug, Default)]
+struct LackOfRoom {
+    refusals: Failures,
+    demands: Vec<Size>,
+    until: Option<Instant>,
+}
+
+/// Recent failures of one kind.
+#[derive(Debug, Default)]
+struct Failures {
+    count: u32,
+    last_at: Option<Instant>,
+}
+
+impl Backoff {
+    /// Returns whether the runner may be given new tasks.
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| now >= until)
+    }
+
+    /// Handles a report request without an answer; the last answered one was at `answered_at`.
+    pub(crate) fn report_missed(&mut self, answered_at: Option<Instant>, now: Instant) {
+        self.missed_reports
+            .forget(MISSED_REPORT_MEMORY, answered_at);
+        let wait = self.missed_reports.add(now).min(MISSED_REPORT_BACKOFF_MAX);
+        self.extend(now + wait);
+    }
+
+    /// Handles a start that was refused or not answered.
+    pub(crate) fn start_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
+        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
+        let wait = self.failed_starts.add(now);
+        self.extend(now + wait);
+    }
+
+    /// Handles a run that failed.
+    fn run_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
+        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
+        let wait = self.failed_starts.add(now);
+        if self.failed_starts.count >= FAILURES_BEFORE_BACKOFF {
+            self.extend(now + wait);
+        }
+    }
+
+    /// Returns whether a long-running task that has run since `started_at` shows that failed starts
+    /// are past.
+    fn is_refuted_by(&self, started_at: Instant, now: Instant) -> bool {
+        let last_at = self.failed_starts.last_at;
+        now >= started_at + STABLE_RUN_TIME && last_at.is_some_and(|at| started_at > at)
+    }
+
+    /// Handles a run that succeeded.
+    pub(crate) fn run_succeeded(&mut self) {
+        self.failed_starts.count = 0;
+    }
+
+    /// Returns whether a task with this demand may be placed, as far as earlier refusals tell.
+    pub(crate) fn admits(&self, demand: Size, now: Instant) -> bool {
+        self.lack_of_room.admits(demand, now)
+    }
+
+    /// Handles a start that was refused for lack of free resources.
+    pub(crate) fn room_refused(
+        &mut self,
+        demand: Size,
+        answered_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.lack_of_room.add(demand, answered_at, now);
+    }
+
+    /// Handles the end of a run on the runner, which may free what an earlier refusal lacked.
+    pub(crate) fn room_freed(&mut self) {
+        self.lack_of_room.demands.clear();
+    }
+
+    fn extend(&mut self, until: Instant) {
+        self.until = self.until.max(Some(until));
+    }
+}
+
+impl LackOfRoom {
+    fn admits(&self, demand: Size, now: Instant) -> bool {
+        let is_past = self.until.is_none_or(|until| now >= until);
+        is_past || !self.demands.iter().any(|refused| refused.fits(demand))
+    }
+
+    fn add(&mut self, demand: Size, answered_at: Option<Instant>, now: Instant) {
+        if self.until.is_some_and(|until| now >= until) {
+            self.demands.clear();
+        }
+        // Starts that were on their way together count once.
+        if !self.admits(demand, now) {
+            return;
+        }
+        self.demands.push(demand);
+        self.refusals.forget(FAILED_START_MEMORY, answered_at);
+        let wait = self.refusals.add(now);
+        self.until = self.until.max(Some(now + wait));
+    }
+}
+
+impl Failures {
+    /// Counts a failure and returns how long to back off.
+    fn add(&mut self, now: Instant) -> Duration {
+        self.count = (self.count + 1).min(FAILURES_MAX);
+        self.last_at = Some(now);
+        BACKOFF_STEP * self.count
+    }
+
+    /// Forgets one failure for each `memory` between the last one and `healthy_at`.
+    fn forget(&mut self, memory: Duration, healthy_at: Option<Instant>) {
+        let (Some(last_at), Some(healthy_at)) = (self.last_at, healthy_at) else {
+            return;
+        };
+        let healthy = healthy_at.saturating_duration_since(last_at);
+        let forgotten = healthy.as_millis() / memory.as_millis();
+        let forgotten = u32::try_from(forgotten).unwrap_or(u32::MAX);
+        self.count = self.count.saturating_sub(forgotten);
+    }
+}
+
+impl Engine {
+    /// Handles a report request that `runner` did not answer.
+    pub fn handle_missed_report(&mut self, runner: &str, now: Instant) {
+        if let Some(&key) = self.runner_keys.get(runner) {
+            self.count_missed_report(key, now);
+        }
+    }
+
+    /// Counts a report that a runner did not deliver in time.
+    pub(crate) fn count_missed_report(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner_mut(key);
+        runner.backoff.report_missed(runner.last_report_at, now);
+        self.log_backoff(key);
+    }
+
+    /// Counts a start that a runner refused or did not answer.
+    pub(crate) fn back_off_runner(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner_mut(key);
+        runner.backoff.start_failed(runner.last_report_at, now);
+        self.log_backoff(key);
+    }
+
+    /// Keeps tasks that demand at least as much as this run off a runner that refused it for lack of
+    /// free resources.
+    pub(crate) fn note_lack_of_room(&mut self, key: RunnerKey, run: (TaskId, u32), now: Instant) {
+        let runner = self.runner_mut(key);
+        let Some(demand) = runner.claims.get(&run).map(|claim| claim.size) else {
+            return;
+        };
+        let last_report_at = runner.last_report_at;
+        runner.backoff.room_refused(demand, last_report_at, now);
+        log::info!(
+            "event=runner.full runner={} demand=\"{demand}\" free_beside=\"{}\" refusals={}",
+            runner.info.id,
+            runner.free_capacity(),
+            runner.backoff.lack_of_room.refusals.count
+        );
+    }
+
+    /// Counts a run that failed on a runner.
+    pub(crate) fn count_failed_run(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner_mut(key);
+        runner.backoff.run_failed(runner.last_report_at, now);
+        self.log_backoff(key);
+    }
+
+    /// Forgets the failed starts of a runner on which a long-running task has been stable since.
+    pub(crate) fn credit_stable_runs(&mut self, key: RunnerKey, now: Instant) {
+        let runner = self.runner(key);
+        if runner.backoff.failed_starts.count == 0 {
+            return;
+        }
+        let is_long_running = |step: &StepSpec| step.long_running;
+        let is_stable = runner.claims.keys().any(|&(id, run)| {
+            let Some(Stage::Running(since)) = self.stage_on(key, id, run) else {
+                return false;
+            };
+            runner.backoff.is_refuted_by(since, now)
+                && self.step_of(id).is_some_and(is_long_running)
+        });
+        if is_stable {
+            self.runner_mut(key).backoff.run_succeeded();
+        }
+    }
+
+    fn log_backoff(&self, key: RunnerKey) {
+        let runner = self.runner(key);
+        log::debug!(
+            "event=runner.backoff runner={} missed_reports={} failed_starts={}",
+            runner.info.id,
+            runner.backoff.missed_reports.count,
+            runner.backoff.failed_starts.count
+        );
+    }
+}
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,4 +1,5 @@
 mod add_job;
+mod backoff;
 mod commit;
 mod dirty;
 mod durations;
@@ -21,6 +22,7 @@
 
 pub use types::{Answer, Commit, Options, Order, StoredRecord};
 
+pub(crate) use backoff::Backoff;
 pub(crate) use job::{Job, Rank, Stage, State, Step};
 pub(crate) use task::Task;
 
@@ -265,7 +267,6 @@
         }
         for id in &ids {
             self.jobs.remove(id);
-            self.dirty.remove(id);
         }
         let jobs = &self.jobs;
         self.unsettled_runs
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -302,6 +302,7 @@
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
             if runner.info.service != job.service
                 || !self.is_schedulable(runner, now)
+                || !runner.backoff.admits(claim.size, now)
                 || !satisfies_constraints(step, runner, sibling_count)
             {
                 continue;
@@ -323,7 +324,7 @@
         runner.listed
             && runner.info.state == RunnerState::Ready
             && runner.last_report_at.is_some_and(is_recent)
-            && runner.backoff_until.is_none_or(|until| now >= until)
+            && runner.backoff.is_over(now)
     }
 
     /// Counts the placed tasks of the same step and occurrence, by runner.
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -11,9 +11,6 @@
 
 /// Delay before a failed task is placed again.
 const FAILED_RUN_BACKOFF: Duration = Duration::from_millis(30);
-/// Consecutive failed runs before a runner is given no new tasks; a single one may be the job's own
-/// fault.
-const FAILURES_BEFORE_BACKOFF: u32 = 2;
 
 impl Engine {
     /// Sequence number of the last ended run on `runner` that is committed and may be acknowledged.
@@ -53,13 +50,6 @@
         Some(lease.deadline_ms)
     }
 
-    /// Handles a report request that `runner` did not answer.
-    pub fn handle_missed_report(&mut self, runner: &str, now: Instant) {
-        if let Some(&key) = self.runner_keys.get(runner) {
-            self.back_off_runner(key, now);
-        }
-    }
-
     /// Handles a runner's report, which was requested at `requested_at`.
     pub fn handle_report(
         &mut self,
@@ -83,6 +73,7 @@
             self.handle_listed_run(key, run, now);
         }
         self.requeue_unlisted(key, &listed, requested_at, now);
+        self.credit_stable_runs(key, now);
         self.process_measurements(key, &report.running, now);
     }
 
@@ -93,6 +84,7 @@
         }
         runner.processed = end.number;
         runner.release(end.task, end.run);
+        runner.backoff.room_freed();
         let current = self.stage_on(key, end.task, end.run).is_some();
         log::debug!(
             "event=run.end task={} run={} runner={} kind={:?} current={current}",
@@ -151,35 +143,27 @@
                     self.durations
                         .learn(&spec.queue, now.saturating_duration_since(at));
                 }
-                self.runner_mut(key).failures = 0;
+                self.runner_mut(key).backoff.run_succeeded();
                 self.advance(id, now);
             }
             EndKind::Failed if !long_running => {
                 task.failures += 1;
                 let attempts_exhausted = task.failures >= attempts_max;
                 self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF), now);
-                self.count_failure(key, now);
+                self.count_failed_run(key, now);
                 if attempts_exhausted && !self.is_final(id) {
                     self.finish(id.job, Phase::Failed, now);
                 }
             }
             EndKind::Done | EndKind::Failed | EndKind::Cut => {
                 if end.kind == EndKind::Failed {
-                    self.count_failure(key, now);
+                    self.count_failed_run(key, now);
                 }
                 self.requeue(id, end.run, None, now);
             }
         }
     }
 
-    fn count_failure(&mut self, key: RunnerKey, now: Instant) {
-        let runner = self.runner_mut(key);
-        runner.failures += 1;
-        if runner.failures >= FAILURES_BEFORE_BACKOFF {
-            self.back_off_runner(key, now);
-        }
-    }
-
     fn is_final(&self, id: TaskId) -> bool {
         self.jobs
             .get(&id.job)
