fix(entry): keep the reads of all processes within the store's limit

Cause: each process watched all members without a pause, so each session that opened or ended caused a read of every process, and refused watches were repeated every 100 ms. With 300 processes the store's 2,000 reads/s were exceeded at the start and for good: renewals were refused too, sessions ended, and each end caused 300 reads more. An owner lost its group before it had read the instance list; its rounds took 1 ms, so neither processor nor memory was the limit.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -19,6 +19,7 @@
 const INBOX_WATCH: WatchOptions = WatchOptions {
     wait: Duration::from_millis(1_500),
     pause: Duration::from_millis(15),
+    by_all_members: false,
 };
 
 #[derive(Default)]
--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -25,6 +25,7 @@
 const RUNNERS_WATCH: WatchOptions = WatchOptions {
     wait: Duration::from_millis(1_500),
     pause: Duration::from_millis(300),
+    by_all_members: false,
 };
 
 impl<P: Platform> OwnedGroup<P> {
--- a/crates/persimmon-entry/src/lib.rs
+++ b/crates/persimmon-entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod prefix_watch;
 mod process;
 mod requests;
+mod retry;
 mod session;
 mod state;
 
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -31,6 +31,7 @@
     wait: Duration::from_millis(1_500),
     // A group without an owner must be seen at once.
     pause: Duration::ZERO,
+    by_all_members: true,
 };
 
 /// Takes groups without an owner and serves them. Never returns.
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -22,6 +22,8 @@
     pub reason: String,
     /// Whether the call may have changed the state of the peer.
     pub effect: Effect,
+    /// The call was rejected because a rate limit was exceeded.
+    pub is_throttled: bool,
 }
 
 /// A key with its value.
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -1,8 +1,12 @@
 use crate::{
     platform::{CallError, Change, Item, Platform, WatchOutcome},
+    retry::RetryDelay,
     state::Shared,
 };
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 /// Options of a watch on a prefix.
 #[derive(Debug, Clone, Copy)]
@@ -11,6 +15,9 @@
     pub(crate) wait: Duration,
     /// Pause between watch calls, so that changes that come together are reported together.
     pub(crate) pause: Duration,
+    /// Whether all members watch the prefix. One change then causes a call of each of them, so
+    /// their calls are kept within a fraction of the store's read limit.
+    pub(crate) by_all_members: bool,
 }
 
 /// Delay before a failed read or watch is retried.
@@ -71,6 +78,7 @@
 ) {
     let mut start = start;
     let mut failures = 0;
+    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
     loop {
         let (mut known, mut revision) = start.take().unwrap_or_default();
         if revision == 0 {
@@ -85,7 +93,7 @@
                 Err(err) => {
                     failures += 1;
                     log_failure("store.list", prefix, failures, &err);
-                    tokio::time::sleep(RETRY_DELAY).await;
+                    tokio::time::sleep(retry_delay.after(&err)).await;
                     continue;
                 }
             }
@@ -113,6 +121,7 @@
     on_change: &mut impl FnMut(Change),
 ) -> Option<(BTreeSet<String>, u64)> {
     let mut failures = 0;
+    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
     loop {
         match list(shared, prefix).await {
             Ok((items, revision)) => {
@@ -131,7 +140,7 @@
             Err(err) => {
                 failures += 1;
                 log_failure("store.list", prefix, failures, &err);
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(retry_delay.after(&err)).await;
             }
         }
     }
@@ -147,7 +156,9 @@
     on_change: &mut impl FnMut(Change),
 ) {
     let mut failures = 0;
+    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
     loop {
+        let called_at = shared.now();
         match shared.platform.watch(prefix, *revision, options.wait).await {
             Ok(WatchOutcome::Changes {
                 changes,
@@ -155,6 +166,7 @@
             }) => {
                 shared.record_store_answer();
                 failures = 0;
+                retry_delay.reset();
                 *revision = new_revision.max(*revision);
                 for change in changes {
                     match &change {
@@ -163,7 +175,8 @@
                     };
                     on_change(change);
                 }
-                tokio::time::sleep(options.pause).await;
+                let pause = pause(shared, options, called_at);
+                tokio::time::sleep(pause).await;
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!("event=store.compacted prefix={prefix} revision={revision}");
@@ -172,8 +185,18 @@
             Err(err) => {
                 failures += 1;
                 log_failure("store.watch", prefix, failures, &err);
-                tokio::time::sleep(RETRY_DELAY).await;
+                tokio::time::sleep(retry_delay.after(&err)).await;
             }
         }
     }
 }
+
+/// Returns the pause after a watch call that was made at `called_at`.
+fn pause<P>(shared: &Shared<P>, options: WatchOptions, called_at: Instant) -> Duration {
+    if !options.by_all_members {
+        return options.pause;
+    }
+    let elapsed = shared.now().saturating_duration_since(called_at);
+    let interval = shared.fair_read_interval();
+    options.pause.max(interval.saturating_sub(elapsed))
+}
--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -29,6 +29,7 @@
 const POLICY_WATCH: WatchOptions = WatchOptions {
     wait: Duration::from_millis(800),
     pause: Duration::ZERO,
+    by_all_members: true,
 };
 
 /// Options of the process.
@@ -45,6 +46,8 @@
     pub capacity_millis: u32,
     /// Number of groups, the same on all instances.
     pub group_count: u16,
+    /// Limit on the read calls that all processes make to the store, per second.
+    pub store_reads_per_s: u32,
     /// Options of the scheduling engine.
     pub engine: persimmon_sched::Options,
 }
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -21,6 +21,9 @@
 /// session's TTL, so that one lost renewal has no effect.
 pub(crate) const SESSION_PROOF_VALIDITY: Duration = Duration::from_secs(3);
 
+/// Each kind of call that all members make uses at most this fraction of the store's read limit.
+const FAIR_READ_FRACTION: u32 = 4;
+
 /// The process that owns a group, and the revision at which the owner's key was written.
 pub(crate) struct Owner {
     /// The process, as `NAME#INCARNATION`.
@@ -72,6 +75,14 @@
         self.store_answered_at.set(Some(self.now()));
     }
 
+    /// Returns the interval between calls of one kind that keeps the calls of all members within a
+    /// fraction of the store's read limit.
+    pub(crate) fn fair_read_interval(&self) -> Duration {
+        let members = self.members.borrow().len() as u32;
+        let reads_per_s = self.options.store_reads_per_s.max(1);
+        Duration::from_secs(1) * FAIR_READ_FRACTION * members / reads_per_s
+    }
+
     pub(crate) fn store_is_unreachable(&self) -> bool {
         let answered_at = self.store_answered_at.get();
         answered_at.is_none_or(|at| self.now() >= at + STORE_UNREACHABLE_AFTER)
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -58,6 +58,11 @@
     pub(crate) compacted: Cell<u64>,
     /// While set, calls to the store time out.
     pub(crate) store_is_down: Cell<bool>,
+    /// Limits on the calls per second; more are rejected.
+    pub(crate) call_limits: Cell<Option<CallLimits>>,
+    calls_in_second: Cell<CallsInSecond>,
+    /// Number of leases granted.
+    pub(crate) grants: Cell<u64>,
     /// The answer to every n-th write is lost; 0 for never.
     pub(crate) lose_every_nth_write: Cell<u64>,
     writes: Cell<u64>,
@@ -68,6 +73,20 @@
     pub(crate) lapsed_runs: Cell<u32>,
 }
 
+/// Limits on the calls that all processes make to the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallLimits {
+    pub(crate) reads_per_s: u32,
+    pub(crate) writes_per_s: u32,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct CallsInSecond {
+    second: u64,
+    reads: u32,
+    writes: u32,
+}
+
 #[derive(Default)]
 struct FakeRunner {
     fencing_token: u64,
@@ -118,6 +137,7 @@
         peer: "memory".to_owned(),
         reason: "no answer".to_owned(),
         effect,
+        is_throttled: false,
     }
 }
 
@@ -130,6 +150,34 @@
         }
         tokio::time::sleep(Duration::from_millis(4)).await;
         self.expire();
+        self.throttle_call(operation)
+    }
+
+    /// Counts a call. Fails if the limit of the current second is reached.
+    fn throttle_call(&self, operation: &'static str) -> Result<(), CallError> {
+        let Some(limits) = self.state.call_limits.get() else {
+            return Ok(());
+        };
+        let second = (now() - self.started_at).as_secs();
+        let mut calls = self.state.calls_in_second.get();
+        if calls.second != second {
+            calls = CallsInSecond {
+                second,
+                ..CallsInSecond::default()
+            };
+        }
+        let (count, limit) = match operation {
+            "txn" | "grant" | "revoke" => (&mut calls.writes, limits.writes_per_s),
+            _ => (&mut calls.reads, limits.reads_per_s),
+        };
+        if *count >= limit {
+            return Err(CallError {
+                is_throttled: true,
+                ..call_error(operation, Effect::None)
+            });
+        }
+        *count += 1;
+        self.state.calls_in_second.set(calls);
         Ok(())
     }
 
@@ -304,6 +352,7 @@
         let lease = self.next_revision();
         // The TTL is not stored: `renew` extends every lease by the same time.
         self.state.leases.borrow_mut().insert(lease, now() + ttl);
+        self.state.grants.set(self.state.grants.get() + 1);
         Ok(Lease(lease))
     }
 
@@ -524,6 +573,11 @@
             peer_address: "127.0.0.1:0".parse().expect("an address"),
             capacity_millis,
             group_count,
+            store_reads_per_s: self
+                .state
+                .call_limits
+                .get()
+                .map_or(2_000, |it| it.reads_per_s),
             engine: persimmon_sched::Options::default(),
         };
         let clock = Arc::new(VirtualClock {
--- /dev/null
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -0,0 +1,40 @@
+use crate::platform::{phase, request, spec, CallLimits, Cluster};
+use persimmon_sched::Phase;
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+const PROCESSES: u64 = 60;
+
+/// The calls of many processes must stay within the store's limits: here as many a process as 300
+/// processes have of 2,000 reads and 400 writes a second.
+#[tokio::test(start_paused = true)]
+async fn sessions_of_many_processes_are_lost_to_throttling() {
+    let mut cluster = Cluster::new(&["a"]);
+    cluster.state.call_limits.set(Some(CallLimits {
+        reads_per_s: 400,
+        writes_per_s: 80,
+    }));
+    let mut handles = Vec::new();
+    for index in 0..PROCESSES {
+        handles.push(cluster.start(&format!("p{index}")));
+    }
+    cluster.advance(8 * SECOND).await;
+    let owner = cluster.owner_of(0);
+    let grants = cluster.state.grants.get();
+    assert!(
+        grants < 2 * PROCESSES,
+        "{grants} leases granted at the start"
+    );
+    let accepted = cluster
+        .run_until(handles[0].submit(request(1), spec(500)))
+        .await;
+    accepted.expect("accepted");
+    cluster.advance(8 * SECOND).await;
+    assert_eq!(cluster.state.grants.get(), grants, "no session is lost");
+    assert!(owner.is_some());
+    assert_eq!(cluster.owner_of(0), owner);
+    assert_eq!(
+        phase(&mut cluster, &handles[0], 1).await,
+        Some(Phase::Completed)
+    );
+}
