fix(entry): retry a page of a list instead of the whole list

A page that can't be read is now retried alone; changes in the meantime come from the watch, which starts at the revision of the first page. rejected_page_starts_a_long_instance_list_again failed before (the job stayed queued for good).

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -12,9 +12,6 @@
     time::Duration,
 };
 
-/// Delay before a failed read is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Options of the inbox watch. Any delay here delays the start of jobs.
 const INBOX_WATCH: WatchOptions = WatchOptions {
     wait: Duration::from_millis(1_500),
@@ -34,13 +31,7 @@
     /// watch it from.
     pub(super) async fn load(&self) -> (BTreeSet<String>, u64) {
         let prefix = keys::jobs(self.id);
-        let (items, revision) = loop {
-            match prefix_watch::list(&self.shared, &prefix).await {
-                Ok(listed) => break listed,
-                Err(err) => log::debug!("event=group.load fault=\"{err}\""),
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
-        };
+        let (items, revision) = prefix_watch::list(&self.shared, &prefix).await;
         let inbox = keys::inbox(self.id);
         let keys = items.iter().map(|item| item.key.clone());
         let known = keys.filter(|key| key.starts_with(&inbox)).collect();
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -1,5 +1,5 @@
 use crate::{
-    platform::{CallError, Change, Item, Platform, WatchOutcome},
+    platform::{CallError, Change, Item, Page, Platform, WatchOutcome},
     retry::RetryDelay,
     state::Shared,
 };
@@ -38,18 +38,15 @@
     );
 }
 
-/// Reads all items under `prefix`. Returns them with the revision to watch from.
-pub(crate) async fn list<P: Platform>(
-    shared: &Shared<P>,
-    prefix: &str,
-) -> Result<(Vec<Item>, u64), CallError> {
+/// Reads all items under `prefix`. Returns them with the revision to watch from. A page that can't
+/// be read is retried, so that a long list makes progress however often a call fails.
+pub(crate) async fn list<P: Platform>(shared: &Shared<P>, prefix: &str) -> (Vec<Item>, u64) {
     let mut items: Vec<Item> = Vec::new();
     let mut revision = None;
     let mut pages = 0;
     loop {
         let after = items.last().map_or("", |item| item.key.as_str());
-        let page = shared.platform.range(prefix, after).await?;
-        shared.record_store_answer();
+        let page = read_page(shared, prefix, after).await;
         // The pages are not one snapshot: changes made while they are read are covered by watching
         // from the revision of the first page.
         let first_revision = *revision.get_or_insert(page.revision);
@@ -61,7 +58,26 @@
                 "event=store.list prefix={prefix} items={} pages={pages}",
                 items.len()
             );
-            return Ok((items, first_revision));
+            return (items, first_revision);
+        }
+    }
+}
+
+/// Reads the page of items under `prefix` that begins after the key `after`.
+async fn read_page<P: Platform>(shared: &Shared<P>, prefix: &str, after: &str) -> Page {
+    let mut failures = 0;
+    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    loop {
+        match shared.platform.range(prefix, after).await {
+            Ok(page) => {
+                shared.record_store_answer();
+                return page;
+            }
+            Err(err) => {
+                failures += 1;
+                log_failure("store.list", prefix, failures, &err);
+                tokio::time::sleep(retry_delay.after(&err)).await;
+            }
         }
     }
 }
@@ -76,28 +92,11 @@
     start: Option<(BTreeSet<String>, u64)>,
     mut on_change: impl FnMut(Change),
 ) {
-    let mut start = start;
-    let mut failures = 0;
-    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    let (mut known, mut revision) = match start {
+        Some(start) => start,
+        None => relist(shared, prefix, &BTreeSet::new(), &mut on_change).await,
+    };
     loop {
-        let (mut known, mut revision) = start.take().unwrap_or_default();
-        if revision == 0 {
-            match list(shared, prefix).await {
-                Ok((items, first_revision)) => {
-                    revision = first_revision;
-                    for item in items {
-                        known.insert(item.key.clone());
-                        on_change(Change::Put(item));
-                    }
-                }
-                Err(err) => {
-                    failures += 1;
-                    log_failure("store.list", prefix, failures, &err);
-                    tokio::time::sleep(retry_delay.after(&err)).await;
-                    continue;
-                }
-            }
-        }
         watch(
             shared,
             prefix,
@@ -107,43 +106,29 @@
             &mut on_change,
         )
         .await;
-        let known_before = known;
-        start = relist(shared, prefix, known_before, &mut on_change).await;
+        (known, revision) = relist(shared, prefix, &known, &mut on_change).await;
     }
 }
 
-/// Reads all items again after the history was compacted. Reports each of them and the keys removed
-/// meanwhile.
+/// Reads all items. Reports each of them and the keys of `known_before` that are gone.
 async fn relist<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
-    known_before: BTreeSet<String>,
+    known_before: &BTreeSet<String>,
     on_change: &mut impl FnMut(Change),
-) -> Option<(BTreeSet<String>, u64)> {
-    let mut failures = 0;
-    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
-    loop {
-        match list(shared, prefix).await {
-            Ok((items, revision)) => {
-                let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
-                for key in known_before.difference(&known) {
-                    on_change(Change::Removed {
-                        key: key.clone(),
-                        revision,
-                    });
-                }
-                items
-                    .into_iter()
-                    .for_each(|item| on_change(Change::Put(item)));
-                return Some((known, revision));
-            }
-            Err(err) => {
-                failures += 1;
-                log_failure("store.list", prefix, failures, &err);
-                tokio::time::sleep(retry_delay.after(&err)).await;
-            }
-        }
+) -> (BTreeSet<String>, u64) {
+    let (items, revision) = list(shared, prefix).await;
+    let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
+    for key in known_before.difference(&known) {
+        on_change(Change::Removed {
+            key: key.clone(),
+            revision,
+        });
     }
+    items
+        .into_iter()
+        .for_each(|item| on_change(Change::Put(item)));
+    (known, revision)
 }
 
 /// Watches the prefix until the history after `revision` is compacted.
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -61,6 +61,11 @@
     /// Limits on the calls per second; more are rejected.
     pub(crate) call_limits: Cell<Option<CallLimits>>,
     calls_in_second: Cell<CallsInSecond>,
+    /// Items in a page of a list; 0 for all.
+    pub(crate) page_size: Cell<usize>,
+    /// Every n-th read of a page is rejected; 0 for none.
+    pub(crate) reject_every_nth_page: Cell<u64>,
+    page_reads: Cell<u64>,
     /// Number of leases granted.
     pub(crate) grants: Cell<u64>,
     /// The answer to every n-th write is lost; 0 for never.
@@ -282,14 +287,26 @@
 
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError> {
         self.simulate_call("range").await?;
+        self.state.page_reads.set(self.state.page_reads.get() + 1);
+        let reject_every_nth = self.state.reject_every_nth_page.get();
+        if reject_every_nth > 0 && self.state.page_reads.get() % reject_every_nth == 0 {
+            return Err(call_error("range", Effect::None));
+        }
         let items = self.state.items.borrow();
         let matching = items
             .values()
             .map(|(item, _)| item)
             .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after);
+        let mut items: Vec<_> = matching.cloned().collect();
+        let page_size = match self.state.page_size.get() {
+            0 => items.len(),
+            size => size,
+        };
+        let has_more = items.len() > page_size;
+        items.truncate(page_size);
         Ok(Page {
-            items: matching.cloned().collect(),
-            has_more: false,
+            items,
+            has_more,
             revision: self.state.revision.get(),
         })
     }
--- a/crates/persimmon-entry/tests/all/scale.rs
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -38,3 +38,23 @@
         Some(Phase::Completed)
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn rejected_page_starts_a_long_instance_list_again() {
+    let names: Vec<_> = (0..40).map(|index| format!("r{index}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut cluster = Cluster::new(&names);
+    cluster.state.page_size.set(5);
+    cluster.state.reject_every_nth_page.set(3);
+    let handle = cluster.start("one");
+    cluster.advance(5 * SECOND).await;
+    let accepted = cluster
+        .run_until(handle.submit(request(1), spec(500)))
+        .await;
+    accepted.expect("accepted");
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(
+        phase(&mut cluster, &handle, 1).await,
+        Some(Phase::Completed)
+    );
+}
