fix(entry): bound the first polls of an owner that takes many runners

An owner that took a group polled all runners of the list at once, each over a new connection. With 3,000 runners that is seconds of an instance's processor, and renewals of the session, commits and the watch of the instance list waited behind it. At most 512 polls of runners that have not reported yet are now in flight; fewer runners see no change.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -21,7 +21,10 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{sync::Notify, task::JoinSet};
+use tokio::{
+    sync::{Notify, Semaphore},
+    task::JoinSet,
+};
 
 /// Shortest pause between decision rounds, so that events that come together are handled and
 /// written together.
@@ -56,6 +59,8 @@
     lease_authority: Cell<LeaseAuthority>,
     runners: RefCell<HashMap<String, RunnerInfo>>,
     polled_runners: RefCell<HashSet<String>>,
+    /// Permits for polls of runners that have not reported yet.
+    first_polls: Semaphore,
     background_tasks: RefCell<JoinSet<()>>,
     /// Signals that something happened that the engine may act on.
     wake: Notify,
@@ -88,6 +93,7 @@
             lease_authority: Cell::new(LeaseAuthority::default()),
             runners: RefCell::default(),
             polled_runners: RefCell::default(),
+            first_polls: Semaphore::new(polling::FIRST_POLLS_MAX),
             background_tasks: RefCell::default(),
             wake: Notify::new(),
             commit_wake: Notify::new(),
--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -11,6 +11,9 @@
 /// How long a runner may delay its report while no run ends. A tail latency in a report covers half
 /// a second.
 const POLL_WAIT: Duration = Duration::from_millis(800);
+/// Maximum number of polls in flight of runners that have not reported yet. They are answered at
+/// once and take a new connection each; more would delay the calls that keep the session.
+pub(super) const FIRST_POLLS_MAX: usize = 512;
 /// Pause between polls of a runner, so that runs that end together are handled together.
 const POLL_PAUSE: Duration = Duration::from_millis(30);
 /// First and longest delay before a runner that did not answer is polled again.
@@ -99,6 +102,11 @@
             let Some(info) = self.runners.borrow().get(&id).cloned() else {
                 break;
             };
+            let permit = if has_report {
+                None
+            } else {
+                self.first_polls.acquire().await.ok()
+            };
             let requested_at = self.shared.now();
             let request = {
                 let mut engine = self.engine.borrow_mut();
@@ -110,14 +118,16 @@
                     } else {
                         None
                     },
-                    wait: if has_report {
-                        POLL_WAIT
-                    } else {
+                    wait: if !has_report {
                         Duration::ZERO
+                    } else {
+                        POLL_WAIT
                     },
                 }
             };
-            match self.shared.platform.poll(&info, request).await {
+            let answer = self.shared.platform.poll(&info, request).await;
+            drop(permit);
+            match answer {
                 Ok(report) => {
                     self.record(|it| it.polls_answered += 1);
                     let now = self.shared.now();
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -66,6 +66,9 @@
     /// Every n-th read of a page is rejected; 0 for none.
     pub(crate) reject_every_nth_page: Cell<u64>,
     page_reads: Cell<u64>,
+    /// Processor time of a call, of which a process makes one at a time.
+    pub(crate) call_costs: Cell<CallCosts>,
+    processor_free_at: Cell<Option<Instant>>,
     /// Number of leases granted.
     pub(crate) grants: Cell<u64>,
     /// The answer to every n-th write is lost; 0 for never.
@@ -85,6 +88,15 @@
     pub(crate) writes_per_s: u32,
 }
 
+/// Processor time of calls.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct CallCosts {
+    /// A poll that does not wait, which opens a connection.
+    pub(crate) first_poll: Duration,
+    /// Any other call.
+    pub(crate) other: Duration,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct CallsInSecond {
     second: u64,
@@ -153,11 +165,23 @@
             tokio::time::sleep(Duration::from_millis(700)).await;
             return Err(call_error(operation, Effect::Unknown));
         }
+        self.use_processor(self.state.call_costs.get().other).await;
         tokio::time::sleep(Duration::from_millis(4)).await;
         self.expire();
         self.throttle_call(operation)
     }
 
+    /// Waits until the calls made before are processed and this one is.
+    async fn use_processor(&self, cost: Duration) {
+        if cost.is_zero() {
+            return;
+        }
+        let free_at = self.state.processor_free_at.get();
+        let done_at = free_at.map_or(now(), |at| at.max(now())) + cost;
+        self.state.processor_free_at.set(Some(done_at));
+        tokio::time::sleep_until(done_at.into()).await;
+    }
+
     /// Counts a call. Fails if the limit of the current second is reached.
     fn throttle_call(&self, operation: &'static str) -> Result<(), CallError> {
         let Some(limits) = self.state.call_limits.get() else {
@@ -245,12 +269,13 @@
     /// Returns the changes under `prefix` after `revision`.
     fn changes(&self, prefix: &str, revision: u64) -> Vec<Change> {
         let history = self.state.history.borrow();
-        let changes = history.iter().filter(|(changed_at, change)| {
+        let first = history.partition_point(|(changed_at, _)| *changed_at <= revision);
+        let changes = history[first..].iter().filter(|(_, change)| {
             let key = match change {
                 Change::Put(item) => &item.key,
                 Change::Removed { key, .. } => key,
             };
-            *changed_at > revision && key.starts_with(prefix)
+            key.starts_with(prefix)
         });
         changes.map(|(_, change)| change.clone()).collect()
     }
@@ -393,9 +418,17 @@
 
 impl Runners for PlatformClient {
     async fn poll(&self, runner: &RunnerInfo, request: PollRequest) -> Result<Report, CallError> {
+        let costs = self.state.call_costs.get();
+        let cost = if request.wait.is_zero() {
+            costs.first_poll
+        } else {
+            costs.other
+        };
+        self.use_processor(cost).await;
         let until = now() + request.wait;
+        let mut step = Duration::from_millis(2);
         loop {
-            tokio::time::sleep(Duration::from_millis(2)).await;
+            tokio::time::sleep(step).await;
             let mut runners = self.state.runners.borrow_mut();
             let fake_runner = runners.get_mut(&runner.id);
             let fake_runner = fake_runner.ok_or_else(|| call_error("poll", Effect::None))?;
@@ -411,6 +444,11 @@
                 .ended
                 .retain(|end| end.number > request.acknowledged_end);
             if fake_runner.ended.is_empty() && now() < until {
+                if fake_runner.running.is_empty() {
+                    step = Duration::from_millis(100).min(until - now());
+                } else {
+                    step = Duration::from_millis(2);
+                }
                 continue;
             }
             let running = fake_runner
@@ -542,20 +580,21 @@
             processes: Vec::new(),
         };
         cluster.write_policy(1, &["quotes"]);
-        let client = cluster.client();
-        let put = |key: &str| {
-            let write = Write::unleased(key.to_owned(), Vec::new());
-            client.put(&write, client.next_revision());
-        };
         for id in runners {
-            put(&format!("{RUNNERS}{id}"));
-            let fake_runner = FakeRunner::default();
-            let mut fake_runners = cluster.state.runners.borrow_mut();
-            fake_runners.insert((*id).to_owned(), fake_runner);
+            cluster.write_runner(id, b"");
         }
         cluster
     }
 
+    /// Writes the key of a runner, which is added if it is not known.
+    pub(crate) fn write_runner(&self, id: &str, value: &[u8]) {
+        let client = self.client();
+        let write = Write::unleased(format!("{RUNNERS}{id}"), value.to_vec());
+        client.put(&write, client.next_revision());
+        let mut fake_runners = self.state.runners.borrow_mut();
+        fake_runners.entry(id.to_owned()).or_default();
+    }
+
     /// Writes a policy with the given queues.
     pub(crate) fn write_policy(&self, version: u64, queues: &[&str]) {
         let text = format!("{version} {}", queues.join(" "));
--- a/crates/persimmon-entry/tests/all/scale.rs
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -1,4 +1,5 @@
-use crate::platform::{phase, request, spec, CallLimits, Cluster};
+use crate::platform::{phase, request, spec, CallCosts, CallLimits, Cluster};
+use persimmon_entry::Handle;
 use persimmon_sched::Phase;
 use std::time::Duration;
 
@@ -58,3 +59,24 @@
         Some(Phase::Completed)
     );
 }
+
+/// Starts an owner of 3,000 runners with the processor time for 1,000 first polls or 2,000 other
+/// calls a second.
+fn start_owner_of_many_runners() -> (Cluster, Handle) {
+    let names: Vec<_> = (0..3_000).map(|index| format!("r{index}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut cluster = Cluster::new(&names);
+    cluster.state.call_costs.set(CallCosts {
+        first_poll: Duration::from_millis(1),
+        other: Duration::from_micros(500),
+    });
+    let handle = cluster.start("one");
+    (cluster, handle)
+}
+
+#[tokio::test(start_paused = true)]
+async fn session_is_lost_to_first_polls_of_many_runners() {
+    let (mut cluster, _handle) = start_owner_of_many_runners();
+    cluster.advance(8 * SECOND).await;
+    assert_eq!(cluster.state.grants.get(), 1, "the session is kept");
+}
