fix(entry,sched): poll runners without runs less often in large groups

A runner without runs may now delay its report by up to 1.6 s when the group has more than 1,000 runners, so that the owner makes about 1,250 such polls a second. Runners that carry tasks and smaller groups are polled as before. The maximum age of a report grows by as much as the delay.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -164,6 +164,10 @@
     }
 
     fn configure(&self) {
+        let extra_report_age = self.extra_report_age();
+        self.engine
+            .borrow_mut()
+            .set_extra_report_age(extra_report_age);
         if let Some(policy) = &*self.shared.policy.borrow() {
             let mut engine = self.engine.borrow_mut();
             if policy.version > engine.policy_version() {
--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -11,6 +11,11 @@
 /// How long a runner may delay its report while no run ends. A tail latency in a report covers half
 /// a second.
 const POLL_WAIT: Duration = Duration::from_millis(800);
+/// Longest such delay for a runner without runs in a large group.
+const IDLE_POLL_WAIT_MAX: Duration = Duration::from_millis(1_600);
+/// Polls of runners without runs that an owner may make, per second, as long as
+/// [`IDLE_POLL_WAIT_MAX`] allows it.
+const IDLE_POLLS_PER_S_MAX: u32 = 1_250;
 /// Maximum number of polls in flight of runners that have not reported yet. They are answered at
 /// once and take a new connection each; more would delay the calls that keep the session.
 pub(super) const FIRST_POLLS_MAX: usize = 512;
@@ -120,8 +125,10 @@
                     },
                     wait: if !has_report {
                         Duration::ZERO
-                    } else {
+                    } else if engine.has_runs(&id) {
                         POLL_WAIT
+                    } else {
+                        self.idle_poll_wait()
                     },
                 }
             };
@@ -154,6 +161,18 @@
         self.polled_runners.borrow_mut().remove(&id);
     }
 
+    /// Returns how long a runner without runs may delay its report.
+    fn idle_poll_wait(&self) -> Duration {
+        let runners = self.polled_runners.borrow().len() as u32;
+        let wait = Duration::from_secs(1) * runners / IDLE_POLLS_PER_S_MAX;
+        wait.clamp(POLL_WAIT, IDLE_POLL_WAIT_MAX)
+    }
+
+    /// Returns by how much the reports of runners without runs are delayed beyond the usual.
+    pub(super) fn extra_report_age(&self) -> Duration {
+        self.idle_poll_wait() - POLL_WAIT
+    }
+
     /// Waits until a runner's ended runs are committed, so that the next poll can acknowledge them.
     async fn wait_for_commit(&self, id: &str) {
         let all_written = async {
--- a/crates/persimmon-entry/tests/all/scale.rs
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -80,3 +80,18 @@
     cluster.advance(8 * SECOND).await;
     assert_eq!(cluster.state.grants.get(), 1, "the session is kept");
 }
+
+#[tokio::test(start_paused = true)]
+async fn job_waits_behind_polls_of_many_idle_runners() {
+    let (mut cluster, handle) = start_owner_of_many_runners();
+    cluster.advance(8 * SECOND).await;
+    let accepted = cluster
+        .run_until(handle.submit(request(1), spec(500)))
+        .await;
+    accepted.expect("accepted");
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(
+        phase(&mut cluster, &handle, 1).await,
+        Some(Phase::Completed)
+    );
+}
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -36,7 +36,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Schedules the jobs of one group on its runners.
@@ -64,6 +64,8 @@
     cancelled_before_submission: HashSet<JobId>,
     /// When all runs started by earlier owners on unreachable runners have ended.
     orphan_runs_until: Instant,
+    /// Added to the maximum age of reports in the options.
+    extra_report_age: Duration,
     fenced: bool,
 }
 
@@ -87,6 +89,7 @@
             cancelled_before_submission: HashSet::new(),
             orphan_runs_until: now + options.orphan_run_max,
             options,
+            extra_report_age: Duration::ZERO,
             fenced: false,
         }
     }
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -320,7 +320,7 @@
 
     /// Returns whether a runner may be given new tasks.
     pub(super) fn is_schedulable(&self, runner: &Runner, now: Instant) -> bool {
-        let is_recent = |at: Instant| now < at + self.options.report_age_max;
+        let is_recent = |at: Instant| now < at + self.report_age_max();
         runner.listed
             && runner.info.state == RunnerState::Ready
             && runner.last_report_at.is_some_and(is_recent)
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -32,12 +32,28 @@
             .is_some_and(|it| it.listed || !it.claims.is_empty())
     }
 
+    /// Returns whether tasks are placed on `runner`.
+    pub fn has_runs(&self, runner: &str) -> bool {
+        let key = self.runner_keys.get(runner);
+        key.is_some_and(|&key| !self.runner(key).claims.is_empty())
+    }
+
+    /// Sets by how much the last report of a runner may be older than the options say, because
+    /// reports are requested less often.
+    pub fn set_extra_report_age(&mut self, extra: Duration) {
+        self.extra_report_age = extra;
+    }
+
+    pub(super) fn report_age_max(&self) -> Duration {
+        self.options.report_age_max + self.extra_report_age
+    }
+
     /// Lease deadline to send to `runner` at `now`, on its clock; `None` without a recent report.
     /// An unanswered call may renew the lease, so a runner that does not answer is polled without a
     /// deadline, which lets its lease expire.
     pub fn lease_deadline_ms(&mut self, runner: &str, now: Instant) -> Option<u64> {
         let key = *self.runner_keys.get(runner)?;
-        let report_age_max = self.options.report_age_max;
+        let report_age_max = self.report_age_max();
         let last_report_at = self.runner(key).last_report_at?;
         if now >= last_report_at + report_age_max {
             return None;
