fix(entry): follow a watch without a pause while it is behind

Callers saw tasks started 3.3 s after their runner had said that it leaves (DRAIN, at 300 instances and 3,000 runners). An answer to a watch holds at most 500 changes. 3,000 runners write 2,000 changes a second, and with the pause of 300 ms the owner read 1,530: in the trial every answer held exactly 500, one each 0.33 s, from -6.8 s to the end, so the instance list fell behind without bound. After an answer of 250 changes or more the next call now follows at once.

--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -20,6 +20,9 @@
     pub(crate) by_all_members: bool,
 }
 
+/// The store limits the number of changes in an answer. One with this many or more may leave some
+/// out, so the next call is made without a pause.
+const BACKLOG_CHANGES: usize = 250;
 /// Delay before a failed read or watch is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -153,6 +156,7 @@
                 failures = 0;
                 retry_delay.reset();
                 *revision = new_revision.max(*revision);
+                let has_backlog = changes.len() >= BACKLOG_CHANGES;
                 for change in changes {
                     match &change {
                         Change::Put(item) => known.insert(item.key.clone()),
@@ -160,8 +164,9 @@
                     };
                     on_change(change);
                 }
-                let pause = pause(shared, options, called_at);
-                tokio::time::sleep(pause).await;
+                if !has_backlog {
+                    tokio::time::sleep(pause(shared, options, called_at)).await;
+                }
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!("event=store.compacted prefix={prefix} revision={revision}");
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -27,6 +27,8 @@
 const SERVICE: &str = "bookings";
 const POLICY: &str = "policy";
 const RUNNERS: &str = "runners/";
+/// Value of the key of a runner that drains.
+pub(crate) const DRAINING: &[u8] = b"draining";
 
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
@@ -66,6 +68,8 @@
     /// Every n-th read of a page is rejected; 0 for none.
     pub(crate) reject_every_nth_page: Cell<u64>,
     page_reads: Cell<u64>,
+    /// Changes in an answer to a watch; 0 for all.
+    pub(crate) changes_per_answer: Cell<usize>,
     /// Processor time of a call, of which a process makes one at a time.
     pub(crate) call_costs: Cell<CallCosts>,
     processor_free_at: Cell<Option<Instant>>,
@@ -350,10 +354,18 @@
             if revision < self.state.compacted.get() {
                 return Ok(WatchOutcome::Compacted);
             }
-            let changes = self.changes(prefix, revision);
+            let mut changes = self.changes(prefix, revision);
             let is_over = tokio::time::Instant::now() >= until;
             if !changes.is_empty() || is_over || self.state.store_is_down.get() {
-                let revision = self.state.revision.get();
+                let mut revision = self.state.revision.get();
+                let limit = self.state.changes_per_answer.get();
+                if limit > 0 && changes.len() > limit {
+                    changes.truncate(limit);
+                    revision = match &changes[limit - 1] {
+                        Change::Put(item) => item.revision,
+                        Change::Removed { revision, .. } => *revision,
+                    };
+                }
                 return Ok(WatchOutcome::Changes { changes, revision });
             }
             // Leases expire without a change that wakes a watch.
@@ -543,12 +555,16 @@
         })
     }
 
-    fn decode_runner(&self, id: &str, _value: &[u8]) -> Result<RunnerInfo, CallError> {
+    fn decode_runner(&self, id: &str, value: &[u8]) -> Result<RunnerInfo, CallError> {
         Ok(RunnerInfo {
             id: id.to_owned(),
             address: String::new(),
             service: SERVICE.to_owned(),
-            state: RunnerState::Ready,
+            state: if value == DRAINING {
+                RunnerState::Draining
+            } else {
+                RunnerState::Ready
+            },
             capacity: Size {
                 cpu_millis: 8_000,
                 memory_mib: 8_000,
--- a/crates/persimmon-entry/tests/all/scale.rs
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -1,4 +1,4 @@
-use crate::platform::{phase, request, spec, CallCosts, CallLimits, Cluster};
+use crate::platform::{phase, request, spec, CallCosts, CallLimits, Cluster, DRAINING};
 use persimmon_entry::Handle;
 use persimmon_sched::Phase;
 use std::time::Duration;
@@ -95,3 +95,32 @@
         Some(Phase::Completed)
     );
 }
+
+/// Each runner writes its key every 1.5 s, and a watch answers with at most 500 changes.
+#[tokio::test(start_paused = true)]
+async fn watch_of_the_instance_list_falls_behind_many_runners() {
+    let names: Vec<_> = (0..3_000).map(|index| format!("r{index}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut cluster = Cluster::new(&names);
+    cluster.state.changes_per_answer.set(500);
+    let handle = cluster.start("one");
+    let mut chunks = names.chunks(200).cycle();
+    for _ in 0..200 {
+        for name in chunks.next().expect("a chunk") {
+            cluster.write_runner(name, DRAINING);
+        }
+        cluster.advance(SECOND / 10).await;
+    }
+    let accepted = cluster
+        .run_until(handle.submit(request(1), spec(500)))
+        .await;
+    accepted.expect("accepted");
+    cluster.write_runner("ready", b"");
+    for _ in 0..15 {
+        for name in chunks.next().expect("a chunk") {
+            cluster.write_runner(name, DRAINING);
+        }
+        cluster.advance(SECOND / 10).await;
+    }
+    assert_eq!(cluster.start_count(1), 1, "the new runner is seen in time");
+}
