--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -11,6 +11,14 @@
 /// How long a runner may delay its report while no run ends. A tail latency in a report covers half
 /// a second.
 const POLL_WAIT: Duration = Duration::from_millis(800);
+/// Longest such delay for a runner without runs in a large group.
+const IDLE_POLL_WAIT_MAX: Duration = Duration::from_millis(1_600);
+/// Polls of runners without runs that an owner may make, per second, as long as
+/// [`IDLE_POLL_WAIT_MAX`] allows it.
+const IDLE_POLLS_PER_S_MAX: u32 = 1_250;
+/// Maximum number of polls in flight of runners that have not reported yet. They are answered at
+/// once and take a new connection each; more would delay the calls that keep the session.
+pub(super) const FIRST_POLLS_MAX: usize = 512;
 /// Pause between polls of a runner, so that runs that end together are handled together.
 const POLL_PAUSE: Duration = Duration::from_millis(30);
 /// First and longest delay before a runner that did not answer is polled again.
@@ -25,6 +33,7 @@
 const RUNNERS_WATCH: WatchOptions = WatchOptions {
     wait: Duration::from_millis(1_500),
     pause: Duration::from_millis(300),
+    by_all_members: false,
 };
 
 impl<P: Platform> OwnedGroup<P> {
@@ -98,6 +107,11 @@
             let Some(info) = self.runners.borrow().get(&id).cloned() else {
                 break;
             };
+            let permit = if has_report {
+                None
+            } else {
+                self.first_polls.acquire().await.ok()
+            };
             let requested_at = self.shared.now();
             let request = {
                 let mut engine = self.engine.borrow_mut();
@@ -109,14 +123,18 @@
                     } else {
                         None
                     },
-                    wait: if has_report {
+                    wait: if !has_report {
+                        Duration::ZERO
+                    } else if engine.has_runs(&id) {
                         POLL_WAIT
                     } else {
-                        Duration::ZERO
+                        self.idle_poll_wait()
                     },
                 }
             };
-            match self.shared.platform.poll(&info, request).await {
+            let answer = self.shared.platform.poll(&info, request).await;
+            drop(permit);
+            match answer {
                 Ok(report) => {
                     self.record(|it| it.polls_answered += 1);
                     let now = self.shared.now();
@@ -143,6 +161,18 @@
         self.polled_runners.borrow_mut().remove(&id);
     }
 
+    /// Returns how long a runner without runs may delay its report.
+    fn idle_poll_wait(&self) -> Duration {
+        let runners = self.polled_runners.borrow().len() as u32;
+        let wait = Duration::from_secs(1) * runners / IDLE_POLLS_PER_S_MAX;
+        wait.clamp(POLL_WAIT, IDLE_POLL_WAIT_MAX)
+    }
+
+    /// Returns by how much the reports of runners without runs are delayed beyond the usual.
+    pub(super) fn extra_report_age(&self) -> Duration {
+        self.idle_poll_wait() - POLL_WAIT
+    }
+
     /// Waits until a runner's ended runs are committed, so that the next poll can acknowledge them.
     async fn wait_for_commit(&self, id: &str) {
         let all_written = async {
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -27,6 +27,8 @@
 const SERVICE: &str = "bookings";
 const POLICY: &str = "policy";
 const RUNNERS: &str = "runners/";
+/// Value of the key of a runner that drains.
+pub(crate) const DRAINING: &[u8] = b"draining";
 
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
@@ -58,6 +60,21 @@
     pub(crate) compacted: Cell<u64>,
     /// While set, calls to the store time out.
     pub(crate) store_is_down: Cell<bool>,
+    /// Limits on the calls per second; more are rejected.
+    pub(crate) call_limits: Cell<Option<CallLimits>>,
+    calls_in_second: Cell<CallsInSecond>,
+    /// Items in a page of a list; 0 for all.
+    pub(crate) page_size: Cell<usize>,
+    /// Every n-th read of a page is rejected; 0 for none.
+    pub(crate) reject_every_nth_page: Cell<u64>,
+    page_reads: Cell<u64>,
+    /// Changes in an answer to a watch; 0 for all.
+    pub(crate) changes_per_answer: Cell<usize>,
+    /// Processor time of a call, of which a process makes one at a time.
+    pub(crate) call_costs: Cell<CallCosts>,
+    processor_free_at: Cell<Option<Instant>>,
+    /// Number of leases granted.
+    pub(crate) grants: Cell<u64>,
     /// The answer to every n-th write is lost; 0 for never.
     pub(crate) lose_every_nth_write: Cell<u64>,
     writes: Cell<u64>,
@@ -68,6 +85,29 @@
     pub(crate) lapsed_runs: Cell<u32>,
 }
 
+/// Limits on the calls that all processes make to the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallLimits {
+    pub(crate) reads_per_s: u32,
+    pub(crate) writes_per_s: u32,
+}
+
+/// Processor time of calls.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct CallCosts {
+    /// A poll that does not wait, which opens a connection.
+    pub(crate) first_poll: Duration,
+    /// Any other call.
+    pub(crate) other: Duration,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct CallsInSecond {
+    second: u64,
+    reads: u32,
+    writes: u32,
+}
+
 #[derive(Default)]
 struct FakeRunner {
     fencing_token: u64,
@@ -118,6 +158,7 @@
         peer: "memory".to_owned(),
         reason: "no answer".to_owned(),
         effect,
+        is_throttled: false,
     }
 }
 
@@ -128,8 +169,48 @@
             tokio::time::sleep(Duration::from_millis(700)).await;
             return Err(call_error(operation, Effect::Unknown));
         }
+        self.use_processor(self.state.call_costs.get().other).await;
         tokio::time::sleep(Duration::from_millis(4)).await;
         self.expire();
+        self.throttle_call(operation)
+    }
+
+    /// Waits until the calls made before are processed and this one is.
+    async fn use_processor(&self, cost: Duration) {
+        if cost.is_zero() {
+            return;
+        }
+        let free_at = self.state.processor_free_at.get();
+        let done_at = free_at.map_or(now(), |at| at.max(now())) + cost;
+        self.state.processor_free_at.set(Some(done_at));
+        tokio::time::sleep_until(done_at.into()).await;
+    }
+
+    /// Counts a call. Fails if the limit of the current second is reached.
+    fn throttle_call(&self, operation: &'static str) -> Result<(), CallError> {
+        let Some(limits) = self.state.call_limits.get() else {
+            return Ok(());
+        };
+        let second = (now() - self.started_at).as_secs();
+        let mut calls = self.state.calls_in_second.get();
+        if calls.second != second {
+            calls = CallsInSecond {
+                second,
+                ..CallsInSecond::default()
+            };
+        }
+        let (count, limit) = match operation {
+            "txn" | "grant" | "revoke" => (&mut calls.writes, limits.writes_per_s),
+            _ => (&mut calls.reads, limits.reads_per_s),
+        };
+        if *count >= limit {
+            return Err(CallError {
+                is_throttled: true,
+                ..call_error(operation, Effect::None)
+            });
+        }
+        *count += 1;
+        self.state.calls_in_second.set(calls);
         Ok(())
     }
 
@@ -192,12 +273,13 @@
     /// Returns the changes under `prefix` after `revision`.
     fn changes(&self, prefix: &str, revision: u64) -> Vec<Change> {
         let history = self.state.history.borrow();
-        let changes = history.iter().filter(|(changed_at, change)| {
+        let first = history.partition_point(|(changed_at, _)| *changed_at <= revision);
+        let changes = history[first..].iter().filter(|(_, change)| {
             let key = match change {
                 Change::Put(item) => &item.key,
                 Change::Removed { key, .. } => key,
             };
-            *changed_at > revision && key.starts_with(prefix)
+            key.starts_with(prefix)
         });
         changes.map(|(_, change)| change.clone()).collect()
     }
@@ -234,14 +316,26 @@
 
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError> {
         self.simulate_call("range").await?;
+        self.state.page_reads.set(self.state.page_reads.get() + 1);
+        let reject_every_nth = self.state.reject_every_nth_page.get();
+        if reject_every_nth > 0 && self.state.page_reads.get() % reject_every_nth == 0 {
+            return Err(call_error("range", Effect::None));
+        }
         let items = self.state.items.borrow();
         let matching = items
             .values()
             .map(|(item, _)| item)
             .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after);
+        let mut items: Vec<_> = matching.cloned().collect();
+        let page_size = match self.state.page_size.get() {
+            0 => items.len(),
+            size => size,
+        };
+        let has_more = items.len() > page_size;
+        items.truncate(page_size);
         Ok(Page {
-            items: matching.cloned().collect(),
-            has_more: false,
+            items,
+            has_more,
             revision: self.state.revision.get(),
         })
     }
@@ -260,10 +354,18 @@
             if revision < self.state.compacted.get() {
                 return Ok(WatchOutcome::Compacted);
             }
-            let changes = self.changes(prefix, revision);
+            let mut changes = self.changes(prefix, revision);
             let is_over = tokio::time::Instant::now() >= until;
             if !changes.is_empty() || is_over || self.state.store_is_down.get() {
-                let revision = self.state.revision.get();
+                let mut revision = self.state.revision.get();
+                let limit = self.state.changes_per_answer.get();
+                if limit > 0 && changes.len() > limit {
+                    changes.truncate(limit);
+                    revision = match &changes[limit - 1] {
+                        Change::Put(item) => item.revision,
+                        Change::Removed { revision, .. } => *revision,
+                    };
+                }
                 return Ok(WatchOutcome::Changes { changes, revision });
             }
             // Leases expire without a change that wakes a watch.
@@ -304,6 +406,7 @@
         let lease = self.next_revision();
         // The TTL is not stored: `renew` extends every lease by the same time.
         self.state.leases.borrow_mut().insert(lease, now() + ttl);
+        self.state.grants.set(self.state.grants.get() + 1);
         Ok(Lease(lease))
     }
 
@@ -327,9 +430,17 @@
 
 impl Runners for PlatformClient {
     async fn poll(&self, runner: &RunnerInfo, request: PollRequest) -> Result<Report, CallError> {
+        let costs = self.state.call_costs.get();
+        let cost = if request.wait.is_zero() {
+            costs.first_poll
+        } else {
+            costs.other
+        };
+        self.use_processor(cost).await;
         let until = now() + request.wait;
+        let mut step = Duration::from_millis(2);
         loop {
-            tokio::time::sleep(Duration::from_millis(2)).await;
+            tokio::time::sleep(step).await;
             let mut runners = self.state.runners.borrow_mut();
             let fake_runner = runners.get_mut(&runner.id);
             let fake_runner = fake_runner.ok_or_else(|| call_error("poll", Effect::None))?;
@@ -345,6 +456,11 @@
                 .ended
                 .retain(|end| end.number > request.acknowledged_end);
             if fake_runner.ended.is_empty() && now() < until {
+                if fake_runner.running.is_empty() {
+                    step = Duration::from_millis(100).min(until - now());
+                } else {
+                    step = Duration::from_millis(2);
+                }
                 continue;
             }
             let running = fake_runner
@@ -439,12 +555,16 @@
         })
     }
 
-    fn decode_runner(&self, id: &str, _value: &[u8]) -> Result<RunnerInfo, CallError> {
+    fn decode_runner(&self, id: &str, value: &[u8]) -> Result<RunnerInfo, CallError> {
         Ok(RunnerInfo {
             id: id.to_owned(),
             address: String::new(),
             service: SERVICE.to_owned(),
-            state: RunnerState::Ready,
+            state: if value == DRAINING {
+                RunnerState::Draining
+            } else {
+                RunnerState::Ready
+            },
             capacity: Size {
                 cpu_millis: 8_000,
                 memory_mib: 8_000,
@@ -476,20 +596,21 @@
             processes: Vec::new(),
         };
         cluster.write_policy(1, &["quotes"]);
-        let client = cluster.client();
-        let put = |key: &str| {
-            let write = Write::unleased(key.to_owned(), Vec::new());
-            client.put(&write, client.next_revision());
-        };
         for id in runners {
-            put(&format!("{RUNNERS}{id}"));
-            let fake_runner = FakeRunner::default();
-            let mut fake_runners = cluster.state.runners.borrow_mut();
-            fake_runners.insert((*id).to_owned(), fake_runner);
+            cluster.write_runner(id, b"");
         }
         cluster
     }
 
+    /// Writes the key of a runner, which is added if it is not known.
+    pub(crate) fn write_runner(&self, id: &str, value: &[u8]) {
+        let client = self.client();
+        let write = Write::unleased(format!("{RUNNERS}{id}"), value.to_vec());
+        client.put(&write, client.next_revision());
+        let mut fake_runners = self.state.runners.borrow_mut();
+        fake_runners.entry(id.to_owned()).or_default();
+    }
+
     /// Writes a policy with the given queues.
     pub(crate) fn write_policy(&self, version: u64, queues: &[&str]) {
         let text = format!("{version} {}", queues.join(" "));
@@ -524,6 +645,11 @@
             peer_address: "127.0.0.1:0".parse().expect("an address"),
             capacity_millis,
             group_count,
+            store_reads_per_s: self
+                .state
+                .call_limits
+                .get()
+                .map_or(2_000, |it| it.reads_per_s),
             engine: persimmon_sched::Options::default(),
         };
         let clock = Arc::new(VirtualClock {
