fix(sched): drop removed jobs from the queue of changed jobs in one pass

A job that was removed while it was queued was dropped when it came up in `take`, as a set entry for it had stayed for good before. The removal of expired jobs, which forgets the other indexes, now does it.

--- a/crates/persimmon-sched/src/engine/dirty.rs
+++ b/crates/persimmon-sched/src/engine/dirty.rs
@@ -17,8 +17,14 @@
         }
     }
 
+    /// Removes the jobs for which `keep` returns `false`.
+    pub(super) fn retain(&mut self, keep: impl Fn(JobId) -> bool) {
+        self.queue.retain(|&id| keep(id));
+        self.queued.retain(|&id| keep(id));
+    }
+
     /// Removes and returns the first `max` jobs that have no commit in flight. The others keep
-    /// their place; jobs that are not in `jobs` any more are dropped.
+    /// their place.
     pub(super) fn take(&mut self, max: usize, jobs: &HashMap<JobId, Job>) -> Vec<JobId> {
         let mut taken = Vec::new();
         let mut in_flight = Vec::new();
@@ -26,12 +32,11 @@
             let Some(id) = self.queue.pop_front() else {
                 break;
             };
-            match jobs.get(&id) {
-                Some(job) if job.commit_in_flight => in_flight.push(id),
-                job => {
-                    self.queued.remove(&id);
-                    taken.extend(job.map(|_| id));
-                }
+            if jobs.get(&id).is_some_and(|job| job.commit_in_flight) {
+                in_flight.push(id);
+            } else {
+                self.queued.remove(&id);
+                taken.push(id);
             }
         }
         in_flight
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -269,6 +269,7 @@
             self.jobs.remove(id);
         }
         let jobs = &self.jobs;
+        self.dirty.retain(|id| jobs.contains_key(&id));
         self.unsettled_runs
             .retain(|(task, _)| jobs.contains_key(&task.job));
         ids
