fix(entry): renew runner leases only in the session that holds the owner's key

An owner whose session had ended kept renewing the leases of its runners until its watch told it that its key was gone: it opened another session at once, and the proof of that one counted for the group too. It also counted itself among the members that can't reach the store while the store answered it. A new owner waits for 3 s after its takeover until it counts those leases as ended, so a task on a runner that only the first one reaches could run twice, for as long as a watch stays silent.

--- a/crates/persimmon-entry/src/group/lease_authority.rs
+++ b/crates/persimmon-entry/src/group/lease_authority.rs
@@ -29,14 +29,20 @@
     pub(super) fn may_renew(&self) -> bool {
         let confirmed_until = self.lease_authority.get().confirmed_until;
         let is_confirmed = confirmed_until.is_some_and(|until| self.shared.now() < until);
-        self.shared.is_session_proven() || is_confirmed
+        self.is_ownership_proven() || is_confirmed
+    }
+
+    /// Returns whether the store confirmed lately that the session holds which the owner's key is
+    /// bound to. The key does not outlive it, though the process may have opened another.
+    fn is_ownership_proven(&self) -> bool {
+        self.shared.lease.get() == self.session && self.shared.is_session_proven()
     }
 
     /// Asks the members whenever their confirmation is needed. Never returns.
     pub(super) async fn maintain_lease_authority(self: Rc<Self>) {
         let taken_at = self.shared.now();
         loop {
-            if !self.shared.is_session_proven() {
+            if !self.is_ownership_proven() {
                 self.confirm_outage().await;
             } else if !self.lease_authority.get().is_takeover_confirmed {
                 self.confirm_takeover(taken_at).await;
@@ -51,7 +57,8 @@
         let confirms = |it: &&peers::OwnerView| {
             it.store_is_unreachable && it.owner_revision <= self.fencing_token
         };
-        let agreeing = owner_views.iter().filter(confirms).count() + 1;
+        let own_vote = usize::from(self.shared.store_is_unreachable());
+        let agreeing = owner_views.iter().filter(confirms).count() + own_vote;
         let confirmed = is_majority(agreeing, total);
         log::info!(
             "event=outage.confirm group={} silent={agreeing} members={total} confirmed={confirmed}",
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -11,7 +11,7 @@
 use self::{activity::Activity, lease_authority::LeaseAuthority};
 use crate::{
     keys::{self, GroupId},
-    platform::{Platform, Precondition, Txn},
+    platform::{Lease, Platform, Precondition, Txn},
     state::Shared,
 };
 use persimmon_sched::{Engine, RunnerInfo};
@@ -49,6 +49,8 @@
     pub(crate) id: GroupId,
     /// The revision of the owner's key, sent with each call to a runner.
     pub(crate) fencing_token: u64,
+    /// The session that the owner's key is bound to.
+    session: Option<Lease>,
     pub(crate) engine: RefCell<Engine>,
     pub(crate) is_loaded: Cell<bool>,
     /// Earlier owners that may still renew leases; `None` once all are known to have ended.
@@ -83,6 +85,7 @@
             engine: RefCell::new(Engine::new(options, shared.now())),
             id,
             fencing_token,
+            session: shared.lease.get(),
             predecessors: RefCell::new(Some(predecessors)),
             is_loaded: Cell::new(false),
             lease_authority: Cell::new(LeaseAuthority::default()),
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod jobs;
 mod owners;
 mod platform;
+mod takeovers;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -58,6 +58,8 @@
     pub(crate) compacted: Cell<u64>,
     /// While set, calls to the store time out.
     pub(crate) store_is_down: Cell<bool>,
+    /// While set, watches get no answer.
+    pub(crate) watches_are_silent: Cell<bool>,
     /// The answer to every n-th write is lost; 0 for never.
     pub(crate) lose_every_nth_write: Cell<u64>,
     writes: Cell<u64>,
@@ -253,6 +255,10 @@
         wait: Duration,
     ) -> Result<WatchOutcome, CallError> {
         self.simulate_call("watch").await?;
+        if self.state.watches_are_silent.get() {
+            tokio::time::sleep(wait).await;
+            return Err(call_error("watch", Effect::None));
+        }
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.state.changed.notified();
@@ -541,6 +547,20 @@
         self.state.compacted.set(self.client().next_revision());
     }
 
+    /// Ends all sessions at once, with the keys bound to them.
+    pub(crate) fn end_sessions(&self) {
+        for until in self.state.leases.borrow_mut().values_mut() {
+            *until = now();
+        }
+        self.client().expire();
+    }
+
+    /// Returns how long the runs on a runner may continue without a renewal.
+    pub(crate) fn lease_left(&self, runner: &str) -> Duration {
+        let deadline_ms = self.state.runners.borrow()[runner].deadline_ms;
+        Duration::from_millis(deadline_ms.saturating_sub(self.client().clock_ms()))
+    }
+
     /// Kills the process that was started as number `index`.
     pub(crate) fn kill(&mut self, index: usize) {
         self.processes[index] = None;
