fix(entry): count a replaced owner's leases from when it was replaced

A long-running task whose runner was gone waited for 7.9 s after its owner was killed and restarted, though the restarted process had registered 0.9 s before the takeover: the new owner took the time at which it looked for the end of the earlier one.

Each process now remembers when it first saw the latest incarnation of each other one. That counts only if the incarnation was registered after the store's history of owners was written; else the two may be known in the wrong order, and the time of the look counts as before.

--- a/crates/persimmon-entry/src/group/lease_authority.rs
+++ b/crates/persimmon-entry/src/group/lease_authority.rs
@@ -25,6 +25,30 @@
     is_takeover_confirmed: bool,
 }
 
+/// Earlier owners of a group.
+#[derive(Debug, Default)]
+pub(crate) struct Predecessors {
+    /// Those that may still renew leases, as `NAME#INCARNATION`, the latest first.
+    pub(crate) remaining: Vec<String>,
+    /// Revision at which the store knew all of them.
+    pub(crate) revision: u64,
+    /// When the last of the others had ended.
+    pub(crate) ended_at: Option<Instant>,
+}
+
+impl Predecessors {
+    /// Removes the owners that have ended; `ended_at` returns when, given their name and
+    /// [`Self::revision`].
+    pub(crate) fn remove_ended(&mut self, ended_at: impl Fn(&str, u64) -> Option<Instant>) {
+        let revision = self.revision;
+        self.remaining.retain(|process| {
+            let at = ended_at(process, revision);
+            self.ended_at = self.ended_at.max(at);
+            at.is_none()
+        });
+    }
+}
+
 impl<P: Platform> OwnedGroup<P> {
     /// Returns whether runner leases may be renewed.
     pub(super) fn may_renew(&self) -> bool {
@@ -105,15 +129,20 @@
     /// the process itself.
     pub(super) fn check_predecessors(&self) {
         let mut predecessors = self.predecessors.borrow_mut();
-        let Some(remaining) = predecessors.as_mut() else {
+        let Some(earlier) = predecessors.as_mut() else {
             return;
         };
-        remaining.retain(|process| !self.shared.was_replaced(process));
-        if remaining.is_empty() {
-            log::info!("event=predecessors.ended group={}", self.id.0);
-            *predecessors = None;
+        earlier.remove_ended(|process, revision| self.shared.replaced_at(process, revision));
+        if earlier.remaining.is_empty() {
             let now = self.shared.now();
-            self.engine.borrow_mut().predecessor_ended(now);
+            let ended_at = earlier.ended_at.unwrap_or(now);
+            log::info!(
+                "event=predecessors.ended group={} age_ms={}",
+                self.id.0,
+                now.saturating_duration_since(ended_at).as_millis()
+            );
+            *predecessors = None;
+            self.engine.borrow_mut().predecessor_ended(ended_at);
         }
     }
 }
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -8,6 +8,8 @@
 mod orders;
 mod polling;
 
+pub(crate) use self::lease_authority::Predecessors;
+
 use self::{activity::Activity, lease_authority::LeaseAuthority};
 use crate::{
     keys::{self, GroupId},
@@ -53,8 +55,8 @@
     session: Option<Lease>,
     pub(crate) engine: RefCell<Engine>,
     pub(crate) is_loaded: Cell<bool>,
-    /// Earlier owners that may still renew leases; `None` once all are known to have ended.
-    predecessors: RefCell<Option<Vec<String>>>,
+    /// `None` once all earlier owners are known to have ended.
+    predecessors: RefCell<Option<Predecessors>>,
     lease_authority: Cell<LeaseAuthority>,
     runners: RefCell<HashMap<String, RunnerInfo>>,
     polled_runners: RefCell<HashSet<String>>,
@@ -78,7 +80,7 @@
         shared: Rc<Shared<P>>,
         id: GroupId,
         fencing_token: u64,
-        predecessors: Vec<String>,
+        predecessors: Predecessors,
     ) {
         let options = shared.options.engine.clone();
         let group = Rc::new(Self {
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -1,7 +1,7 @@
 //! Ownership of groups: taking groups without an owner and handing groups over.
 
 use crate::{
-    group::OwnedGroup,
+    group::{OwnedGroup, Predecessors},
     keys::{self, GroupId},
     member::{self, Member},
     peers,
@@ -56,8 +56,7 @@
     match change {
         Change::Put(item) if item.key.starts_with(keys::MEMBERS) => {
             let member = Member::parse(&decode_text(&item.value));
-            let mut incarnations = shared.incarnations.borrow_mut();
-            incarnations.insert(item.key.clone(), member.incarnation.clone());
+            shared.record_incarnation(&item.key, &member.incarnation, item.revision);
             shared.members.borrow_mut().insert(item.key.clone(), member);
         }
         Change::Put(_) => {}
@@ -118,7 +117,8 @@
                 // for example after a takeover whose answer was lost. Such a group is served
                 // without predecessors.
                 if is_own {
-                    OwnedGroup::serve(Rc::clone(shared), group, revision, Vec::new());
+                    let predecessors = Predecessors::default();
+                    OwnedGroup::serve(Rc::clone(shared), group, revision, predecessors);
                 }
                 free_since.remove(&group);
                 continue;
@@ -223,19 +223,29 @@
 /// stays in it until a newer incarnation of its process is known.
 const PREDECESSORS_MAX: usize = 8;
 
-/// Returns the earlier owners that may still renew leases. This process is not among them, as it
+/// Returns the earlier owners. This process is not among those that may still renew leases, as it
 /// stopped renewing when it stopped serving the group.
-fn parse_predecessors<P>(shared: &Shared<P>, last_owner: Option<Item>) -> Vec<String> {
+fn parse_predecessors<P>(shared: &Shared<P>, last_owner: Option<Item>) -> Predecessors {
+    let revision = last_owner.as_ref().map_or(0, |item| item.revision);
     let history = last_owner
         .map(|item| decode_text(&item.value))
         .unwrap_or_default();
     let names = history.split(' ').filter(|name| !name.is_empty());
     let own_name = own_name(shared);
-    let remaining = names.filter(|name| *name != own_name && !shared.was_replaced(name));
-    remaining
-        .take(PREDECESSORS_MAX)
-        .map(str::to_owned)
-        .collect()
+    let mut predecessors = Predecessors {
+        remaining: names.map(str::to_owned).collect(),
+        revision,
+        ended_at: None,
+    };
+    predecessors.remove_ended(|name, revision| {
+        if name == own_name {
+            Some(shared.now())
+        } else {
+            shared.replaced_at(name, revision)
+        }
+    });
+    predecessors.remaining.truncate(PREDECESSORS_MAX);
+    predecessors
 }
 
 fn owner_history(own_name: &str, predecessors: &[String]) -> String {
@@ -278,7 +288,7 @@
             },
             Write::unleased(
                 keys::last_owner(group),
-                owner_history(&name, &predecessors).into_bytes(),
+                owner_history(&name, &predecessors.remaining).into_bytes(),
             ),
         ],
         remove: Vec::new(),
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -22,6 +22,15 @@
 /// the session at once, so the next owner waits for this time.
 pub(crate) const SESSION_PROOF_VALIDITY: Duration = SESSION_TTL;
 
+/// An incarnation of a process.
+pub(crate) struct Incarnation {
+    pub(crate) id: String,
+    /// Revision at which it was registered, as first seen.
+    pub(crate) revision: u64,
+    /// When this process first saw it.
+    pub(crate) first_seen_at: Instant,
+}
+
 /// The process that owns a group, and the revision at which the owner's key was written.
 pub(crate) struct Owner {
     /// The process, as `NAME#INCARNATION`.
@@ -39,7 +48,7 @@
     /// The session's lease, while it is assumed to hold.
     pub(crate) lease: Cell<Option<Lease>>,
     /// Latest incarnation registered by each process, including those whose session has ended.
-    pub(crate) incarnations: RefCell<HashMap<String, String>>,
+    pub(crate) incarnations: RefCell<HashMap<String, Incarnation>>,
     /// Processes with a session, by key.
     pub(crate) members: RefCell<BTreeMap<String, Member>>,
     /// When the last successful renewal of the session's lease was sent.
@@ -97,14 +106,32 @@
         session_proven_at.is_some_and(|at| self.now() < at + SESSION_PROOF_VALIDITY)
     }
 
-    /// Returns whether the process `NAME#INCARNATION` has been replaced by a newer incarnation.
-    pub(crate) fn was_replaced(&self, process: &str) -> bool {
-        let Some((name, incarnation)) = process.rsplit_once('#') else {
-            return false;
-        };
+    /// Records that a process registered an incarnation.
+    pub(crate) fn record_incarnation(&self, key: &str, id: &str, revision: u64) {
+        let mut incarnations = self.incarnations.borrow_mut();
+        if incarnations.get(key).is_none_or(|known| known.id != id) {
+            let incarnation = Incarnation {
+                id: id.to_owned(),
+                revision,
+                first_seen_at: self.now(),
+            };
+            incarnations.insert(key.to_owned(), incarnation);
+        }
+    }
+
+    /// Returns by when the process `NAME#INCARNATION`, known to the store at `revision`, had ended,
+    /// if another incarnation is registered.
+    pub(crate) fn replaced_at(&self, process: &str, revision: u64) -> Option<Instant> {
+        let (name, id) = process.rsplit_once('#')?;
         let incarnations = self.incarnations.borrow();
-        let latest = incarnations.get(&crate::keys::member(name));
-        latest.is_some_and(|latest| latest != incarnation)
+        let latest = incarnations.get(&crate::keys::member(name))?;
+        // When it was first seen says nothing if it may be the older one of the two.
+        let ended_at = if latest.revision > revision {
+            latest.first_seen_at
+        } else {
+            self.now()
+        };
+        (latest.id != id).then_some(ended_at)
     }
 
     /// Returns whether callers should be sent here. A process that can't accept jobs is not ready;
--- a/crates/persimmon-entry/tests/all/takeovers.rs
+++ b/crates/persimmon-entry/tests/all/takeovers.rs
@@ -28,13 +28,13 @@
     starts.first().expect("a start").2.clone()
 }
 
-/// Returns how long it takes until the task of the job is started again.
+/// Waits up to `limit` until the task of the job is started again. Returns how long that took.
 async fn time_to_restart(cluster: &mut Cluster, limit: Duration) -> Duration {
-    let gone_at = tokio::time::Instant::now();
-    while cluster.start_count(1) == 1 && gone_at.elapsed() < limit {
+    let since = tokio::time::Instant::now();
+    while cluster.start_count(1) == 1 && since.elapsed() < limit {
         cluster.advance(SECOND / 50).await;
     }
-    gone_at.elapsed()
+    since.elapsed()
 }
 
 /// The owner's key is gone with its session, but the owner does not hear of it: its watches get no
@@ -54,6 +54,22 @@
     assert!(left < term - 2 * SECOND, "{left:?}");
 }
 
+/// The earlier owner ended when it was replaced, which is before the takeover.
+#[tokio::test(start_paused = true)]
+async fn task_waits_long_after_its_runner_is_gone_and_its_owner_was_restarted() {
+    let mut cluster = Cluster::new(&["a", "b"]);
+    let handles = [cluster.start("one"), cluster.start("two")];
+    let runner = start_job(&mut cluster, &handles[0]).await;
+    assert_eq!(cluster.owner_of(0).as_deref(), Some("one"));
+    cluster.remove_runner(&runner);
+    cluster.kill(0);
+    cluster.advance(SECOND / 2).await;
+    cluster.start("one");
+    // 7 s from the restart on: 4 s, and 3 s in which the task may wait.
+    time_to_restart(&mut cluster, 7 * SECOND).await;
+    assert_eq!(cluster.start_count(1), 2);
+}
+
 /// Runs in real time, as processes call each other over sockets.
 #[tokio::test]
 async fn task_waits_long_after_its_runner_and_its_owner_are_gone_for_good() {
