test(entry): runners that leave the instance list and return to it

A stop order for a runner that the owner knows from a record alone is dropped without an answer, and a polling loop ends when its runner is unlisted and carries nothing. Both were suspects for tasks that wait for ever. The stop is repeated once the runner is listed; polling starts again whenever it is listed, at 10 ms to 10 s of absence, and goes on while a run is left. All three tests passed at once, so neither is a cause.

--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod jobs;
 mod owners;
 mod platform;
+mod runners;
 mod takeovers;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -580,9 +580,26 @@
     /// Crashes a runner for good; the instance list no longer contains it.
     pub(crate) fn remove_runner(&self, id: &str) {
         self.state.runners.borrow_mut().remove(id);
+        self.unlist_runner(id);
+    }
+
+    /// Removes a runner from the instance list; it goes on.
+    pub(crate) fn unlist_runner(&self, id: &str) {
         self.client().remove(&format!("{RUNNERS}{id}"));
     }
 
+    /// Adds a runner to the instance list again.
+    pub(crate) fn list_runner(&self, id: &str) {
+        let client = self.client();
+        let write = Write::unleased(format!("{RUNNERS}{id}"), Vec::new());
+        client.put(&write, client.next_revision());
+    }
+
+    /// Returns the number of runs in progress on a runner.
+    pub(crate) fn running_count(&self, runner: &str) -> usize {
+        self.state.runners.borrow()[runner].running.len()
+    }
+
     /// Kills the process that was started as number `index`.
     pub(crate) fn kill(&mut self, index: usize) {
         self.processes[index] = None;
