--- a/crates/persimmon-entry/src/group/lease_authority.rs
+++ b/crates/persimmon-entry/src/group/lease_authority.rs
@@ -13,8 +13,9 @@
 
 /// Interval between rounds of requests to the members.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(700);
-/// How long the members' confirmation of an outage is valid.
-const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(1_800);
+/// How long the members' confirmation of an outage is valid. The next owner waits for this time; a
+/// gap of one round between two confirmations is well within a runner's lease.
+const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(1_400);
 
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct LeaseAuthority {
@@ -24,19 +25,48 @@
     is_takeover_confirmed: bool,
 }
 
+/// Earlier owners of a group.
+#[derive(Debug, Default)]
+pub(crate) struct Predecessors {
+    /// Those that may still renew leases, as `NAME#INCARNATION`, the latest first.
+    pub(crate) remaining: Vec<String>,
+    /// Revision at which the store knew all of them.
+    pub(crate) revision: u64,
+    /// When the last of the others had ended.
+    pub(crate) ended_at: Option<Instant>,
+}
+
+impl Predecessors {
+    /// Removes the owners that have ended; `ended_at` returns when, given their name and
+    /// [`Self::revision`].
+    pub(crate) fn remove_ended(&mut self, ended_at: impl Fn(&str, u64) -> Option<Instant>) {
+        let revision = self.revision;
+        self.remaining.retain(|process| {
+            let at = ended_at(process, revision);
+            self.ended_at = self.ended_at.max(at);
+            at.is_none()
+        });
+    }
+}
+
 impl<P: Platform> OwnedGroup<P> {
     /// Returns whether runner leases may be renewed.
     pub(super) fn may_renew(&self) -> bool {
         let confirmed_until = self.lease_authority.get().confirmed_until;
         let is_confirmed = confirmed_until.is_some_and(|until| self.shared.now() < until);
-        self.shared.is_session_proven() || is_confirmed
+        self.is_ownership_proven() || is_confirmed
+    }
+
+    /// Returns whether the store confirmed lately that the session holds which the owner's key is
+    /// bound to. The key does not outlive it, though the process may have opened another.
+    fn is_ownership_proven(&self) -> bool {
+        self.shared.lease.get() == self.session && self.shared.is_session_proven()
     }
 
     /// Asks the members whenever their confirmation is needed. Never returns.
-    pub(super) async fn maintain_lease_authority(self: Rc<Self>) {
-        let taken_at = self.shared.now();
+    pub(super) async fn maintain_lease_authority(self: Rc<Self>, taken_at: Instant) {
         loop {
-            if !self.shared.is_session_proven() {
+            if !self.is_ownership_proven() {
                 self.confirm_outage().await;
             } else if !self.lease_authority.get().is_takeover_confirmed {
                 self.confirm_takeover(taken_at).await;
@@ -51,7 +81,8 @@
         let confirms = |it: &&peers::OwnerView| {
             it.store_is_unreachable && it.owner_revision <= self.fencing_token
         };
-        let agreeing = owner_views.iter().filter(confirms).count() + 1;
+        let own_vote = usize::from(self.shared.store_is_unreachable());
+        let agreeing = owner_views.iter().filter(confirms).count() + own_vote;
         let confirmed = is_majority(agreeing, total);
         log::info!(
             "event=outage.confirm group={} silent={agreeing} members={total} confirmed={confirmed}",
@@ -98,15 +129,20 @@
     /// the process itself.
     pub(super) fn check_predecessors(&self) {
         let mut predecessors = self.predecessors.borrow_mut();
-        let Some(remaining) = predecessors.as_mut() else {
+        let Some(earlier) = predecessors.as_mut() else {
             return;
         };
-        remaining.retain(|process| !self.shared.was_replaced(process));
-        if remaining.is_empty() {
-            log::info!("event=predecessors.ended group={}", self.id.0);
-            *predecessors = None;
+        earlier.remove_ended(|process, revision| self.shared.replaced_at(process, revision));
+        if earlier.remaining.is_empty() {
             let now = self.shared.now();
-            self.engine.borrow_mut().predecessor_ended(now);
+            let ended_at = earlier.ended_at.unwrap_or(now);
+            log::info!(
+                "event=predecessors.ended group={} age_ms={}",
+                self.id.0,
+                now.saturating_duration_since(ended_at).as_millis()
+            );
+            *predecessors = None;
+            self.engine.borrow_mut().predecessor_ended(ended_at);
         }
     }
 }
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -8,10 +8,12 @@
 mod orders;
 mod polling;
 
+pub(crate) use self::lease_authority::Predecessors;
+
 use self::{activity::Activity, lease_authority::LeaseAuthority};
 use crate::{
     keys::{self, GroupId},
-    platform::{Platform, Precondition, Txn},
+    platform::{Lease, Platform, Precondition, Txn},
     state::Shared,
 };
 use persimmon_sched::{Engine, RunnerInfo};
@@ -52,10 +54,12 @@
     pub(crate) id: GroupId,
     /// The revision of the owner's key, sent with each call to a runner.
     pub(crate) fencing_token: u64,
+    /// The session that the owner's key is bound to.
+    session: Option<Lease>,
     pub(crate) engine: RefCell<Engine>,
     pub(crate) is_loaded: Cell<bool>,
-    /// Earlier owners that may still renew leases; `None` once all are known to have ended.
-    predecessors: RefCell<Option<Vec<String>>>,
+    /// `None` once all earlier owners are known to have ended.
+    predecessors: RefCell<Option<Predecessors>>,
     lease_authority: Cell<LeaseAuthority>,
     runners: RefCell<HashMap<String, RunnerInfo>>,
     polled_runners: RefCell<HashSet<String>>,
@@ -81,13 +85,14 @@
         shared: Rc<Shared<P>>,
         id: GroupId,
         fencing_token: u64,
-        predecessors: Vec<String>,
+        predecessors: Predecessors,
     ) {
         let options = shared.options.engine.clone();
         let group = Rc::new(Self {
             engine: RefCell::new(Engine::new(options, shared.now())),
             id,
             fencing_token,
+            session: shared.lease.get(),
             predecessors: RefCell::new(Some(predecessors)),
             is_loaded: Cell::new(false),
             lease_authority: Cell::new(LeaseAuthority::default()),
@@ -116,6 +121,7 @@
     }
 
     async fn run(self: Rc<Self>) {
+        let taken_at = self.shared.now();
         self.configure();
         self.load_learned().await;
         let revision = self.load().await;
@@ -124,7 +130,7 @@
         self.spawn(Rc::clone(&self).follow_runners());
         self.spawn(Rc::clone(&self).commit());
         self.spawn(Rc::clone(&self).write_summaries());
-        self.spawn(Rc::clone(&self).maintain_lease_authority());
+        self.spawn(Rc::clone(&self).maintain_lease_authority(taken_at));
         self.spawn(Rc::clone(&self).remove_expired_jobs());
         self.spawn(Rc::clone(&self).log_load());
         self.spawn(Rc::clone(&self).save_learned());
--- a/crates/persimmon-entry/src/session.rs
+++ b/crates/persimmon-entry/src/session.rs
@@ -12,7 +12,7 @@
 
 /// How long a session outlives its last renewal. Takeovers wait for it to expire, but it must allow
 /// for three renewals, even on a slow instance.
-const SESSION_TTL: Duration = Duration::from_millis(1_400);
+pub(crate) const SESSION_TTL: Duration = Duration::from_millis(1_400);
 /// Shortest and longest interval between renewals. Three renewals must fit within the TTL.
 const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 const RENEW_INTERVAL_MAX: Duration = Duration::from_millis(450);
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -5,4 +5,6 @@
 mod jobs;
 mod owners;
 mod platform;
+mod runners;
 mod scale;
+mod takeovers;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -14,6 +14,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     future::{poll_fn, Future},
+    net::SocketAddr,
     pin::Pin,
     rc::Rc,
     sync::Arc,
@@ -55,7 +56,8 @@
     items: RefCell<BTreeMap<String, (Item, Option<u64>)>>,
     history: RefCell<Vec<(u64, Change)>>,
     changed: Notify,
-    leases: RefCell<HashMap<u64, Instant>>,
+    /// When each lease ends, and its TTL.
+    leases: RefCell<HashMap<u64, (Instant, Duration)>>,
     /// Watches from a revision below this one fail as compacted.
     pub(crate) compacted: Cell<u64>,
     /// While set, calls to the store time out.
@@ -75,6 +77,8 @@
     processor_free_at: Cell<Option<Instant>>,
     /// Number of leases granted.
     pub(crate) grants: Cell<u64>,
+    /// While set, watches get no answer.
+    pub(crate) watches_are_silent: Cell<bool>,
     /// The answer to every n-th write is lost; 0 for never.
     pub(crate) lose_every_nth_write: Cell<u64>,
     writes: Cell<u64>,
@@ -217,7 +221,7 @@
     /// Removes the keys of expired leases. Runs on calls to the store only, so not while it is
     /// down.
     fn expire(&self) {
-        let lapsed = |until: &Instant| now() >= *until;
+        let lapsed = |(until, _): &(Instant, Duration)| now() >= *until;
         let mut leases = self.state.leases.borrow_mut();
         let ended: Vec<_> = leases.iter().filter(|(_, it)| lapsed(it)).collect();
         let ended: Vec<_> = ended.into_iter().map(|(&lease, _)| lease).collect();
@@ -347,6 +351,10 @@
         wait: Duration,
     ) -> Result<WatchOutcome, CallError> {
         self.simulate_call("watch").await?;
+        if self.state.watches_are_silent.get() {
+            tokio::time::sleep(wait).await;
+            return Err(call_error("watch", Effect::None));
+        }
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.state.changed.notified();
@@ -404,25 +412,27 @@
     async fn grant(&self, ttl: Duration) -> Result<Lease, CallError> {
         self.simulate_call("grant").await?;
         let lease = self.next_revision();
-        // The TTL is not stored: `renew` extends every lease by the same time.
-        self.state.leases.borrow_mut().insert(lease, now() + ttl);
         self.state.grants.set(self.state.grants.get() + 1);
+        let mut leases = self.state.leases.borrow_mut();
+        leases.insert(lease, (now() + ttl, ttl));
         Ok(Lease(lease))
     }
 
     async fn renew(&self, lease: Lease) -> Result<bool, CallError> {
         self.simulate_call("renew").await?;
         let mut leases = self.state.leases.borrow_mut();
-        let Some(until) = leases.get_mut(&lease.0) else {
+        let Some((until, ttl)) = leases.get_mut(&lease.0) else {
             return Ok(false);
         };
-        *until = now() + Duration::from_secs(2);
+        *until = now() + *ttl;
         Ok(true)
     }
 
     async fn revoke(&self, lease: Lease) -> Result<(), CallError> {
         self.simulate_call("revoke").await?;
-        self.state.leases.borrow_mut().insert(lease.0, now());
+        if let Some((until, _)) = self.state.leases.borrow_mut().get_mut(&lease.0) {
+            *until = now();
+        }
         self.expire();
         Ok(())
     }
@@ -637,12 +647,24 @@
         name: &str,
         capacity_millis: u32,
         group_count: u16,
+    ) -> Handle {
+        let peer_address = "127.0.0.1:0".parse().expect("an address");
+        self.start_at(name, capacity_millis, group_count, peer_address)
+    }
+
+    /// Starts a process that other processes reach at `peer_address`.
+    pub(crate) fn start_at(
+        &mut self,
+        name: &str,
+        capacity_millis: u32,
+        group_count: u16,
+        peer_address: SocketAddr,
     ) -> Handle {
         let (handle, calls) = call_channel();
         let options = Options {
             name: name.to_owned(),
             incarnation: self.processes.len() as u64,
-            peer_address: "127.0.0.1:0".parse().expect("an address"),
+            peer_address,
             capacity_millis,
             group_count,
             store_reads_per_s: self
@@ -667,6 +689,43 @@
         self.state.compacted.set(self.client().next_revision());
     }
 
+    /// Ends all sessions at once, with the keys bound to them.
+    pub(crate) fn end_sessions(&self) {
+        for (until, _) in self.state.leases.borrow_mut().values_mut() {
+            *until = now();
+        }
+        self.client().expire();
+    }
+
+    /// Returns how long the runs on a runner may continue without a renewal.
+    pub(crate) fn lease_left(&self, runner: &str) -> Duration {
+        let deadline_ms = self.state.runners.borrow()[runner].deadline_ms;
+        Duration::from_millis(deadline_ms.saturating_sub(self.client().clock_ms()))
+    }
+
+    /// Crashes a runner for good; the instance list no longer contains it.
+    pub(crate) fn remove_runner(&self, id: &str) {
+        self.state.runners.borrow_mut().remove(id);
+        self.unlist_runner(id);
+    }
+
+    /// Removes a runner from the instance list; it goes on.
+    pub(crate) fn unlist_runner(&self, id: &str) {
+        self.client().remove(&format!("{RUNNERS}{id}"));
+    }
+
+    /// Adds a runner to the instance list again.
+    pub(crate) fn list_runner(&self, id: &str) {
+        let client = self.client();
+        let write = Write::unleased(format!("{RUNNERS}{id}"), Vec::new());
+        client.put(&write, client.next_revision());
+    }
+
+    /// Returns the number of runs in progress on a runner.
+    pub(crate) fn running_count(&self, runner: &str) -> usize {
+        self.state.runners.borrow()[runner].running.len()
+    }
+
     /// Kills the process that was started as number `index`.
     pub(crate) fn kill(&mut self, index: usize) {
         self.processes[index] = None;
