fix(entry): run accepted jobs whose queue was removed from the policy

An accepted job whose queue was removed before it had run was never started after a takeover: nothing ran, nothing was logged, and asking for it gave 404. The engine took the service, the priority and the attempts from the policy in force, and an unknown queue gave the service "", which no runner has, and a single attempt, after which a restored job was shown as failed. The same came without a takeover if the owner knew the new policy before it read the submission.

A submission now carries its queue as of the acceptance, and the engine uses that while its policy has none of the name; the policy in force still goes first. Submissions of earlier versions are read as before. An owner of an earlier version does not start jobs accepted by this one; they wait until one of this version takes the group. A job whose queue is known from nowhere is logged.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -3,13 +3,13 @@
     keys::{self, JobKey},
     platform::{Change, Item, Platform},
     prefix_watch::{self, WatchOptions},
-    requests::Submission,
+    requests::{AcceptedJob, Submission},
 };
-use persimmon_sched::{JobId, JobSpec, Record, StoredRecord};
+use persimmon_sched::{JobId, Record, StoredRecord};
 use std::{
     collections::{BTreeSet, HashMap},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Delay before a failed read is retried.
@@ -23,7 +23,7 @@
 
 #[derive(Default)]
 struct StoredJob {
-    spec: Option<JobSpec>,
+    job: Option<AcceptedJob>,
     is_cancelled: bool,
     stored: Option<StoredRecord>,
 }
@@ -53,14 +53,13 @@
             jobs.len()
         );
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
-        let mut engine = self.engine.borrow_mut();
-        for (id, job) in jobs {
-            let Some(spec) = job.spec else {
+        for (id, stored) in jobs {
+            let Some(job) = stored.job else {
                 continue;
             };
-            engine.add_job(spec, job.stored, wall_ms, now);
-            if job.is_cancelled {
-                engine.cancel(id, now);
+            self.add_job(job, stored.stored, wall_ms, now);
+            if stored.is_cancelled {
+                self.engine.borrow_mut().cancel(id, now);
             }
         }
         (known, revision)
@@ -69,7 +68,7 @@
     fn add_item(&self, item: &Item, jobs: &mut HashMap<JobId, StoredJob>) {
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                jobs.entry(id).or_default().spec = self.read_submission(item);
+                jobs.entry(id).or_default().job = self.read_submission(item);
             }
             Some(JobKey::Cancellation(id)) => jobs.entry(id).or_default().is_cancelled = true,
             Some(JobKey::Record(id)) => match Record::decode(&item.value) {
@@ -85,9 +84,10 @@
         }
     }
 
-    fn read_submission(&self, item: &Item) -> Option<JobSpec> {
+    fn read_submission(&self, item: &Item) -> Option<AcceptedJob> {
         match Submission::decode(&item.value) {
-            Ok(Submission::Job(spec)) => Some(spec),
+            Ok(Submission::Accepted(job)) => Some(job),
+            Ok(Submission::Job(spec)) => Some(AcceptedJob { spec, queue: None }),
             Ok(Submission::Tombstone) => None,
             Err(err) => {
                 log::error!("event=submission.invalid key={} fault=\"{err}\"", item.key);
@@ -96,6 +96,21 @@
         }
     }
 
+    /// Adds a job to the engine.
+    pub(crate) fn add_job(
+        &self,
+        job: AcceptedJob,
+        stored: Option<StoredRecord>,
+        wall_ms: u64,
+        now: Instant,
+    ) {
+        let mut engine = self.engine.borrow_mut();
+        if let Some(queue) = job.queue {
+            engine.remember_queue(queue);
+        }
+        engine.add_job(job.spec, stored, wall_ms, now);
+    }
+
     /// Adds submissions and cancellations to the engine as they are written. Never returns.
     pub(super) async fn follow_inbox(self: Rc<Self>, start: (BTreeSet<String>, u64)) {
         let shared = Rc::clone(&self.shared);
@@ -112,11 +127,12 @@
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                let Some(spec) = self.read_submission(item) else {
+                let Some(job) = self.read_submission(item) else {
                     return;
                 };
-                log::debug!("event=job.receive job={id} steps={}", spec.steps.len());
-                self.engine.borrow_mut().add_job(spec, None, wall_ms, now);
+                let steps = job.spec.steps.len();
+                log::debug!("event=job.receive job={id} steps={steps}");
+                self.add_job(job, None, wall_ms, now);
             }
             Some(JobKey::Cancellation(id)) => {
                 self.engine.borrow_mut().cancel(id, now);
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -9,10 +9,11 @@
 use crate::{
     keys::{self, GroupId},
     platform::{Platform, Txn, TxnOutcome},
+    requests::AcceptedJob,
     state::Shared,
 };
 use persimmon_mesh::{Authority, Credentials, Handler, Mesh, Options, SetupError};
-use persimmon_sched::{JobId, JobSpec, Phase};
+use persimmon_sched::{JobId, Phase};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::sync::{mpsc, oneshot};
@@ -31,7 +32,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
     /// The job has been written to the store.
-    Submitted(JobSpec),
+    Submitted(Box<AcceptedJob>),
     /// The job's cancellation has been written to the store.
     Cancelled(JobId),
     /// Asks for the phase of a job.
@@ -161,7 +162,7 @@
         return PeerReply::OwnerView(owner_view(shared, GroupId(group)));
     }
     let group = match &request {
-        PeerRequest::Submitted(spec) => shared.home_group(spec.id),
+        PeerRequest::Submitted(job) => shared.home_group(job.spec.id),
         PeerRequest::Cancelled(job) | PeerRequest::Phase(job) => shared.home_group(*job),
         PeerRequest::Waiting(group) | PeerRequest::OwnerView(group) => GroupId(*group),
     };
@@ -171,8 +172,8 @@
     };
     let (wall_ms, now) = (shared.wall_ms(), shared.now());
     match request {
-        PeerRequest::Submitted(spec) => {
-            group.engine.borrow_mut().add_job(spec, None, wall_ms, now);
+        PeerRequest::Submitted(job) => {
+            group.add_job(*job, None, wall_ms, now);
             group.wake();
             PeerReply::Acknowledged
         }
--- a/crates/persimmon-entry/src/requests.rs
+++ b/crates/persimmon-entry/src/requests.rs
@@ -39,13 +39,23 @@
     reason: "the store does not answer",
 };
 
+/// A job and its queue, which may be removed from the policy before the job has run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct AcceptedJob {
+    pub(crate) spec: JobSpec,
+    /// `None` for jobs that an earlier version accepted.
+    pub(crate) queue: Option<Queue>,
+}
+
 /// Value of a job's submission key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Submission {
-    /// A submitted job.
+    /// A submitted job, as written by earlier versions.
     Job(JobSpec),
     /// The job was cancelled before it was submitted, and never runs.
     Tombstone,
+    /// A submitted job.
+    Accepted(AcceptedJob),
 }
 
 impl Submission {
@@ -160,7 +170,7 @@
     let JobTarget { queue, job } = parse_target(shared, request)?;
     let spec = JobSpec {
         id: job,
-        queue: queue.name,
+        queue: queue.name.clone(),
         submitted_at_ms: shared.wall_ms(),
         ..spec
     };
@@ -170,10 +180,14 @@
     reject_in_outage(shared)?;
     let group = shared.home_group(job);
     let key = keys::submission(group, job);
-    let txn = Txn::create(key, Submission::Job(spec.clone()).encode()?);
+    let accepted = AcceptedJob {
+        spec,
+        queue: Some(queue),
+    };
+    let txn = Txn::create(key, Submission::Accepted(accepted.clone()).encode()?);
     match send_until_settled(shared, &txn, deadline).await? {
         TxnOutcome::Done { .. } => {
-            peers::notify_owner(shared, group, PeerRequest::Submitted(spec));
+            peers::notify_owner(shared, group, PeerRequest::Submitted(Box::new(accepted)));
             Ok(Accepted { is_new: true })
         }
         TxnOutcome::Conflict { .. } | TxnOutcome::NoLease => Ok(Accepted { is_new: false }),
--- a/crates/persimmon-entry/tests/all/accepted_jobs.rs
+++ b/crates/persimmon-entry/tests/all/accepted_jobs.rs
@@ -7,6 +7,30 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Guards against jobs that never run after a takeover because their queue was removed meanwhile.
+#[tokio::test(start_paused = true)]
+async fn job_of_a_removed_queue_runs_after_a_takeover() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handles = [cluster.start("one"), cluster.start("two")];
+    cluster.advance(2 * SECOND).await;
+    for job in 1..=16 {
+        let accepted = cluster
+            .run_until(handles[0].submit(request(job), spec(4_000)))
+            .await;
+        accepted.expect("accepted");
+    }
+    cluster.write_policy(2, &[]);
+    cluster.advance(SECOND).await;
+    let rejected = cluster.run_until(handles[1].phase(request(1))).await;
+    assert_eq!(rejected, Err(Rejection::NoQueue));
+    let owner = cluster.owner_of(0).expect("an owner");
+    cluster.kill(usize::from(owner == "two"));
+    cluster.advance(30 * SECOND).await;
+    for job in 1..=16 {
+        assert_eq!(cluster.start_count(job), 1, "starts of job {job}");
+    }
+}
+
 /// Guards against jobs that run again because their keys outlived their removal from memory.
 #[tokio::test(start_paused = true)]
 async fn expired_job_whose_keys_remain_does_not_run_again() {
--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -1,7 +1,7 @@
 //! Adds jobs, restores them from their records, and opens their occurrences and steps.
 
 use super::{Engine, Job, Stage, State, Step, StoredRecord, Task};
-use crate::{JobId, JobSpec, Phase, Record, TaskId, TaskRecord, TaskState};
+use crate::{JobId, JobSpec, Phase, Queue, Record, TaskId, TaskRecord, TaskState};
 use std::{sync::Arc, time::Instant};
 
 impl Engine {
@@ -16,7 +16,16 @@
         if self.jobs.contains_key(&spec.id) {
             return;
         }
-        let queue = self.policy.queue(&spec.queue).cloned().unwrap_or_default();
+        let accepted_queue = self.accepted_queues.get(&spec.queue);
+        let queue = self.policy.queue(&spec.queue).or(accepted_queue).cloned();
+        let queue = queue.unwrap_or_else(|| {
+            log::error!(
+                "event=job.queue_unknown job={} queue={}",
+                spec.id,
+                spec.queue
+            );
+            Queue::default()
+        });
         let critical_path_ms = self.durations.critical_path_ms(&spec);
         let time_budget_ms = (critical_path_ms * queue.stretch.max(1.0)) as u64 + queue.target_ms;
         let id = spec.id;
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, LEASE_CLOCK_SLACK},
-    JobId, Phase, Policy, RunnerInfo, RunnerState, StepSpec, TaskId,
+    JobId, Phase, Policy, Queue, RunnerInfo, RunnerState, StepSpec, TaskId,
 };
 use persimmon_interference::InterferenceModel;
 use std::{
@@ -44,6 +44,8 @@
 pub struct Engine {
     options: Options,
     policy: Policy,
+    /// Queues of accepted jobs as of the acceptance, used while the policy has none of the name.
+    accepted_queues: HashMap<String, Queue>,
     jobs: HashMap<JobId, Job>,
     runners: Vec<Runner>,
     runner_keys: HashMap<String, RunnerKey>,
@@ -72,6 +74,7 @@
     pub fn new(options: Options, now: Instant) -> Self {
         Self {
             policy: Policy::default(),
+            accepted_queues: HashMap::new(),
             jobs: HashMap::new(),
             runners: Vec::new(),
             runner_keys: HashMap::new(),
@@ -111,6 +114,12 @@
         }
     }
 
+    /// Sets the terms under which jobs of a queue are added while the policy has no such queue: it
+    /// may have been removed after a job was accepted.
+    pub fn remember_queue(&mut self, queue: Queue) {
+        self.accepted_queues.insert(queue.name.clone(), queue);
+    }
+
     /// Returns whether a runner has rejected this engine's fencing token.
     pub fn is_fenced(&self) -> bool {
         self.fenced
--- a/crates/persimmon-sched/src/policy.rs
+++ b/crates/persimmon-sched/src/policy.rs
@@ -1,3 +1,5 @@
+use serde::{Deserialize, Serialize};
+
 /// One version of the queues and services declared by operators.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Policy {
@@ -12,7 +14,7 @@
 }
 
 /// A queue of jobs.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Name, unique within a policy.
     pub name: String,
