test(entry): follow accepted jobs through restarts and outages

Three processes are stopped, killed and started at seeded moments, also while others drain, while the store falls silent for up to a second or drops its history. Callers submit at one process and ask at another: an accepted job is always known, is never shown as failed or cancelled, a completed one stays completed, and all are completed in the end.

Moments are seeded, but the engine's hash maps are not, so a run does not repeat exactly.

--- a/crates/persimmon-entry/tests/all/accepted_jobs.rs
+++ b/crates/persimmon-entry/tests/all/accepted_jobs.rs
@@ -1,9 +1,11 @@
 //! An accepted job is run once and stays known, whatever happens around it.
 
 use crate::platform::{phase, request, spec, Cluster};
-use persimmon_entry::Rejection;
+use persimmon_entry::{Handle, Rejection};
 use persimmon_sched::Phase;
-use std::time::Duration;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{collections::HashSet, time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -89,3 +91,142 @@
     );
     assert!(started_at.elapsed() < timeout, "{:?}", started_at.elapsed());
 }
+
+const NAMES: [&str; 3] = ["one", "two", "three"];
+const SEEDS: u64 = 8;
+/// Processes that run on at all times; the others may be stopped, killed and started.
+const PROCESSES_MIN: usize = 2;
+
+/// Three processes that are stopped, killed and started while callers use them.
+struct Soak {
+    cluster: Cluster,
+    random: ChaCha8Rng,
+    /// The handle of each process and its number in the cluster.
+    processes: [(Handle, usize); 3],
+    accepted: Vec<u64>,
+    completed: HashSet<u64>,
+    next_job: u64,
+}
+
+impl Soak {
+    fn new(seed: u64) -> Self {
+        let mut cluster = Cluster::new(&["a", "b", "c"]);
+        let mut number = 0;
+        let processes = NAMES.map(|name| {
+            number += 1;
+            (cluster.start(name), number - 1)
+        });
+        Self {
+            cluster,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            processes,
+            accepted: Vec::new(),
+            completed: HashSet::new(),
+            next_job: 1,
+        }
+    }
+
+    fn is_running(&self, at: usize) -> bool {
+        self.cluster.processes[self.processes[at].1].is_some()
+    }
+
+    fn start(&mut self, at: usize) {
+        let handle = self.cluster.start(NAMES[at]);
+        self.processes[at] = (handle, self.cluster.processes.len() - 1);
+    }
+
+    /// Starts, stops or kills a process, or lets the store fail for a moment.
+    async fn disturb(&mut self) {
+        let at = self.random.random_range(0..NAMES.len());
+        let running = self.processes.iter();
+        let running = running
+            .filter(|it| self.cluster.is_running_on(it.1))
+            .count();
+        if !self.is_running(at) {
+            self.start(at);
+            return;
+        }
+        match self.random.random_range(0..5) {
+            0 | 1 if running > PROCESSES_MIN => self.cluster.stop(self.processes[at].1),
+            2 if running > PROCESSES_MIN => self.cluster.kill(self.processes[at].1),
+            3 => self.cluster.compact(),
+            _ => {
+                self.cluster.state.store_is_down.set(true);
+                let time = SECOND.mul_f64(self.random.random());
+                self.cluster.advance(time).await;
+                self.cluster.state.store_is_down.set(false);
+            }
+        }
+    }
+
+    /// Submits a job at one process and asks for one at another.
+    async fn call(&mut self) {
+        let running = (0..NAMES.len()).filter(|&at| self.is_running(at));
+        let running: Vec<_> = running.collect();
+        let pick = |random: &mut ChaCha8Rng| running[random.random_range(0..running.len())];
+        let handle = self.processes[pick(&mut self.random)].0.clone();
+        let run_time_ms = self.random.random_range(50..3_000);
+        let submitted = handle.submit(request(self.next_job), spec(run_time_ms));
+        if self.cluster.run_until(submitted).await.is_ok() {
+            self.accepted.push(self.next_job);
+        }
+        self.next_job += 1;
+        if self.accepted.is_empty() {
+            return;
+        }
+        let handle = self.processes[pick(&mut self.random)].0.clone();
+        let job = self.accepted[self.random.random_range(0..self.accepted.len())];
+        if let Ok(phase) = self.cluster.run_until(handle.phase(request(job))).await {
+            self.check_phase(job, phase);
+        }
+    }
+
+    fn check_phase(&mut self, job: u64, phase: Option<Phase>) {
+        let phase = phase.unwrap_or_else(|| panic!("accepted job {job} is not known"));
+        assert!(
+            !matches!(phase, Phase::Failed | Phase::Cancelled),
+            "job {job} is {phase:?}"
+        );
+        let was_completed = !self.completed.insert(job);
+        if phase != Phase::Completed {
+            assert!(!was_completed, "completed job {job} is {phase:?}");
+            self.completed.remove(&job);
+        }
+    }
+
+    /// Starts all processes and checks that all accepted jobs get done.
+    async fn finish(&mut self) {
+        // Processes that were stopped still drain.
+        self.cluster.advance(5 * SECOND).await;
+        let stopped: Vec<_> = (0..NAMES.len())
+            .filter(|&at| !self.is_running(at))
+            .collect();
+        stopped.into_iter().for_each(|at| self.start(at));
+        self.cluster.advance(60 * SECOND).await;
+        for job in self.accepted.clone() {
+            let handle = self.processes[job as usize % NAMES.len()].0.clone();
+            let phase = phase(&mut self.cluster, &handle, job).await;
+            assert_eq!(phase, Some(Phase::Completed), "job {job}");
+        }
+    }
+}
+
+/// Guards against accepted jobs that are not known, are shown as ended without cause or never run,
+/// while processes are stopped, killed and started and the store fails for moments.
+#[tokio::test(start_paused = true)]
+async fn accepted_jobs_stay_known_through_restarts_and_outages() {
+    for seed in 0..SEEDS {
+        let mut soak = Soak::new(seed);
+        soak.cluster.advance(2 * SECOND).await;
+        for _ in 0..30 {
+            soak.disturb().await;
+            for _ in 0..8 {
+                soak.call().await;
+                let pause = SECOND.mul_f64(soak.random.random::<f64>() / 5.0);
+                soak.cluster.advance(pause).await;
+            }
+        }
+        soak.finish().await;
+        println!("seed {seed}: {} accepted jobs", soak.accepted.len());
+    }
+}
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -20,7 +20,10 @@
     task::Poll,
     time::{Duration, Instant, SystemTime},
 };
-use tokio::{sync::Notify, task::LocalSet};
+use tokio::{
+    sync::{oneshot, Notify},
+    task::LocalSet,
+};
 
 pub(crate) const PREFIX: &str = "/quotes/";
 const HOST: &str = "bookings.example";
@@ -458,6 +461,8 @@
 /// A process with its own task set, so that killing it drops all of its tasks.
 pub(crate) struct Process {
     tasks: LocalSet,
+    stop: Option<oneshot::Sender<()>>,
+    has_ended: Rc<Cell<bool>>,
 }
 
 /// A platform with its processes.
@@ -531,8 +536,19 @@
         });
         let tasks = LocalSet::new();
         let client = self.client();
-        tasks.spawn_local(run(client, options, clock, calls, std::future::pending()));
-        self.processes.push(Some(Process { tasks }));
+        let (stop, stopped) = oneshot::channel();
+        let has_ended = Rc::new(Cell::new(false));
+        let ends = Rc::clone(&has_ended);
+        tasks.spawn_local(async move {
+            let stopped = async { drop(stopped.await) };
+            run(client, options, clock, calls, stopped).await;
+            ends.set(true);
+        });
+        self.processes.push(Some(Process {
+            tasks,
+            stop: Some(stop),
+            has_ended,
+        }));
         handle
     }
 
@@ -546,13 +562,34 @@
         self.processes[index] = None;
     }
 
+    /// Returns whether the process that was started as number `index` runs and is not stopping.
+    pub(crate) fn is_running_on(&self, index: usize) -> bool {
+        let process = self.processes[index].as_ref();
+        process.is_some_and(|process| process.stop.is_some())
+    }
+
+    /// Stops the process that was started as number `index`, which ends after its drain.
+    pub(crate) fn stop(&mut self, index: usize) {
+        let process = self.processes[index].as_mut();
+        let stop = process.and_then(|process| process.stop.take());
+        if let Some(stop) = stop {
+            stop.send(()).expect("the process waits for it");
+        }
+    }
+
     /// Runs all processes until `until` resolves.
     pub(crate) async fn run_until<T>(&mut self, until: impl Future<Output = T>) -> T {
         let mut until = Box::pin(until);
         poll_fn(|context| {
-            for process in self.processes.iter_mut().flatten() {
-                // A process never completes, as its tasks run forever.
+            for slot in &mut self.processes {
+                let Some(process) = slot else {
+                    continue;
+                };
+                // The task set never completes, as some of its tasks run forever.
                 let _ = Pin::new(&mut process.tasks).poll(context);
+                if process.has_ended.get() {
+                    *slot = None;
+                }
             }
             match until.as_mut().poll(context) {
                 Poll::Ready(value) => Poll::Ready(value),
