refactor(sched): keep claims and unsettled runs in order

Orders that are due together were issued in the order of a randomly seeded hash map, so a seed of the random test did not repeat a failure: failed in two of five runs of the same binary.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -56,7 +56,7 @@
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
     /// Runs with an unanswered or unconfirmed start, or an ordered stop.
-    unsettled_runs: HashSet<(TaskId, u32)>,
+    unsettled_runs: BTreeSet<(TaskId, u32)>,
     image_keys: HashMap<String, ImageKey>,
     interference: InterferenceModel,
     durations: Durations,
@@ -82,7 +82,7 @@
             dirty: DirtyJobs::default(),
             orders: Vec::new(),
             idle_tasks: stalled::IdleTasks::new(),
-            unsettled_runs: HashSet::new(),
+            unsettled_runs: BTreeSet::new(),
             image_keys: HashMap::new(),
             interference: InterferenceModel::default(),
             durations: Durations::default(),
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -1,7 +1,7 @@
 use crate::{engine::Backoff, JobId, TaskId};
 use persimmon_types::Size;
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -146,7 +146,7 @@
     pub(crate) incarnation_ms: Option<u64>,
     pub(crate) last_report_at: Option<Instant>,
     pub(crate) lease: Lease,
-    pub(crate) claims: HashMap<(TaskId, u32), Claim>,
+    pub(crate) claims: BTreeMap<(TaskId, u32), Claim>,
     pub(crate) used: Size,
     pub(crate) best_effort_cpu_millis: u32,
     pub(crate) latency_critical_cpu_millis: u32,
@@ -230,7 +230,7 @@
                 clock_sample: None,
                 unknown_leases_until,
             },
-            claims: HashMap::new(),
+            claims: BTreeMap::new(),
             used: Size::ZERO,
             best_effort_cpu_millis: 0,
             latency_critical_cpu_millis: 0,
