fix(sched): start nothing on a runner that left before the commit of its placement

Callers may see a task die with its runner, or wait for a lease: a placement whose commit took longer than the runner's notice was still started there (DRAIN where the store answers slowly). evacuate moved only tasks that last or checkpoint, and a runner that had left the instance list kept all placements.

Uncommitted placements are now released when their runner starts to drain or leaves the list; nothing of them can exist yet.

Failed before, with one start on runner a each: task_is_started_on_a_runner_that_drained_before_its_commit, task_is_started_on_a_runner_that_left_before_its_commit.

--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -87,7 +87,9 @@
 
     fn handle_unlisted_runner(&self, id: &str) {
         log::info!("event=runner.unlist runner={id}");
-        self.engine.borrow_mut().unlist_runner(id);
+        self.engine
+            .borrow_mut()
+            .unlist_runner(id, self.shared.now());
         self.wake.notify_one();
     }
 
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -207,6 +207,7 @@
     /// Moves long-running and checkpointing tasks off a draining runner: they would be killed when
     /// it leaves and lose nothing by moving now. Other tasks may still finish in time.
     fn evacuate(&mut self, key: RunnerKey, now: Instant) {
+        self.release_uncommitted(key, now);
         let claims = self.runner(key).claims.keys();
         let tasks: Vec<_> = claims.map(|&(task, _)| task).collect();
         let can_move = |step: &StepSpec| step.long_running || step.checkpointing;
@@ -221,10 +222,26 @@
         }
     }
 
+    /// Requeues the tasks on a runner whose placement is not committed, as their starts would come
+    /// after the runner was known to leave.
+    fn release_uncommitted(&mut self, key: RunnerKey, now: Instant) {
+        let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
+        for (task, run) in claims {
+            if let Some(Stage::Committing(_)) = self.stage_on(key, task, run) {
+                log::info!(
+                    "event=run.release task={task} run={run} runner={}",
+                    self.runner(key).info.id
+                );
+                self.end_run(task, now);
+            }
+        }
+    }
+
     /// Records that the instance list no longer contains a runner.
-    pub fn unlist_runner(&mut self, id: &str) {
+    pub fn unlist_runner(&mut self, id: &str, now: Instant) {
         if let Some(&key) = self.runner_keys.get(id) {
             self.runner_mut(key).listed = false;
+            self.release_uncommitted(key, now);
         }
     }
 
--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -701,7 +701,7 @@
                 let state = RunnerState::Draining;
                 engine.update_runner(RunnerInfo { state, ..info }, now);
             }
-            Presence::Gone => engine.unlist_runner(&self.id),
+            Presence::Gone => engine.unlist_runner(&self.id, now),
         }
     }
 
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -221,7 +221,7 @@
     let orders = fleet.harness.round();
     assert_eq!(starts(&orders).len(), 1);
     fleet.silence("a");
-    fleet.harness.engine.unlist_runner("a");
+    fleet.harness.engine.unlist_runner("a", fleet.harness.now);
     fleet.harness.add_runner("b", 4_000);
     fleet.runners.insert("b".to_owned(), vec![]);
     fleet.rounds(RUNS_AGAIN_WITHIN_MS);
@@ -390,3 +390,36 @@
     assert_eq!(fleet.runs(task(1, 0, 0)).len(), 1);
     assert_eq!(fleet.runs(task(1, 0, 1)).len(), 1);
 }
+
+/// Places the only task on runner `a`, lets `leave` take the runner away, then commits.
+fn leave_before_commit(leave: impl FnOnce(&mut TestEngine)) -> Vec<Order> {
+    let mut harness = TestEngine::with_runners(&["a"], 4_000);
+    harness.submit(job(1, vec![step(1)]));
+    harness.engine.tick(0, harness.now);
+    let commits = harness.engine.take_commits(10);
+    leave(&mut harness);
+    for commit in commits {
+        harness
+            .engine
+            .handle_commit(commit.job, commit.version, commit.revision + 1);
+    }
+    harness.engine.take_orders()
+}
+
+#[test]
+fn task_is_started_on_a_runner_that_drained_before_its_commit() {
+    let orders = leave_before_commit(|harness| {
+        let info = RunnerInfo {
+            state: RunnerState::Draining,
+            ..crate::support::runner("a", 4_000)
+        };
+        harness.engine.update_runner(info, harness.now);
+    });
+    assert!(starts(&orders).is_empty(), "{:?}", starts(&orders));
+}
+
+#[test]
+fn task_is_started_on_a_runner_that_left_before_its_commit() {
+    let orders = leave_before_commit(|harness| harness.engine.unlist_runner("a", harness.now));
+    assert!(starts(&orders).is_empty(), "{:?}", starts(&orders));
+}
