fix(entry): ask the members in turn after a takeover

A new owner asked all members at once what they know of it and, without a majority, asked all again after 0.7 s. With 300 members each round opened more connections than its processor could within the timeout of a call, and slow answers closed connections again. It now asks 16 at a time and stops at a majority, at most for one interval; connections that were opened serve the next round. Requests during an outage of the store are as before.

--- a/crates/persimmon-entry/src/group/lease_authority.rs
+++ b/crates/persimmon-entry/src/group/lease_authority.rs
@@ -5,7 +5,11 @@
 //! same members: once a majority knows of it, no earlier owner can obtain such a majority again.
 
 use super::OwnedGroup;
-use crate::{peers, platform::Platform, state::SESSION_PROOF_VALIDITY};
+use crate::{
+    peers::{self, OwnerView},
+    platform::Platform,
+    state::SESSION_PROOF_VALIDITY,
+};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -13,6 +17,9 @@
 
 /// Interval between rounds of requests to the members.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(700);
+/// Maximum number of members asked at once after a takeover: each may take a new connection, and
+/// the group's runners are polled at the same time.
+const TAKEOVER_CALLS_MAX: usize = 16;
 /// How long the members' confirmation of an outage is valid.
 const CONFIRMATION_VALIDITY: Duration = Duration::from_millis(1_800);
 
@@ -39,7 +46,9 @@
             if !self.shared.is_session_proven() {
                 self.confirm_outage().await;
             } else if !self.lease_authority.get().is_takeover_confirmed {
-                self.confirm_takeover(taken_at).await;
+                // Connections that were opened in time serve the next attempt.
+                let confirmed = self.confirm_takeover(taken_at);
+                let _ = tokio::time::timeout(REQUEST_INTERVAL, confirmed).await;
             }
             tokio::time::sleep(REQUEST_INTERVAL).await;
         }
@@ -47,10 +56,10 @@
 
     async fn confirm_outage(&self) {
         let requested_at = self.shared.now();
-        let (owner_views, total) = peers::owner_views(&self.shared, self.id).await;
-        let confirms = |it: &&peers::OwnerView| {
-            it.store_is_unreachable && it.owner_revision <= self.fencing_token
-        };
+        let all = |_: &[OwnerView], _| false;
+        let (owner_views, total) = peers::owner_views(&self.shared, self.id, usize::MAX, all).await;
+        let confirms =
+            |it: &&OwnerView| it.store_is_unreachable && it.owner_revision <= self.fencing_token;
         let agreeing = owner_views.iter().filter(confirms).count() + 1;
         let confirmed = is_majority(agreeing, total);
         log::info!(
@@ -73,15 +82,19 @@
     /// Checks whether a majority of members knows of this owner; earlier owners then renew no more
     /// leases.
     async fn confirm_takeover(&self, taken_at: Instant) {
-        let (owner_views, total) = peers::owner_views(&self.shared, self.id).await;
-        let known_by = owner_views
-            .iter()
-            .filter(|it| it.owner_revision >= self.fencing_token)
-            .count();
+        let known_by = |owner_views: &[OwnerView]| {
+            let knows = |it: &&OwnerView| it.owner_revision >= self.fencing_token;
+            owner_views.iter().filter(knows).count()
+        };
         // Members no longer in the list may still have counted towards an earlier owner's majority.
-        if !is_majority(known_by + 1, total + 1) {
+        let is_enough =
+            |owner_views: &[OwnerView], total| is_majority(known_by(owner_views) + 1, total + 1);
+        let (owner_views, total) =
+            peers::owner_views(&self.shared, self.id, TAKEOVER_CALLS_MAX, is_enough).await;
+        if !is_enough(&owner_views, total) {
             return;
         }
+        let known_by = known_by(&owner_views);
         let mut lease_authority = self.lease_authority.get();
         lease_authority.is_takeover_confirmed = true;
         self.lease_authority.set(lease_authority);
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -199,11 +199,14 @@
     }
 }
 
-/// Returns what the other members know of a group's owner, as far as they answer, and the number of
-/// all members including this one.
+/// Asks the other members what they know of a group's owner, at most `calls_max` of them at once,
+/// until all have been asked or `is_enough` holds for the answers and the number of all members
+/// including this one. Returns both.
 pub(crate) async fn owner_views<P: Platform>(
     shared: &Shared<P>,
     group: GroupId,
+    calls_max: usize,
+    is_enough: impl Fn(&[OwnerView], usize) -> bool,
 ) -> (Vec<OwnerView>, usize) {
     let own_address = shared.options.peer_address;
     let others: Vec<_> = {
@@ -215,18 +218,26 @@
     let Some(mesh) = shared.peers.borrow().clone() else {
         return (Vec::new(), total);
     };
+    let mut others = others.into_iter();
     let mut calls = tokio::task::JoinSet::new();
-    for address in others {
-        let mesh = Arc::clone(&mesh);
-        calls.spawn(async move {
-            mesh.call(address, &PeerRequest::OwnerView(group.0), CALL_TIMEOUT)
-                .await
-        });
-    }
     let mut views = Vec::new();
-    while let Some(call) = calls.join_next().await {
+    loop {
+        let free_calls = calls_max.saturating_sub(calls.len());
+        for address in others.by_ref().take(free_calls) {
+            let mesh = Arc::clone(&mesh);
+            calls.spawn(async move {
+                mesh.call(address, &PeerRequest::OwnerView(group.0), CALL_TIMEOUT)
+                    .await
+            });
+        }
+        let Some(call) = calls.join_next().await else {
+            break;
+        };
         if let Ok(Ok(PeerReply::OwnerView(owner_view))) = call {
             views.push(owner_view);
+            if is_enough(&views, total) {
+                break;
+            }
         }
     }
     (views, total)
