fix(entry): don't accept a job on an answer about a lease

A submission that the store answered with "no such lease" was reported as accepted, and a cancellation as done, though nothing was stored. Neither names a lease, so such an answer comes from something other than the store that was asked; both are now answered as unknown.

submission_is_not_accepted_on_an_answer_about_a_lease failed before: Ok(Accepted). Found by reading, not seen on the users' platform.

--- a/crates/persimmon-entry/src/requests.rs
+++ b/crates/persimmon-entry/src/requests.rs
@@ -190,7 +190,8 @@
             peers::notify_owner(shared, group, PeerRequest::Submitted(Box::new(accepted)));
             Ok(Accepted { is_new: true })
         }
-        TxnOutcome::Conflict { .. } | TxnOutcome::NoLease => Ok(Accepted { is_new: false }),
+        TxnOutcome::Conflict { .. } => Ok(Accepted { is_new: false }),
+        TxnOutcome::NoLease => Err(Rejection::Unknown),
     }
 }
 
@@ -208,14 +209,17 @@
         Submission::Tombstone.encode()?,
     );
     let items = match send_until_settled(shared, &txn, deadline).await? {
-        TxnOutcome::Done { .. } | TxnOutcome::NoLease => return Ok(Cancelled::Unknown),
+        TxnOutcome::Done { .. } => return Ok(Cancelled::Unknown),
+        TxnOutcome::NoLease => return Err(Rejection::Unknown),
         TxnOutcome::Conflict { items } => items,
     };
     if is_tombstone(&items) {
         return Ok(Cancelled::Unknown);
     }
     let txn = Txn::create(keys::cancellation(group, job), Vec::new());
-    send_until_settled(shared, &txn, deadline).await?;
+    if send_until_settled(shared, &txn, deadline).await? == TxnOutcome::NoLease {
+        return Err(Rejection::Unknown);
+    }
     peers::notify_owner(shared, group, PeerRequest::Cancelled(job));
     Ok(Cancelled::Known)
 }
--- a/crates/persimmon-entry/tests/all/accepted_jobs.rs
+++ b/crates/persimmon-entry/tests/all/accepted_jobs.rs
@@ -92,6 +92,22 @@
     assert!(started_at.elapsed() < timeout, "{:?}", started_at.elapsed());
 }
 
+/// Guards against jobs that are accepted though the store did not take them: a submission names no
+/// lease, so an answer about one comes from something else.
+#[tokio::test(start_paused = true)]
+async fn submission_is_not_accepted_on_an_answer_about_a_lease() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    cluster.state.denies_leases.set(true);
+    let submitted = cluster
+        .run_until(handle.submit(request(1), spec(100)))
+        .await;
+    assert_eq!(submitted, Err(Rejection::Unknown));
+    let cancelled = cluster.run_until(handle.cancel(request(1))).await;
+    assert_eq!(cancelled, Err(Rejection::Unknown));
+}
+
 const NAMES: [&str; 3] = ["one", "two", "three"];
 const SEEDS: u64 = 8;
 /// Processes that run on at all times; the others may be stopped, killed and started.
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -63,6 +63,8 @@
     leases: RefCell<HashMap<u64, (Instant, Duration)>>,
     /// Watches from a revision below this one fail as compacted.
     pub(crate) compacted: Cell<u64>,
+    /// While set, the store answers transactions as if a lease had ended.
+    pub(crate) denies_leases: Cell<bool>,
     /// While set, calls to the store time out.
     pub(crate) store_is_down: Cell<bool>,
     /// Limits on the calls per second; more are rejected.
@@ -387,6 +389,9 @@
 
     async fn txn(&self, txn: &Txn) -> Result<TxnOutcome, CallError> {
         self.simulate_call("txn").await?;
+        if self.state.denies_leases.get() {
+            return Ok(TxnOutcome::NoLease);
+        }
         if !txn.preconditions.iter().all(|it| self.holds(it)) {
             let items = self.state.items.borrow();
             let conflicting = txn.preconditions.iter().filter_map(|it| items.get(&it.key));
