fix(sched): repeat a CPU limit until the runner acknowledges it

Cause: the engine took an ordered limit as in effect before the call was made. A failed call was logged at debug and dropped, and nothing ordered it again, as later decisions compared with the ordered limit alone.

Now a limit is due again 600 ms after its order (chosen, the interval of stops), at the reports that list the run as running, until handle_throttle_answer() acknowledges it. An answer to an earlier order makes it due at once, as calls may overtake each other. A stop or an end of the run ends the repetition.

The harness of interference.rs now answers the orders; no assertion changed.

Not covered: a call without a response that the runner carries out seconds later, after a newer limit has been acknowledged.

--- a/crates/persimmon-entry/src/group/orders.rs
+++ b/crates/persimmon-entry/src/group/orders.rs
@@ -56,11 +56,25 @@
                 percent,
             } => {
                 let Some(info) = self.runners.borrow().get(&runner).cloned() else {
+                    log::debug!(
+                        "event=run.pace task={task} run={run} runner={runner} percent={percent} \
+                         fault=\"runner is not known\""
+                    );
                     return;
                 };
                 let run_ref = self.run_ref(task, run);
-                if let Err(err) = self.shared.platform.throttle(&info, run_ref, percent).await {
-                    log::debug!("event=run.pace task={task} fault=\"{err}\"");
+                match self.shared.platform.throttle(&info, run_ref, percent).await {
+                    Ok(()) => {
+                        let now = self.shared.now();
+                        self.engine
+                            .borrow_mut()
+                            .handle_throttle_answer(task, run, percent, now);
+                    }
+                    // The engine repeats an order that is not acknowledged.
+                    Err(err) => log::info!(
+                        "event=run.pace task={task} run={run} runner={runner} percent={percent} \
+                         fault=\"{err}\""
+                    ),
                 }
             }
         }
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -1,7 +1,7 @@
 //! Interference of best-effort runs with latency-critical ones: limits where best-effort runs are
 //! placed, and throttles, pauses or evicts them when a tail latency nears its target.
 
-use super::{place::idle_cpu_millis, Engine, Order};
+use super::{place::idle_cpu_millis, Engine, Order, Stage};
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, TailLatency},
     RunStatus, TaskId,
@@ -30,6 +30,8 @@
 /// All best-effort runs on a runner are paused once a tail latency has been at [`THROTTLE_RATIO`]
 /// or above for this time.
 const PAUSE_ALL_AFTER: Duration = Duration::from_millis(1_300);
+/// Interval after which an unacknowledged CPU limit is ordered again.
+const THROTTLE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// CPU limit at which a paused run resumes, in percent.
 const RESUME_PERCENT: u8 = 50;
 /// Penalty on the score of a runner for each unit of predicted rise, in thousandths of a core.
@@ -50,6 +52,20 @@
 }
 
 impl Engine {
+    /// Handles a runner's acknowledgement of a CPU limit.
+    pub fn handle_throttle_answer(&mut self, id: TaskId, run: u32, percent: u8, now: Instant) {
+        let Some((runner, _)) = self.placement(id, run) else {
+            return;
+        };
+        let Some(claim) = self.runner_mut(runner).claims.get_mut(&(id, run)) else {
+            return;
+        };
+        // Calls may overtake each other: after an answer to an earlier order, the limit in effect
+        // is unknown.
+        claim.throttle_due_at = (claim.percent != percent).then_some(now);
+        log::debug!("event=run.pace_answer task={id} run={run} percent={percent}");
+    }
+
     pub(crate) fn image_key(&mut self, name: &str) -> ImageKey {
         let next = ImageKey(self.image_keys.len() as u32);
         if let Some(&image) = self.image_keys.get(name) {
@@ -81,6 +97,7 @@
             .unmeasured
             .retain(|it| it.placed_at + MEASUREMENT_DELAY > now);
         if !batch_runs.is_empty() {
+            self.repeat_throttles(key, &batch_runs, now);
             self.control_interference(key, &batch_runs, now);
         }
     }
@@ -205,7 +222,7 @@
             );
             self.end_run(id, now);
         } else {
-            self.set_cpu_limit(key, batch_run.run, 0);
+            self.set_cpu_limit(key, batch_run.run, 0, now);
         }
     }
 
@@ -225,7 +242,7 @@
             } else {
                 100
             };
-            self.set_cpu_limit(key, batch_run.run, percent);
+            self.set_cpu_limit(key, batch_run.run, percent, now);
         }
         self.runner_mut(key).throttled_at = Some(now);
     }
@@ -245,17 +262,18 @@
             return;
         }
         for batch_run in others {
-            self.set_cpu_limit(key, batch_run.run, percent);
+            self.set_cpu_limit(key, batch_run.run, percent, now);
         }
         self.runner_mut(key).throttled_at = Some(now);
     }
 
-    fn set_cpu_limit(&mut self, key: RunnerKey, run: (TaskId, u32), percent: u8) {
+    fn set_cpu_limit(&mut self, key: RunnerKey, run: (TaskId, u32), percent: u8, now: Instant) {
         let runner = self.runner_mut(key);
         let Some(claim) = runner.claims.get_mut(&run) else {
             return;
         };
         claim.percent = percent;
+        claim.throttle_due_at = Some(now + THROTTLE_RETRY_INTERVAL);
         let runner = runner.info.id.clone();
         let (task, run) = run;
         log::info!("event=run.pace task={task} run={run} runner={runner} percent={percent}");
@@ -267,6 +285,19 @@
         });
     }
 
+    /// Repeats the unacknowledged CPU limits of runs that are not being stopped.
+    fn repeat_throttles(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
+        for batch_run in batch_runs {
+            let (id, run) = batch_run.run;
+            let is_running = matches!(self.stage_on(key, id, run), Some(Stage::Running(_)));
+            let claim = self.runner(key).claims.get(&batch_run.run);
+            let due_at = claim.and_then(|claim| claim.throttle_due_at);
+            if is_running && due_at.is_some_and(|at| now >= at) {
+                self.set_cpu_limit(key, batch_run.run, batch_run.percent, now);
+            }
+        }
+    }
+
     /// Penalty on the score of a runner due to interference with a claim; `None` if the claim must
     /// not be placed there.
     pub(crate) fn interference_penalty(&self, runner: &Runner, claim: &Claim) -> Option<i64> {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -293,6 +293,7 @@
             latency_critical: step.is_latency_critical(),
             image: self.image_key(&step.image),
             percent: 100,
+            throttle_due_at: None,
             placed_at: now,
         }
     }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -100,6 +100,8 @@
     pub(crate) image: ImageKey,
     /// CPU limit last ordered, in percent; 100 is unthrottled.
     pub(crate) percent: u8,
+    /// When the order of this limit is sent again; `None` once the runner has acknowledged it.
+    pub(crate) throttle_due_at: Option<Instant>,
     pub(crate) placed_at: Instant,
 }
 
--- a/crates/persimmon-sched/tests/all/interference.rs
+++ b/crates/persimmon-sched/tests/all/interference.rs
@@ -1,5 +1,5 @@
 use crate::support::{job, listed, starts, step, stops, task, TestEngine};
-use persimmon_sched::{Answer, Order, RunStatus, StepSpec, TaskId};
+use persimmon_sched::{Answer, JobId, Order, RunStatus, StepSpec, TaskId};
 
 const TARGET_MS: u64 = 100;
 
@@ -44,8 +44,15 @@
 }
 
 /// Reports both tasks 400 ms after the last report, with this tail latency of the latency-critical
-/// one.
+/// one, and acknowledges the CPU limits that are ordered.
 fn report(harness: &mut TestEngine, tail_ms: u64) -> Vec<Order> {
+    let orders = report_unacknowledged(harness, tail_ms);
+    acknowledge(harness, &orders);
+    orders
+}
+
+/// As [`report`], but the calls that set CPU limits are lost.
+fn report_unacknowledged(harness: &mut TestEngine, tail_ms: u64) -> Vec<Order> {
     harness.advance(400);
     let running = vec![
         with_measurement(task(1, 0, 0), 1, tail_ms),
@@ -56,6 +63,20 @@
     harness.round()
 }
 
+fn acknowledge(harness: &mut TestEngine, orders: &[Order]) {
+    let now = harness.now;
+    for order in orders {
+        if let Order::Throttle {
+            task, run, percent, ..
+        } = order
+        {
+            harness
+                .engine
+                .handle_throttle_answer(*task, *run, *percent, now);
+        }
+    }
+}
+
 fn throttles(orders: &[Order]) -> Vec<u8> {
     let throttle = |order: &Order| match order {
         Order::Throttle { percent, .. } => Some(*percent),
@@ -100,6 +121,74 @@
     assert_eq!(resumed, [50, 100]);
 }
 
+#[test]
+fn lost_pause_does_not_leave_run_interfering() {
+    let mut harness = colocated(false);
+    let mut ordered = Vec::new();
+    for _ in 0..20 {
+        ordered.extend(throttles(&report_unacknowledged(
+            &mut harness,
+            TARGET_MS * 2,
+        )));
+    }
+    assert!(ordered.len() >= 5, "repeated within 8 s: {ordered:?}");
+    assert!(ordered.iter().all(|&percent| percent == 0), "{ordered:?}");
+    harness.advance(600);
+    let repeated = report(&mut harness, TARGET_MS * 2);
+    assert_eq!(throttles(&repeated), [0]);
+    for _ in 0..10 {
+        let orders = report(&mut harness, TARGET_MS * 2);
+        assert!(orders.is_empty(), "acknowledged: {orders:?}");
+    }
+}
+
+#[test]
+fn lost_resume_does_not_leave_run_paused() {
+    let mut harness = colocated(false);
+    for _ in 0..4 {
+        report(&mut harness, TARGET_MS * 2);
+    }
+    for _ in 0..10 {
+        report_unacknowledged(&mut harness, TARGET_MS / 4);
+    }
+    let mut ordered = Vec::new();
+    for _ in 0..10 {
+        ordered.extend(throttles(&report(&mut harness, TARGET_MS / 4)));
+    }
+    assert_eq!(ordered, [100]);
+}
+
+/// The runner may have carried out the resume first.
+#[test]
+fn late_answer_to_pause_does_not_leave_run_paused() {
+    let mut harness = colocated(false);
+    let mut paused = Vec::new();
+    while paused.is_empty() {
+        paused = report_unacknowledged(&mut harness, TARGET_MS * 2);
+    }
+    assert_eq!(throttles(&paused), [0]);
+    for _ in 0..8 {
+        report(&mut harness, TARGET_MS / 4);
+    }
+    acknowledge(&mut harness, &paused);
+    let orders = report(&mut harness, TARGET_MS / 4);
+    assert_eq!(throttles(&orders), [100]);
+}
+
+#[test]
+fn stop_ends_repetition_of_lost_pause() {
+    let mut harness = colocated(false);
+    let mut ordered = Vec::new();
+    while ordered.is_empty() {
+        ordered = throttles(&report_unacknowledged(&mut harness, TARGET_MS * 2));
+    }
+    assert!(harness.engine.cancel(JobId(2), harness.now));
+    for _ in 0..10 {
+        let orders = report_unacknowledged(&mut harness, TARGET_MS * 2);
+        assert!(throttles(&orders).is_empty(), "{orders:?}");
+    }
+}
+
 #[test]
 fn best_effort_task_is_not_placed_beside_tail_near_target() {
     let mut harness = colocated(false);
