fix(sched): take the CPU limit of a restored run as unknown

Cause: a restored claim said 100 whatever the earlier owner had ordered, so nothing was to be raised.

Now the limit of a restored run is unknown until it is ordered. A pause is ordered as for any run. Once tail latencies are low, a run that uses no processor time resumes as a paused one, at 50, and one that uses up to 0.75 of its maximum is set to 100. A run that uses more is left alone, so a takeover causes no calls for runs that are at full speed; its limit stays unknown, as the measurement may be from before a pause. 0.75 is chosen, not measured.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -1,7 +1,7 @@
 //! Adds jobs, restores them from their records, and opens their occurrences and steps.
 
 use super::{Engine, Job, Stage, State, Step, StoredRecord, Task};
-use crate::{JobId, JobSpec, Phase, Record, TaskId, TaskRecord, TaskState};
+use crate::{fleet::Claim, JobId, JobSpec, Phase, Record, TaskId, TaskRecord, TaskState};
 use std::{sync::Arc, time::Instant};
 
 impl Engine {
@@ -98,7 +98,10 @@
             };
         };
         let key = self.runner_key(runner);
-        let claim = self.claim_of_step(&spec.steps[usize::from(id.step)], now);
+        let claim = Claim {
+            percent: None,
+            ..self.claim_of_step(&spec.steps[usize::from(id.step)], now)
+        };
         self.runner_mut(key).claim(id, task.run, claim);
         State::Placed {
             runner: key,
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -34,6 +34,9 @@
 const THROTTLE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// CPU limit at which a paused run resumes, in percent.
 const RESUME_PERCENT: u8 = 50;
+/// Share of a run's processor time that it only exceeds while unthrottled: above
+/// [`RESUME_PERCENT`] by more than the error of a measurement.
+const UNTHROTTLED_USE_MIN: f64 = 0.75;
 /// Penalty on the score of a runner for each unit of predicted rise, in thousandths of a core.
 const RISE_PENALTY: f64 = 50_000.0;
 
@@ -48,7 +51,24 @@
     image: ImageKey,
     /// Share of the runner's processors used in the last half second.
     used: f64,
-    percent: u8,
+    /// Share of its own maximum processor time used in the last half second.
+    use_ratio: f64,
+    /// CPU limit last ordered; `None` if an earlier owner may have ordered any.
+    percent: Option<u8>,
+}
+
+impl BestEffortRun {
+    /// The next higher CPU limit to order; `None` if the run is unthrottled.
+    fn raised_limit(&self) -> Option<u8> {
+        match self.percent {
+            Some(100) => None,
+            Some(percent) if percent < RESUME_PERCENT => Some(RESUME_PERCENT),
+            // The limit stays unknown: the measurement may be from before a pause.
+            None if self.use_ratio > UNTHROTTLED_USE_MIN => None,
+            None if self.use_ratio <= 0.0 => Some(RESUME_PERCENT),
+            Some(_) | None => Some(100),
+        }
+    }
 }
 
 impl Engine {
@@ -62,7 +82,7 @@
         };
         // Calls may overtake each other: after an answer to an earlier order, the limit in effect
         // is unknown.
-        claim.throttle_due_at = (claim.percent != percent).then_some(now);
+        claim.throttle_due_at = (claim.percent != Some(percent)).then_some(now);
         log::debug!("event=run.pace_answer task={id} run={run} percent={percent}");
     }
 
@@ -121,6 +141,7 @@
                     run,
                     image: claim.image,
                     used: status.measurement as f64 / capacity,
+                    use_ratio: status.measurement as f64 / f64::from(claim.best_effort_cpu_millis),
                     percent: claim.percent,
                 });
             }
@@ -185,7 +206,7 @@
             return;
         }
         let mut acted = false;
-        for batch_run in batch_runs.iter().filter(|batch_run| batch_run.percent > 0) {
+        for batch_run in batch_runs.iter().filter(|it| it.percent != Some(0)) {
             if self.attributed_rise(&violating, batch_run) >= ATTRIBUTED_RISE_MIN {
                 acted = true;
                 self.evict_or_pause(key, batch_run, now);
@@ -230,21 +251,19 @@
     /// target.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
         let worst = worst_tail_ratio(self.runner(key));
-        if worst > RELAX_RATIO_MAX || batch_runs.iter().all(|batch_run| batch_run.percent == 100) {
+        if worst > RELAX_RATIO_MAX {
             return;
         }
-        for batch_run in batch_runs
-            .iter()
-            .filter(|batch_run| batch_run.percent < 100)
-        {
-            let percent = if batch_run.percent < RESUME_PERCENT {
-                RESUME_PERCENT
-            } else {
-                100
-            };
-            self.set_cpu_limit(key, batch_run.run, percent, now);
+        let mut raised = false;
+        for batch_run in batch_runs {
+            if let Some(percent) = batch_run.raised_limit() {
+                raised = true;
+                self.set_cpu_limit(key, batch_run.run, percent, now);
+            }
+        }
+        if raised {
+            self.runner_mut(key).throttled_at = Some(now);
         }
-        self.runner_mut(key).throttled_at = Some(now);
     }
 
     fn throttle_all(
@@ -256,7 +275,7 @@
     ) {
         let others: Vec<_> = batch_runs
             .iter()
-            .filter(|batch_run| batch_run.percent != percent)
+            .filter(|batch_run| batch_run.percent != Some(percent))
             .collect();
         if others.is_empty() {
             return;
@@ -272,7 +291,7 @@
         let Some(claim) = runner.claims.get_mut(&run) else {
             return;
         };
-        claim.percent = percent;
+        claim.percent = Some(percent);
         claim.throttle_due_at = Some(now + THROTTLE_RETRY_INTERVAL);
         let runner = runner.info.id.clone();
         let (task, run) = run;
@@ -291,10 +310,13 @@
             let (id, run) = batch_run.run;
             let is_running = matches!(self.stage_on(key, id, run), Some(Stage::Running(_)));
             let claim = self.runner(key).claims.get(&batch_run.run);
-            let due_at = claim.and_then(|claim| claim.throttle_due_at);
-            if is_running && due_at.is_some_and(|at| now >= at) {
-                self.set_cpu_limit(key, batch_run.run, batch_run.percent, now);
-            }
+            let is_due = claim
+                .and_then(|claim| claim.throttle_due_at)
+                .is_some_and(|at| now >= at);
+            let Some(percent) = batch_run.percent.filter(|_| is_running && is_due) else {
+                continue;
+            };
+            self.set_cpu_limit(key, batch_run.run, percent, now);
         }
     }
 
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -292,7 +292,7 @@
             best_effort_cpu_millis,
             latency_critical: step.is_latency_critical(),
             image: self.image_key(&step.image),
-            percent: 100,
+            percent: Some(100),
             throttle_due_at: None,
             placed_at: now,
         }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -98,8 +98,9 @@
     pub(crate) best_effort_cpu_millis: u32,
     pub(crate) latency_critical: bool,
     pub(crate) image: ImageKey,
-    /// CPU limit last ordered, in percent; 100 is unthrottled.
-    pub(crate) percent: u8,
+    /// CPU limit last ordered, in percent; 100 is unthrottled. `None` if an earlier owner may have
+    /// ordered any.
+    pub(crate) percent: Option<u8>,
     /// When the order of this limit is sent again; `None` once the runner has acknowledged it.
     pub(crate) throttle_due_at: Option<Instant>,
     pub(crate) placed_at: Instant,
--- a/crates/persimmon-sched/tests/all/interference.rs
+++ b/crates/persimmon-sched/tests/all/interference.rs
@@ -1,5 +1,8 @@
 use crate::support::{job, listed, starts, step, stops, task, TestEngine};
-use persimmon_sched::{Answer, JobId, Order, RunStatus, StepSpec, TaskId};
+use persimmon_sched::{
+    Answer, JobId, Order, Phase, Record, RunStatus, StepSpec, StoredRecord, TaskId, TaskRecord,
+    TaskState,
+};
 
 const TARGET_MS: u64 = 100;
 
@@ -43,6 +46,30 @@
     harness
 }
 
+/// As [`colocated`] without checkpoints, under a new owner that has not had a report yet.
+fn restored() -> TestEngine {
+    let mut harness = TestEngine::new();
+    for (id, step) in [(1, latency_critical(1)), (2, best_effort("batch", false))] {
+        let record = Record {
+            phase: Phase::Active,
+            runners: vec!["a".to_owned()],
+            tasks: vec![vec![vec![TaskRecord {
+                state: TaskState::Placed(0),
+                run: 1,
+                failures: 0,
+                checkpoint: String::new(),
+            }]]],
+        };
+        let stored = StoredRecord {
+            revision: 1,
+            record,
+        };
+        harness.restore_job(job(id, vec![step]), stored);
+    }
+    harness.add_runner("a", 10_000);
+    harness
+}
+
 /// Reports both tasks 400 ms after the last report, with this tail latency of the latency-critical
 /// one, and acknowledges the CPU limits that are ordered.
 fn report(harness: &mut TestEngine, tail_ms: u64) -> Vec<Order> {
@@ -53,11 +80,16 @@
 
 /// As [`report`], but the calls that set CPU limits are lost.
 fn report_unacknowledged(harness: &mut TestEngine, tail_ms: u64) -> Vec<Order> {
+    // The best-effort task uses one core.
+    report_use(harness, tail_ms, 1_000)
+}
+
+/// As [`report_unacknowledged`], with this use of processors by the best-effort task.
+fn report_use(harness: &mut TestEngine, tail_ms: u64, cpu_millis: u64) -> Vec<Order> {
     harness.advance(400);
     let running = vec![
         with_measurement(task(1, 0, 0), 1, tail_ms),
-        // The best-effort task uses one core.
-        with_measurement(task(2, 0, 0), 1, 1_000),
+        with_measurement(task(2, 0, 0), 1, cpu_millis),
     ];
     harness.report("a", running);
     harness.round()
@@ -189,6 +221,62 @@
     }
 }
 
+#[test]
+fn run_paused_by_an_earlier_owner_is_resumed() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for cpu_millis in [0, 0, 0, 500, 500, 1_000, 1_000, 1_000] {
+        let orders = report_use(&mut harness, TARGET_MS / 4, cpu_millis);
+        acknowledge(&mut harness, &orders);
+        ordered.extend(throttles(&orders));
+    }
+    assert_eq!(ordered, [50, 100]);
+}
+
+#[test]
+fn run_limited_by_an_earlier_owner_is_unthrottled() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for _ in 0..4 {
+        let orders = report_use(&mut harness, TARGET_MS / 4, 500);
+        acknowledge(&mut harness, &orders);
+        ordered.extend(throttles(&orders));
+    }
+    assert_eq!(ordered, [100]);
+}
+
+/// The first measurement of a new owner may be from before the pause.
+#[test]
+fn run_paused_right_before_a_takeover_is_resumed() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for cpu_millis in [1_000, 0, 0, 500, 500, 1_000] {
+        let orders = report_use(&mut harness, TARGET_MS / 4, cpu_millis);
+        acknowledge(&mut harness, &orders);
+        ordered.extend(throttles(&orders));
+    }
+    assert_eq!(ordered, [50, 100]);
+}
+
+#[test]
+fn restored_run_that_interferes_is_paused() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for _ in 0..8 {
+        ordered.extend(throttles(&report(&mut harness, TARGET_MS * 2)));
+    }
+    assert_eq!(ordered, [0]);
+}
+
+#[test]
+fn takeover_causes_no_orders_for_unthrottled_run() {
+    let mut harness = restored();
+    for _ in 0..10 {
+        let orders = report(&mut harness, TARGET_MS / 4);
+        assert!(orders.is_empty(), "{orders:?}");
+    }
+}
+
 #[test]
 fn best_effort_task_is_not_placed_beside_tail_near_target() {
     let mut harness = colocated(false);
