--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -1,7 +1,7 @@
 //! Interference of best-effort runs with latency-critical ones: limits where best-effort runs are
 //! placed, and throttles, pauses or evicts them when a tail latency nears its target.
 
-use super::{place::idle_cpu_millis, Engine, Order};
+use super::{place::idle_cpu_millis, Engine, Order, Stage};
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, TailLatency},
     RunStatus, TaskId,
@@ -30,8 +30,13 @@
 /// All best-effort runs on a runner are paused once a tail latency has been at [`THROTTLE_RATIO`]
 /// or above for this time.
 const PAUSE_ALL_AFTER: Duration = Duration::from_millis(1_300);
+/// Interval after which an unacknowledged CPU limit is ordered again.
+const THROTTLE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// CPU limit at which a paused run resumes, in percent.
 const RESUME_PERCENT: u8 = 50;
+/// Share of a run's processor time that it only exceeds while unthrottled: above
+/// [`RESUME_PERCENT`] by more than the error of a measurement.
+const UNTHROTTLED_USE_MIN: f64 = 0.75;
 /// Penalty on the score of a runner for each unit of predicted rise, in thousandths of a core.
 const RISE_PENALTY: f64 = 50_000.0;
 
@@ -46,10 +51,41 @@
     image: ImageKey,
     /// Share of the runner's processors used in the last half second.
     used: f64,
-    percent: u8,
+    /// Share of its own maximum processor time used in the last half second.
+    use_ratio: f64,
+    /// CPU limit last ordered; `None` if an earlier owner may have ordered any.
+    percent: Option<u8>,
+}
+
+impl BestEffortRun {
+    /// The next higher CPU limit to order; `None` if the run is unthrottled.
+    fn raised_limit(&self) -> Option<u8> {
+        match self.percent {
+            Some(100) => None,
+            Some(percent) if percent < RESUME_PERCENT => Some(RESUME_PERCENT),
+            // The limit stays unknown: the measurement may be from before a pause.
+            None if self.use_ratio > UNTHROTTLED_USE_MIN => None,
+            None if self.use_ratio <= 0.0 => Some(RESUME_PERCENT),
+            Some(_) | None => Some(100),
+        }
+    }
 }
 
 impl Engine {
+    /// Handles a runner's acknowledgement of a CPU limit.
+    pub fn handle_throttle_answer(&mut self, id: TaskId, run: u32, percent: u8, now: Instant) {
+        let Some((runner, _)) = self.placement(id, run) else {
+            return;
+        };
+        let Some(claim) = self.runner_mut(runner).claims.get_mut(&(id, run)) else {
+            return;
+        };
+        // Calls may overtake each other: after an answer to an earlier order, the limit in effect
+        // is unknown.
+        claim.throttle_due_at = (claim.percent != Some(percent)).then_some(now);
+        log::debug!("event=run.pace_answer task={id} run={run} percent={percent}");
+    }
+
     pub(crate) fn image_key(&mut self, name: &str) -> ImageKey {
         let next = ImageKey(self.image_keys.len() as u32);
         if let Some(&image) = self.image_keys.get(name) {
@@ -81,6 +117,7 @@
             .unmeasured
             .retain(|it| it.placed_at + MEASUREMENT_DELAY > now);
         if !batch_runs.is_empty() {
+            self.repeat_throttles(key, &batch_runs, now);
             self.control_interference(key, &batch_runs, now);
         }
     }
@@ -104,6 +141,7 @@
                     run,
                     image: claim.image,
                     used: status.measurement as f64 / capacity,
+                    use_ratio: status.measurement as f64 / f64::from(claim.best_effort_cpu_millis),
                     percent: claim.percent,
                 });
             }
@@ -168,7 +206,7 @@
             return;
         }
         let mut acted = false;
-        for batch_run in batch_runs.iter().filter(|batch_run| batch_run.percent > 0) {
+        for batch_run in batch_runs.iter().filter(|it| it.percent != Some(0)) {
             if self.attributed_rise(&violating, batch_run) >= ATTRIBUTED_RISE_MIN {
                 acted = true;
                 self.evict_or_pause(key, batch_run, now);
@@ -205,7 +243,7 @@
             );
             self.end_run(id, now);
         } else {
-            self.set_cpu_limit(key, batch_run.run, 0);
+            self.set_cpu_limit(key, batch_run.run, 0, now);
         }
     }
 
@@ -213,21 +251,19 @@
     /// target.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
         let worst = worst_tail_ratio(self.runner(key));
-        if worst > RELAX_RATIO_MAX || batch_runs.iter().all(|batch_run| batch_run.percent == 100) {
+        if worst > RELAX_RATIO_MAX {
             return;
         }
-        for batch_run in batch_runs
-            .iter()
-            .filter(|batch_run| batch_run.percent < 100)
-        {
-            let percent = if batch_run.percent < RESUME_PERCENT {
-                RESUME_PERCENT
-            } else {
-                100
-            };
-            self.set_cpu_limit(key, batch_run.run, percent);
+        let mut raised = false;
+        for batch_run in batch_runs {
+            if let Some(percent) = batch_run.raised_limit() {
+                raised = true;
+                self.set_cpu_limit(key, batch_run.run, percent, now);
+            }
+        }
+        if raised {
+            self.runner_mut(key).throttled_at = Some(now);
         }
-        self.runner_mut(key).throttled_at = Some(now);
     }
 
     fn throttle_all(
@@ -239,23 +275,24 @@
     ) {
         let others: Vec<_> = batch_runs
             .iter()
-            .filter(|batch_run| batch_run.percent != percent)
+            .filter(|batch_run| batch_run.percent != Some(percent))
             .collect();
         if others.is_empty() {
             return;
         }
         for batch_run in others {
-            self.set_cpu_limit(key, batch_run.run, percent);
+            self.set_cpu_limit(key, batch_run.run, percent, now);
         }
         self.runner_mut(key).throttled_at = Some(now);
     }
 
-    fn set_cpu_limit(&mut self, key: RunnerKey, run: (TaskId, u32), percent: u8) {
+    fn set_cpu_limit(&mut self, key: RunnerKey, run: (TaskId, u32), percent: u8, now: Instant) {
         let runner = self.runner_mut(key);
         let Some(claim) = runner.claims.get_mut(&run) else {
             return;
         };
-        claim.percent = percent;
+        claim.percent = Some(percent);
+        claim.throttle_due_at = Some(now + THROTTLE_RETRY_INTERVAL);
         let runner = runner.info.id.clone();
         let (task, run) = run;
         log::info!("event=run.pace task={task} run={run} runner={runner} percent={percent}");
@@ -267,6 +304,22 @@
         });
     }
 
+    /// Repeats the unacknowledged CPU limits of runs that are not being stopped.
+    fn repeat_throttles(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
+        for batch_run in batch_runs {
+            let (id, run) = batch_run.run;
+            let is_running = matches!(self.stage_on(key, id, run), Some(Stage::Running(_)));
+            let claim = self.runner(key).claims.get(&batch_run.run);
+            let is_due = claim
+                .and_then(|claim| claim.throttle_due_at)
+                .is_some_and(|at| now >= at);
+            let Some(percent) = batch_run.percent.filter(|_| is_running && is_due) else {
+                continue;
+            };
+            self.set_cpu_limit(key, batch_run.run, percent, now);
+        }
+    }
+
     /// Penalty on the score of a runner due to interference with a claim; `None` if the claim must
     /// not be placed there.
     pub(crate) fn interference_penalty(&self, runner: &Runner, claim: &Claim) -> Option<i64> {
--- a/crates/persimmon-sched/tests/all/interference.rs
+++ b/crates/persimmon-sched/tests/all/interference.rs
@@ -1,5 +1,8 @@
 use crate::support::{job, listed, starts, step, stops, task, TestEngine};
-use persimmon_sched::{Answer, Order, RunStatus, StepSpec, TaskId};
+use persimmon_sched::{
+    Answer, JobId, Order, Phase, Record, RunStatus, StepSpec, StoredRecord, TaskId, TaskRecord,
+    TaskState,
+};
 
 const TARGET_MS: u64 = 100;
 
@@ -43,19 +46,69 @@
     harness
 }
 
+/// As [`colocated`] without checkpoints, under a new owner that has not had a report yet.
+fn restored() -> TestEngine {
+    let mut harness = TestEngine::new();
+    for (id, step) in [(1, latency_critical(1)), (2, best_effort("batch", false))] {
+        let record = Record {
+            phase: Phase::Active,
+            runners: vec!["a".to_owned()],
+            tasks: vec![vec![vec![TaskRecord {
+                state: TaskState::Placed(0),
+                run: 1,
+                failures: 0,
+                checkpoint: String::new(),
+            }]]],
+        };
+        let stored = StoredRecord {
+            revision: 1,
+            record,
+        };
+        harness.restore_job(job(id, vec![step]), stored);
+    }
+    harness.add_runner("a", 10_000);
+    harness
+}
+
 /// Reports both tasks 400 ms after the last report, with this tail latency of the latency-critical
-/// one.
+/// one, and acknowledges the CPU limits that are ordered.
 fn report(harness: &mut TestEngine, tail_ms: u64) -> Vec<Order> {
+    let orders = report_unacknowledged(harness, tail_ms);
+    acknowledge(harness, &orders);
+    orders
+}
+
+/// As [`report`], but the calls that set CPU limits are lost.
+fn report_unacknowledged(harness: &mut TestEngine, tail_ms: u64) -> Vec<Order> {
+    // The best-effort task uses one core.
+    report_use(harness, tail_ms, 1_000)
+}
+
+/// As [`report_unacknowledged`], with this use of processors by the best-effort task.
+fn report_use(harness: &mut TestEngine, tail_ms: u64, cpu_millis: u64) -> Vec<Order> {
     harness.advance(400);
     let running = vec![
         with_measurement(task(1, 0, 0), 1, tail_ms),
-        // The best-effort task uses one core.
-        with_measurement(task(2, 0, 0), 1, 1_000),
+        with_measurement(task(2, 0, 0), 1, cpu_millis),
     ];
     harness.report("a", running);
     harness.round()
 }
 
+fn acknowledge(harness: &mut TestEngine, orders: &[Order]) {
+    let now = harness.now;
+    for order in orders {
+        if let Order::Throttle {
+            task, run, percent, ..
+        } = order
+        {
+            harness
+                .engine
+                .handle_throttle_answer(*task, *run, *percent, now);
+        }
+    }
+}
+
 fn throttles(orders: &[Order]) -> Vec<u8> {
     let throttle = |order: &Order| match order {
         Order::Throttle { percent, .. } => Some(*percent),
@@ -100,6 +153,130 @@
     assert_eq!(resumed, [50, 100]);
 }
 
+#[test]
+fn lost_pause_does_not_leave_run_interfering() {
+    let mut harness = colocated(false);
+    let mut ordered = Vec::new();
+    for _ in 0..20 {
+        ordered.extend(throttles(&report_unacknowledged(
+            &mut harness,
+            TARGET_MS * 2,
+        )));
+    }
+    assert!(ordered.len() >= 5, "repeated within 8 s: {ordered:?}");
+    assert!(ordered.iter().all(|&percent| percent == 0), "{ordered:?}");
+    harness.advance(600);
+    let repeated = report(&mut harness, TARGET_MS * 2);
+    assert_eq!(throttles(&repeated), [0]);
+    for _ in 0..10 {
+        let orders = report(&mut harness, TARGET_MS * 2);
+        assert!(orders.is_empty(), "acknowledged: {orders:?}");
+    }
+}
+
+#[test]
+fn lost_resume_does_not_leave_run_paused() {
+    let mut harness = colocated(false);
+    for _ in 0..4 {
+        report(&mut harness, TARGET_MS * 2);
+    }
+    for _ in 0..10 {
+        report_unacknowledged(&mut harness, TARGET_MS / 4);
+    }
+    let mut ordered = Vec::new();
+    for _ in 0..10 {
+        ordered.extend(throttles(&report(&mut harness, TARGET_MS / 4)));
+    }
+    assert_eq!(ordered, [100]);
+}
+
+/// The runner may have carried out the resume first.
+#[test]
+fn late_answer_to_pause_does_not_leave_run_paused() {
+    let mut harness = colocated(false);
+    let mut paused = Vec::new();
+    while paused.is_empty() {
+        paused = report_unacknowledged(&mut harness, TARGET_MS * 2);
+    }
+    assert_eq!(throttles(&paused), [0]);
+    for _ in 0..8 {
+        report(&mut harness, TARGET_MS / 4);
+    }
+    acknowledge(&mut harness, &paused);
+    let orders = report(&mut harness, TARGET_MS / 4);
+    assert_eq!(throttles(&orders), [100]);
+}
+
+#[test]
+fn stop_ends_repetition_of_lost_pause() {
+    let mut harness = colocated(false);
+    let mut ordered = Vec::new();
+    while ordered.is_empty() {
+        ordered = throttles(&report_unacknowledged(&mut harness, TARGET_MS * 2));
+    }
+    assert!(harness.engine.cancel(JobId(2), harness.now));
+    for _ in 0..10 {
+        let orders = report_unacknowledged(&mut harness, TARGET_MS * 2);
+        assert!(throttles(&orders).is_empty(), "{orders:?}");
+    }
+}
+
+#[test]
+fn run_paused_by_an_earlier_owner_is_resumed() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for cpu_millis in [0, 0, 0, 500, 500, 1_000, 1_000, 1_000] {
+        let orders = report_use(&mut harness, TARGET_MS / 4, cpu_millis);
+        acknowledge(&mut harness, &orders);
+        ordered.extend(throttles(&orders));
+    }
+    assert_eq!(ordered, [50, 100]);
+}
+
+#[test]
+fn run_limited_by_an_earlier_owner_is_unthrottled() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for _ in 0..4 {
+        let orders = report_use(&mut harness, TARGET_MS / 4, 500);
+        acknowledge(&mut harness, &orders);
+        ordered.extend(throttles(&orders));
+    }
+    assert_eq!(ordered, [100]);
+}
+
+/// The first measurement of a new owner may be from before the pause.
+#[test]
+fn run_paused_right_before_a_takeover_is_resumed() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for cpu_millis in [1_000, 0, 0, 500, 500, 1_000] {
+        let orders = report_use(&mut harness, TARGET_MS / 4, cpu_millis);
+        acknowledge(&mut harness, &orders);
+        ordered.extend(throttles(&orders));
+    }
+    assert_eq!(ordered, [50, 100]);
+}
+
+#[test]
+fn restored_run_that_interferes_is_paused() {
+    let mut harness = restored();
+    let mut ordered = Vec::new();
+    for _ in 0..8 {
+        ordered.extend(throttles(&report(&mut harness, TARGET_MS * 2)));
+    }
+    assert_eq!(ordered, [0]);
+}
+
+#[test]
+fn takeover_causes_no_orders_for_unthrottled_run() {
+    let mut harness = restored();
+    for _ in 0..10 {
+        let orders = report(&mut harness, TARGET_MS / 4);
+        assert!(orders.is_empty(), "{orders:?}");
+    }
+}
+
 #[test]
 fn best_effort_task_is_not_placed_beside_tail_near_target() {
     let mut harness = colocated(false);
