test(entry): a failed throttle call is repeated until one is answered

The in-memory platform records the calls that set CPU limits, can fail them, and reports a measurement set for a job.

--- a/crates/persimmon-entry/tests/all/faults.rs
+++ b/crates/persimmon-entry/tests/all/faults.rs
@@ -1,6 +1,6 @@
 use crate::platform::{phase, request, spec, Cluster};
 use persimmon_entry::Rejection;
-use persimmon_sched::Phase;
+use persimmon_sched::{JobId, Phase};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -122,3 +122,34 @@
         requested_at.elapsed()
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn failed_throttle_call_does_not_leave_run_interfering() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    let (mut latency_critical, mut best_effort) = (spec(60_000), spec(60_000));
+    latency_critical.steps[0].tail_target_ms = 100;
+    best_effort.steps[0].best_effort = true;
+    for (job, spec) in [(1, latency_critical), (2, best_effort)] {
+        let accepted = cluster.run_until(handle.submit(request(job), spec)).await;
+        accepted.expect("accepted");
+    }
+    cluster.advance(SECOND).await;
+    assert_eq!((cluster.start_count(1), cluster.start_count(2)), (1, 1));
+
+    cluster.state.throttles_fail.set(true);
+    let measurements = [(JobId(1), 200), (JobId(2), 1_000)];
+    cluster.state.measurements.borrow_mut().extend(measurements);
+    cluster.advance(8 * SECOND).await;
+    let failed = cluster.state.throttles.take();
+    assert!(failed.len() >= 5, "repeated: {failed:?}");
+    assert!(failed
+        .iter()
+        .all(|&(task, _, percent)| (task.job, percent) == (JobId(2), 0)));
+
+    cluster.state.throttles_fail.set(false);
+    cluster.advance(8 * SECOND).await;
+    let acknowledged = cluster.state.throttles.take();
+    assert_eq!(acknowledged.len(), 1, "{acknowledged:?}");
+}
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -64,6 +64,12 @@
     runners: RefCell<BTreeMap<String, FakeRunner>>,
     /// All starts that were carried out.
     pub(crate) starts: RefCell<Vec<(TaskId, u32, String)>>,
+    /// Measurement that the runs of a job report; 0 if not set.
+    pub(crate) measurements: RefCell<HashMap<JobId, u64>>,
+    /// While set, calls that set CPU limits fail.
+    pub(crate) throttles_fail: Cell<bool>,
+    /// All calls that set CPU limits.
+    pub(crate) throttles: RefCell<Vec<(TaskId, u32, u8)>>,
     /// Number of runs killed because their lease lapsed.
     pub(crate) lapsed_runs: Cell<u32>,
 }
@@ -347,6 +353,7 @@
             if fake_runner.ended.is_empty() && now() < until {
                 continue;
             }
+            let measurements = self.state.measurements.borrow();
             let running = fake_runner
                 .running
                 .iter()
@@ -354,7 +361,7 @@
                     task,
                     run,
                     checkpoint: String::new(),
-                    measurement: 0,
+                    measurement: measurements.get(&task.job).copied().unwrap_or(0),
                     percent: 50,
                 });
             return Ok(Report {
@@ -414,7 +421,13 @@
         Ok(())
     }
 
-    async fn throttle(&self, _: &RunnerInfo, _: RunRef, _: u8) -> Result<(), CallError> {
+    async fn throttle(&self, _: &RunnerInfo, run: RunRef, percent: u8) -> Result<(), CallError> {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        let throttle = (run.task, run.number, percent);
+        self.state.throttles.borrow_mut().push(throttle);
+        if self.state.throttles_fail.get() {
+            return Err(call_error("throttle", Effect::Unknown));
+        }
         Ok(())
     }
 }
