fix(entry): a rejected record no longer blocks the records of other jobs

Callers could see accepted jobs of a group that are never started, or shown as active after they have ended, while the owner lives.

Cause: a transaction that the store rejects for its contents (400, 413) was repeated for ever like one without an answer. Its jobs, up to 15, stayed with a commit in flight and one of four slots was gone; a few of them stopped all starts of the group, as a start waits for the record of its placement.

Such a rejection is now an error of its own. The records are then written in transactions of their own; one that is rejected by itself is logged as an error and written again every 5 s without a slot. An earlier attempt that was applied after all is recognized as before, by the conflict of the separate write.

Before, with the retry loop as it was, rejected_records_do_not_block_other_jobs: assertion `left == right` failed: job 11 left: Some(Active) right: Some(Completed) Found by reading; not seen in a trace. Ruled out: counting rejections without an effect, since a 503 has none either and says nothing about the contents.

Remains: the tasks of a rejected record keep their place on their runners, and the record is written as it was when it was first rejected.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -1,11 +1,11 @@
 use super::OwnedGroup;
 use crate::{
     keys,
-    platform::{Item, Platform, Precondition, Txn, TxnOutcome, Write},
+    platform::{CallError, Item, Platform, Precondition, Txn, TxnOutcome, Write},
 };
 use persimmon_sched::{Commit, JobId};
 use serde::Serialize;
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, slice, time::Duration};
 
 /// Records per transaction. Each takes two entries, which with the owner's key stays within the
 /// limit of 32 entries.
@@ -20,10 +20,22 @@
 /// First and longest delay before an unanswered write is retried.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(20);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(320);
+/// Delay before a record that the store rejected is written again: the store's limits may change.
+const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Interval at which the number of waiting jobs is checked. Callers may see a count two seconds
 /// old.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The result of writing records.
+enum Written {
+    /// They are written, with these revisions of their keys.
+    Applied(HashMap<String, u64>),
+    /// The store rejects this transaction for its contents.
+    Rejected(CallError),
+    /// This process stops serving the group.
+    Stopped,
+}
+
 impl<P: Platform> OwnedGroup<P> {
     /// Writes records as they change. Never returns.
     pub(super) async fn commit(self: Rc<Self>) {
@@ -42,19 +54,67 @@
     }
 
     async fn write(self: Rc<Self>, commits: Vec<Commit>) {
-        let Some(txn) = self.commit_txn(&commits) else {
+        if let Err(err) = self.write_records(&commits).await {
+            log::warn!(
+                "event=record.rejected group={} records={} fault=\"{err}\"",
+                self.id.0,
+                commits.len()
+            );
+            self.write_separately(commits).await;
+        }
+        self.commits_in_flight.set(self.commits_in_flight.get() - 1);
+        self.commit_wake.notify_one();
+    }
+
+    /// Writes each record in a transaction of its own, so that a record that the store rejects
+    /// holds up its own job only.
+    async fn write_separately(self: &Rc<Self>, commits: Vec<Commit>) {
+        for commit in commits {
+            if let Err(err) = self.write_records(slice::from_ref(&commit)).await {
+                self.spawn(Rc::clone(self).write_rejected(commit, err));
+            }
+        }
+    }
+
+    /// Writes a record that the store rejected until it is written.
+    async fn write_rejected(self: Rc<Self>, commit: Commit, mut err: CallError) {
+        loop {
+            log::error!(
+                "event=record.rejected group={} job={} fault=\"{err}\"",
+                self.id.0,
+                commit.job
+            );
+            tokio::time::sleep(REJECTED_RETRY_DELAY).await;
+            match self.write_records(slice::from_ref(&commit)).await {
+                Ok(()) => return,
+                Err(again) => err = again,
+            }
+        }
+    }
+
+    /// Writes records in one transaction and tells the engine. Fails if the store rejects the
+    /// transaction for its contents.
+    async fn write_records(&self, commits: &[Commit]) -> Result<(), CallError> {
+        let Some(txn) = self.commit_txn(commits) else {
             self.stop_serving("a record can't be encoded");
-            return;
+            return Ok(());
         };
-        if let Some(revisions) = self.send_until_applied(&txn).await {
-            let mut engine = self.engine.borrow_mut();
-            for commit in &commits {
-                let key = keys::record(self.id, commit.job);
-                let revision = revisions.get(&key).copied().unwrap_or(commit.revision);
-                engine.handle_commit(commit.job, commit.version, revision);
-            }
+        match self.send_until_answered(&txn).await {
+            Written::Applied(revisions) => self.handle_written(commits, &revisions),
+            Written::Rejected(err) => return Err(err),
+            Written::Stopped => {}
         }
-        self.commits_in_flight.set(self.commits_in_flight.get() - 1);
+        Ok(())
+    }
+
+    fn handle_written(&self, commits: &[Commit], revisions: &HashMap<String, u64>) {
+        let mut engine = self.engine.borrow_mut();
+        for commit in commits {
+            let key = keys::record(self.id, commit.job);
+            let revision = revisions.get(&key).copied().unwrap_or(commit.revision);
+            engine.handle_commit(commit.job, commit.version, revision);
+        }
+        drop(engine);
         self.wake.notify_one();
         self.commit_wake.notify_one();
         self.written.notify_waiters();
@@ -74,28 +134,29 @@
         Some(txn)
     }
 
-    /// Sends a transaction until it is certain that it was applied. Returns the revisions of the
-    /// written keys, or `None` if this process stops serving the group.
-    async fn send_until_applied(&self, txn: &Txn) -> Option<HashMap<String, u64>> {
+    /// Sends a transaction until it is certain that it was applied, or the store rejects it for its
+    /// contents.
+    async fn send_until_answered(&self, txn: &Txn) -> Written {
         let mut wait = RETRY_DELAY_MIN;
         loop {
             match self.shared.platform.txn(txn).await {
                 Ok(TxnOutcome::Done { revision }) => {
                     self.shared.record_store_answer();
                     let keys = txn.writes.iter().map(|write| write.key.clone());
-                    return Some(keys.map(|key| (key, revision)).collect());
+                    return Written::Applied(keys.map(|key| (key, revision)).collect());
                 }
                 Ok(TxnOutcome::Conflict { items }) => {
-                    let revisions = revisions_if_applied(txn, &items);
-                    if revisions.is_none() {
-                        self.stop_serving("a record or the owner's key has changed");
+                    if let Some(revisions) = revisions_if_applied(txn, &items) {
+                        return Written::Applied(revisions);
                     }
-                    return revisions;
+                    self.stop_serving("a record or the owner's key has changed");
+                    return Written::Stopped;
                 }
                 Ok(TxnOutcome::NoLease) => {
                     self.stop_serving("the session has ended");
-                    return None;
+                    return Written::Stopped;
                 }
+                Err(err) if err.is_invalid => return Written::Rejected(err),
                 Err(err) => {
                     log::debug!("event=store.txn fault=\"{err}\"");
                     tokio::time::sleep(wait).await;
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -24,6 +24,8 @@
     pub effect: Effect,
     /// The call was rejected because a rate limit was exceeded.
     pub is_throttled: bool,
+    /// The call was rejected for its contents, and would be again if it were repeated unchanged.
+    pub is_invalid: bool,
 }
 
 /// A key with its value.
--- a/crates/persimmon-entry/tests/all/faults.rs
+++ b/crates/persimmon-entry/tests/all/faults.rs
@@ -1,6 +1,7 @@
 use crate::platform::{phase, request, spec, Cluster};
 use persimmon_entry::Rejection;
-use persimmon_sched::{JobId, Phase};
+use persimmon_sched::{JobId, JobSpec, Phase};
+use persimmon_types::Size;
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -153,3 +154,42 @@
     let acknowledged = cluster.state.throttles.take();
     assert_eq!(acknowledged.len(), 1, "{acknowledged:?}");
 }
+
+/// Returns a job whose record is much longer than its submission.
+fn spec_with_long_record() -> JobSpec {
+    let mut spec = spec(60_000);
+    spec.steps[0].count = 1_000;
+    spec.steps[0].size = Size {
+        cpu_millis: 1,
+        memory_mib: 1,
+        accelerators: 0,
+    };
+    spec
+}
+
+#[tokio::test(start_paused = true)]
+async fn rejected_records_do_not_block_other_jobs() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    cluster.state.value_bytes_max.set(1_000);
+    for job in 1..=6 {
+        let submission = handle.submit(request(job), spec_with_long_record());
+        let accepted = cluster.run_until(submission).await;
+        accepted.expect("accepted");
+        let submission = handle.submit(request(10 + job), spec(100));
+        let accepted = cluster.run_until(submission).await;
+        accepted.expect("accepted");
+    }
+    cluster.advance(2 * SECOND).await;
+    for job in 1..=6 {
+        assert_eq!(cluster.start_count(job), 0, "its record was rejected");
+        let phase = phase(&mut cluster, &handle, 10 + job).await;
+        assert_eq!(phase, Some(Phase::Completed), "job {}", 10 + job);
+    }
+    cluster.state.value_bytes_max.set(0);
+    cluster.advance(6 * SECOND).await;
+    for job in 1..=6 {
+        assert!(cluster.start_count(job) > 0, "job {job} waits for ever");
+    }
+}
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -84,6 +84,8 @@
     pub(crate) grants: Cell<u64>,
     /// While set, watches get no answer.
     pub(crate) watches_are_silent: Cell<bool>,
+    /// Transactions that write a longer value are rejected; 0 for no limit.
+    pub(crate) value_bytes_max: Cell<usize>,
     /// The answer to every n-th write is lost; 0 for never.
     pub(crate) lose_every_nth_write: Cell<u64>,
     writes: Cell<u64>,
@@ -174,6 +176,7 @@
         reason: "no answer".to_owned(),
         effect,
         is_throttled: false,
+        is_invalid: false,
     }
 }
 
@@ -299,6 +302,17 @@
         changes.map(|(_, change)| change.clone()).collect()
     }
 
+    fn check_value_sizes(&self, txn: &Txn) -> Result<(), CallError> {
+        let max = self.state.value_bytes_max.get();
+        if max > 0 && txn.writes.iter().any(|write| write.value.len() > max) {
+            return Err(CallError {
+                is_invalid: true,
+                ..call_error("txn", Effect::None)
+            });
+        }
+        Ok(())
+    }
+
     fn clock_ms(&self) -> u64 {
         (now() - self.started_at).as_millis() as u64 + 1
     }
@@ -398,6 +412,7 @@
         if self.state.denies_leases.get() {
             return Ok(TxnOutcome::NoLease);
         }
+        self.check_value_sizes(txn)?;
         if !txn.preconditions.iter().all(|it| self.holds(it)) {
             let items = self.state.items.borrow();
             let conflicting = txn.preconditions.iter().filter_map(|it| items.get(&it.key));
