fix(entry): serve a group again with a higher fencing token

Callers could see a task run twice.

Cause: a group that this process had stopped serving while the store still named it as the owner (a hand-over under way or without an answer, a conflict of a write, a write without a lease) was served again at once under the same owner's key. The starts that were under way when it stopped may still be carried out, and the runners can't reject them, as both lives send the same fencing token. The second life also had no predecessors.

The process now remembers the token with which it served a group last. If the store names it with that one, it removes the key under its revision and takes the group like any other, with a new token and the predecessors of the history. A takeover whose answer was lost is served as before. hand_over removes the key through the same function; its log line is event=group.release now.

Ruled out: releasing every key of a group that is not served, as with a store slower than the timeout of a call no takeover would ever get its answer.

Remains: while the watch of the owners is silent, the release is repeated at each check, every 50 ms, and answered with a conflict.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -110,6 +110,9 @@
             shared: Rc::clone(&shared),
         });
         shared.groups.borrow_mut().insert(id, Rc::clone(&group));
+        let mut last_fencing_tokens = shared.last_fencing_tokens.borrow_mut();
+        last_fencing_tokens.insert(id, fencing_token);
+        drop(last_fencing_tokens);
         tokio::task::spawn_local(async move {
             tokio::select! {
                 () = Rc::clone(&group).run() => {}
@@ -226,7 +229,7 @@
 
 impl<P> OwnedGroup<P> {
     /// Returns the precondition that this process still owns the group.
-    pub(crate) fn ownership(&self) -> Precondition {
+    fn ownership(&self) -> Precondition {
         Precondition {
             key: keys::owner(self.id),
             revision: self.fencing_token,
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -116,12 +116,8 @@
                 continue;
             }
             if let Some((is_own, revision)) = owner_in_store(shared, group) {
-                // The store may name this process as the owner of a group that it does not serve,
-                // for example after a takeover whose answer was lost. Such a group is served
-                // without predecessors.
                 if is_own {
-                    let predecessors = Predecessors::default();
-                    OwnedGroup::serve(Rc::clone(shared), group, revision, predecessors);
+                    resume_ownership(shared, group, revision).await;
                 }
                 free_since.remove(&group);
                 continue;
@@ -141,6 +137,22 @@
     }
 }
 
+/// Handles a group that this process owns according to the store but does not serve.
+async fn resume_ownership<P: Platform>(shared: &Rc<Shared<P>>, group: GroupId, revision: u64) {
+    let last_fencing_token = shared.last_fencing_tokens.borrow().get(&group).copied();
+    if last_fencing_token == Some(revision) {
+        // Calls to runners may still be under way with this fencing token, so the group must be
+        // taken again with a higher one.
+        if !shared.store_is_unreachable() {
+            release(shared, group, revision).await;
+        }
+        return;
+    }
+    // The answer to the takeover was lost. Such a group is served without predecessors.
+    let predecessors = Predecessors::default();
+    OwnedGroup::serve(Rc::clone(shared), group, revision, predecessors);
+}
+
 /// Returns whether this process is a group's owner according to the store, and the revision of the
 /// owner's key; `None` if the group has no owner.
 fn owner_in_store<P>(shared: &Shared<P>, group: GroupId) -> Option<(bool, u64)> {
@@ -206,15 +218,32 @@
     reason: &str,
 ) -> bool {
     group.stop_serving(reason);
+    release(shared, group.id, group.fencing_token).await
+}
+
+/// Removes the owner's key of a group if it has the given revision. Returns `false` if the store
+/// did not answer.
+async fn release<P: Platform>(shared: &Shared<P>, group: GroupId, revision: u64) -> bool {
+    let key = keys::owner(group);
     let txn = Txn {
-        preconditions: vec![group.ownership()],
-        remove: vec![keys::owner(group.id)],
+        preconditions: vec![Precondition {
+            key: key.clone(),
+            revision,
+        }],
+        remove: vec![key],
         ..Txn::default()
     };
     // A conflict means that the group has no owner or another one.
     let outcome = shared.platform.txn(&txn).await;
-    if let Err(err) = &outcome {
-        log::warn!("event=group.hand_over group={} fault=\"{err}\"", group.id.0);
+    match &outcome {
+        Ok(outcome) => {
+            let is_conflict = matches!(outcome, TxnOutcome::Conflict { .. });
+            log::info!(
+                "event=group.release group={} fence={revision} conflict={is_conflict}",
+                group.0
+            );
+        }
+        Err(err) => log::warn!("event=group.release group={} fault=\"{err}\"", group.0),
     }
     outcome.is_ok()
 }
--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -77,6 +77,7 @@
         session_proven_at: Cell::default(),
         store_answered_at: Cell::default(),
         groups: RefCell::default(),
+        last_fencing_tokens: RefCell::default(),
         owners: RefCell::default(),
         peers: RefCell::default(),
         unresponsive_peers: RefCell::default(),
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -59,6 +59,8 @@
     /// When the store last answered.
     pub(crate) store_answered_at: Cell<Option<Instant>>,
     pub(crate) groups: RefCell<BTreeMap<GroupId, Rc<OwnedGroup<P>>>>,
+    /// Fencing tokens with which this process served groups last.
+    pub(crate) last_fencing_tokens: RefCell<HashMap<GroupId, u64>>,
     /// Owners of groups according to the store.
     pub(crate) owners: RefCell<BTreeMap<GroupId, Owner>>,
     pub(crate) peers: RefCell<Option<Arc<Peers>>>,
--- a/crates/persimmon-entry/tests/all/owners.rs
+++ b/crates/persimmon-entry/tests/all/owners.rs
@@ -106,3 +106,30 @@
     let next_owner = cluster.owner_of(0).expect("an owner");
     assert_ne!(next_owner, owner);
 }
+
+/// Guards against starts of a group's first owner, carried out late, that the runners can't tell
+/// from those of the second one, as the same process has served the group again under its old key.
+#[tokio::test(start_paused = true)]
+async fn process_does_not_serve_a_group_again_with_the_same_fencing_token() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    let accepted = cluster
+        .run_until(handle.submit(request(1), spec(1_000)))
+        .await;
+    accepted.expect("accepted");
+    cluster.advance(SECOND / 2).await;
+    let first = cluster.fencing_token("a");
+    // The end of the run is to be written.
+    cluster.state.denies_leases.set(true);
+    cluster.advance(SECOND).await;
+    cluster.state.denies_leases.set(false);
+    cluster.advance(3 * SECOND).await;
+    assert_eq!(
+        phase(&mut cluster, &handle, 1).await,
+        Some(Phase::Completed)
+    );
+    assert_eq!(cluster.start_count(1), 1);
+    let second = cluster.fencing_token("a");
+    assert!(second > first, "{second} after {first}");
+}
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -770,6 +770,11 @@
         client.put(&write, client.next_revision());
     }
 
+    /// Returns the highest fencing token that a runner has seen.
+    pub(crate) fn fencing_token(&self, runner: &str) -> u64 {
+        self.state.runners.borrow()[runner].fencing_token
+    }
+
     /// Returns the number of runs in progress on a runner.
     pub(crate) fn running_count(&self, runner: &str) -> usize {
         self.state.runners.borrow()[runner].running.len()
