fix(entry): a takeover without an answer keeps its predecessors

Callers could see a task run twice after its owner is gone: the taker counted all leases of earlier owners as ended at once, though one of them may still renew.

Cause: a process that the store names as the owner, as the answer to its takeover was lost, served the group with no predecessors. It now reads them from the owner history like any taker, and serves the group only if it is still named as its owner after that.

Ruled out: keeping the predecessors that take_group had read, since a takeover may be carried out after a later read.

--- a/crates/persimmon-entry/src/group/lease_authority.rs
+++ b/crates/persimmon-entry/src/group/lease_authority.rs
@@ -33,7 +33,7 @@
 }
 
 /// Earlier owners of a group.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Predecessors {
     /// Those that may still renew leases, as `NAME#INCARNATION`, the latest first.
     pub(crate) remaining: Vec<String>,
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -148,9 +148,14 @@
         }
         return;
     }
-    // The answer to the takeover was lost. Such a group is served without predecessors.
-    let predecessors = Predecessors::default();
-    OwnedGroup::serve(Rc::clone(shared), group, revision, predecessors);
+    // The answer to the takeover was lost.
+    let Some(predecessors) = read_predecessors(shared, group).await else {
+        return;
+    };
+    let is_owner = owner_in_store(shared, group) == Some((true, revision));
+    if is_owner && !shared.draining.get() {
+        OwnedGroup::serve(Rc::clone(shared), group, revision, predecessors);
+    }
 }
 
 /// Returns whether this process is a group's owner according to the store, and the revision of the
@@ -263,6 +268,20 @@
 /// stays in it until a newer incarnation of its process is known.
 const PREDECESSORS_MAX: usize = 8;
 
+/// Reads a group's earlier owners from the store. Returns `None` if it does not answer.
+async fn read_predecessors<P: Platform>(
+    shared: &Shared<P>,
+    group: GroupId,
+) -> Option<Predecessors> {
+    match shared.platform.get(&keys::last_owner(group)).await {
+        Ok(last_owner) => Some(parse_predecessors(shared, last_owner)),
+        Err(err) => {
+            log::debug!("event=group.last_owner group={} fault=\"{err}\"", group.0);
+            None
+        }
+    }
+}
+
 /// Returns the earlier owners. This process is not among those that may still renew leases, as it
 /// stopped renewing when it stopped serving the group.
 fn parse_predecessors<P>(shared: &Shared<P>, last_owner: Option<Item>) -> Predecessors {
@@ -307,12 +326,8 @@
         return;
     };
     let key = keys::owner(group);
-    let predecessors = match shared.platform.get(&keys::last_owner(group)).await {
-        Ok(last_owner) => parse_predecessors(shared, last_owner),
-        Err(err) => {
-            log::debug!("event=group.last_owner group={} fault=\"{err}\"", group.0);
-            return;
-        }
+    let Some(predecessors) = read_predecessors(shared, group).await else {
+        return;
     };
     let name = own_name(shared);
     let txn = Txn {
--- a/crates/persimmon-entry/tests/all/takeovers.rs
+++ b/crates/persimmon-entry/tests/all/takeovers.rs
@@ -87,3 +87,35 @@
     let waited = time_to_restart(&mut cluster, 10 * SECOND).await;
     assert_eq!(cluster.start_count(1), 2, "{} after {waited:?}", JobId(1));
 }
+
+/// Returns how long a task whose runner and owner are gone for good waits for its next start, if no
+/// other process confirms the takeover.
+async fn time_to_restart_unconfirmed(takeover_answer_is_lost: bool) -> Duration {
+    // The third process can't listen at its address, so that it never answers.
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let mut cluster = Cluster::new(&["a", "b"]);
+    let handle = cluster.start("one");
+    cluster.start_with_capacity("two", 400, 1);
+    cluster.start_at("three", 100, 1, socket.local_addr().expect("its address"));
+    let runner = start_job(&mut cluster, &handle).await;
+    assert_eq!(cluster.owner_of(0).as_deref(), Some("one"));
+    cluster.remove_runner(&runner);
+    cluster.kill(0);
+    let since = tokio::time::Instant::now();
+    let lose_every_nth_write = u64::from(takeover_answer_is_lost);
+    cluster.state.lose_every_nth_write.set(lose_every_nth_write);
+    while cluster.owner_of(0).as_deref() != Some("two") {
+        cluster.advance(SECOND / 500).await;
+    }
+    cluster.state.lose_every_nth_write.set(0);
+    time_to_restart(&mut cluster, 60 * SECOND).await;
+    since.elapsed()
+}
+
+/// Guards against a second run of a task whose first one an earlier owner may still renew.
+#[tokio::test(start_paused = true)]
+async fn takeover_without_an_answer_waits_for_earlier_owners() {
+    let answered = time_to_restart_unconfirmed(false).await;
+    let lost = time_to_restart_unconfirmed(true).await;
+    assert!(lost >= answered, "{lost:?} instead of {answered:?}");
+}
