fix(sched): stop the rest of a gang whose restored member waits

Callers saw a gang that makes no progress: one member ran alone and the other waited, with room for both. A new owner restored the job from a record in which one member waits and another is placed in the same run. The earlier owner had issued the stop of the other member, but stops are not in the record and went away with it. A gang is placed only while all of its members wait, so nothing ended the run.

The owner that restores such a job now stops the members still in the run.

The record is written from one state of the engine and a gang is placed in one step, so a member that waits with the run number of a placed one has left that run.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -60,6 +60,7 @@
                 self.end_run(task, now);
             }
         }
+        self.stop_incomplete_gangs(id, now);
         if self.cancelled_before_submission.remove(&id) {
             self.cancel(id, now);
         }
@@ -118,6 +119,23 @@
         }
     }
 
+    /// Stops the members of a gang that are placed in a run which another member has left: an
+    /// earlier owner may have ended before it stopped them.
+    fn stop_incomplete_gangs(&mut self, id: JobId, now: Instant) {
+        for task in self.task_ids(id) {
+            let Some(run) = self
+                .task(task)
+                .filter(|it| it.is_waiting())
+                .map(|it| it.run)
+            else {
+                continue;
+            };
+            for member in self.other_members(task, run) {
+                self.release_or_stop(member, now);
+            }
+        }
+    }
+
     /// Opens the occurrences that are due and sets a timer for the next one.
     pub(super) fn open_occurrences(&mut self, id: JobId, wall_ms: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -34,6 +34,10 @@
     pub(crate) fn state(&self) -> State {
         self.state
     }
+
+    pub(crate) fn is_waiting(&self) -> bool {
+        matches!(self.state, State::Waiting { .. })
+    }
 }
 
 impl State {
@@ -193,7 +197,7 @@
 
     /// Ends a task's run like [`Self::end_run`], without regard to its gang. Returns whether the
     /// placement was released.
-    fn release_or_stop(&mut self, id: TaskId, now: Instant) -> bool {
+    pub(super) fn release_or_stop(&mut self, id: TaskId, now: Instant) -> bool {
         let Some(State::Placed { runner, stage }) = self.task(id).map(Task::state) else {
             return false;
         };
@@ -240,5 +244,5 @@
         return false;
     };
     let task = step.tasks.get(usize::from(id.index));
-    task.is_some_and(|task| matches!(task.state, State::Waiting { .. }))
+    task.is_some_and(Task::is_waiting)
 }
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -423,3 +423,34 @@
     let orders = leave_before_commit(|harness| harness.engine.unlist_runner("a", harness.now));
     assert!(starts(&orders).is_empty(), "{:?}", starts(&orders));
 }
+
+#[test]
+fn gang_restored_while_one_member_waits_and_the_other_runs_is_placed_again() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    let member = |state| TaskRecord {
+        state,
+        run: 1,
+        failures: 0,
+        checkpoint: String::new(),
+    };
+    let record = Record {
+        phase: Phase::Active,
+        runners: vec!["b".to_owned()],
+        tasks: vec![vec![vec![
+            member(TaskState::Waiting),
+            member(TaskState::Placed(0)),
+        ]]],
+    };
+    let stored = StoredRecord {
+        revision: 1,
+        record,
+    };
+    fleet
+        .runners
+        .insert("b".to_owned(), vec![(task(1, 0, 1), 1)]);
+    fleet.harness.restore_job(job(1, vec![gang(2)]), stored);
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    let runs = [0, 1].map(|index| fleet.runs(task(1, 0, index)));
+    assert!(runs.iter().all(|runs| runs.len() == 1), "{runs:?}");
+    assert_eq!((runs[0][0].1, runs[1][0].1), (2, 2), "{runs:?}");
+}
