fix(sched): keep a run with an unanswered start at a restart of its runner

Users could see two runs of one task: a task is placed, its runner drains before it answers the start, and then starts again under its id. The run was requeued at the restart and started elsewhere, while the delayed start could still be carried out by the new incarnation, which knows neither the stop nor a fencing token.

The evacuation turned the ordered run into one that is being stopped, which lost that its start was not answered; the same run without the evacuation stayed unconfirmed. A run that is being stopped now keeps whether its start was answered. If not, a restart leaves it placed and its stop is ordered again, until a stop was acknowledged and a later report does not list the run, or the lease expires. An answer 'started' or a report that lists the run counts as the answer.

Restored runs are unchanged: the starts of an earlier owner are not known.

--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -65,6 +65,8 @@
     },
     /// A stop has been ordered; it is repeated until the run is known to have ended.
     Stopping {
+        /// Without an answer the start may still be carried out, also by a later incarnation.
+        start_answered: bool,
         stop_due_at: Instant,
         stop_acknowledged_at: Option<Instant>,
     },
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -46,7 +46,7 @@
     }
 
     /// Requeues the runs of an earlier incarnation of a runner. The new incarnation may still carry
-    /// out a start that had no answer, so such a run stays unconfirmed.
+    /// out a start that had no answer, so such a run stays unconfirmed or is stopped again.
     pub(crate) fn handle_restart(&mut self, key: RunnerKey, incarnation_ms: u64, now: Instant) {
         let lease_term_max = self.options.lease_term_max;
         let runner = self.runner_mut(key);
@@ -60,13 +60,18 @@
         runner.pending_ends.clear();
         runner.lease.reset(lease_term_max, now);
         runner.backoff.room_freed();
-        let is_unconfirmed =
-            |stage| matches!(stage, Stage::Ordered { .. } | Stage::Unconfirmed { .. });
-        self.requeue_lost_runs(key, |stage| !is_unconfirmed(stage), now);
+        self.requeue_lost_runs(key, |stage| !stage.is_start_unanswered(), now);
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
-            if self.stage_on(key, id, run).is_some_and(is_unconfirmed) {
-                self.set_stage(id, Stage::unconfirmed(now));
+            match self.stage_on(key, id, run) {
+                Some(stage) if !stage.is_start_unanswered() => {}
+                // The new incarnation has not acknowledged the stop.
+                Some(Stage::Stopping { .. }) => {
+                    self.set_stage(id, Stage::stopping(false, now));
+                    self.order_stop(key, id, run);
+                }
+                Some(_) => self.set_stage(id, Stage::unconfirmed(now)),
+                None => {}
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -223,6 +223,7 @@
             self.set_stage(run.task, Stage::Running(now));
             self.mark_has_run(run.task);
         }
+        self.mark_start_answered(run.task, stage);
     }
 
     /// Stops a run that is not in the records: one of an earlier owner, or one from a delayed
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -30,6 +30,9 @@
             Stage::Committing(_) | Stage::Restored | Stage::Running(_) => false,
         };
         if !is_pending {
+            if answer == Answer::Started {
+                self.mark_start_answered(id, stage);
+            }
             return;
         }
         log::debug!("event=start.answer task={id} run={run} answer={answer:?}");
@@ -56,6 +59,23 @@
         }
     }
 
+    /// Records that the start of a run that is being stopped was carried out.
+    pub(super) fn mark_start_answered(&mut self, id: TaskId, stage: Stage) {
+        if let Stage::Stopping {
+            stop_due_at,
+            stop_acknowledged_at,
+            ..
+        } = stage
+        {
+            let stage = Stage::Stopping {
+                start_answered: true,
+                stop_due_at,
+                stop_acknowledged_at,
+            };
+            self.set_stage(id, stage);
+        }
+    }
+
     fn count_refused_start(
         &mut self,
         runner: RunnerKey,
@@ -146,13 +166,23 @@
     }
 
     /// A run whose stop is ordered at `now`.
-    pub(super) fn stopping(now: Instant) -> Self {
+    pub(super) fn stopping(start_answered: bool, now: Instant) -> Self {
         Self::Stopping {
+            start_answered,
             stop_due_at: now + STOP_RETRY_INTERVAL,
             stop_acknowledged_at: None,
         }
     }
 
+    /// Returns whether the start of an ordered run may still be carried out.
+    pub(super) fn is_start_unanswered(self) -> bool {
+        match self {
+            Self::Ordered { .. } | Self::Unconfirmed { .. } => true,
+            Self::Stopping { start_answered, .. } => !start_answered,
+            Self::Committing(_) | Self::Restored | Self::Running(_) => false,
+        }
+    }
+
     /// When the next stop is due, and when the last one was acknowledged.
     fn stop(self) -> Option<(Instant, Option<Instant>)> {
         match self {
@@ -163,6 +193,7 @@
             | Self::Stopping {
                 stop_due_at,
                 stop_acknowledged_at,
+                ..
             } => Some((stop_due_at, stop_acknowledged_at)),
             Self::Committing(_) | Self::Ordered { .. } | Self::Restored | Self::Running(_) => None,
         }
@@ -174,7 +205,8 @@
                 stop_due_at,
                 stop_acknowledged_at,
             },
-            Self::Stopping { .. } => Self::Stopping {
+            Self::Stopping { start_answered, .. } => Self::Stopping {
+                start_answered,
                 stop_due_at,
                 stop_acknowledged_at,
             },
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -211,7 +211,7 @@
             | Stage::Restored
             | Stage::Running(_)
             | Stage::Unconfirmed { .. } => {
-                self.set_stage(id, Stage::stopping(now));
+                self.set_stage(id, Stage::stopping(!stage.is_start_unanswered(), now));
                 let run = self.task(id).map_or(0, |task| task.run);
                 self.order_stop(runner, id, run);
             }
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{job, listed, report, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
-    Answer, End, EndKind, JobId, Options, Order, Phase, Record, RunnerInfo, RunnerState, StepSpec,
-    StoredRecord, TaskId, TaskRecord, TaskState,
+    Answer, End, EndKind, JobId, Options, Order, Phase, Record, Report, RunStatus, RunnerInfo,
+    RunnerState, StepSpec, StoredRecord, TaskId, TaskRecord, TaskState,
 };
 use std::collections::BTreeMap;
 
@@ -454,3 +454,55 @@
     assert!(runs.iter().all(|runs| runs.len() == 1), "{runs:?}");
     assert_eq!((runs[0][0].1, runs[1][0].1), (2, 2), "{runs:?}");
 }
+
+/// Places a long-running task on a runner that then drains; returns the harness and the ids of
+/// that runner and the other one. The start is not answered.
+fn drain_before_the_start_is_answered() -> (TestEngine, String, &'static str) {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    harness.submit(job(1, vec![long_running(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    let other = if on == "a" { "b" } else { "a" };
+    let info = RunnerInfo {
+        state: RunnerState::Draining,
+        ..crate::support::runner(&on, 4_000)
+    };
+    harness.engine.update_runner(info, harness.now);
+    assert_eq!(stops(&harness.engine.take_orders()), [(task(1, 0, 0), 1)]);
+    (harness, on, other)
+}
+
+/// Delivers a report of the runner's second incarnation.
+fn report_of_second_incarnation(harness: &mut TestEngine, id: &str, running: Vec<RunStatus>) {
+    let report = Report {
+        incarnation_ms: 2,
+        ..report(harness.clock_ms(), running)
+    };
+    let now = harness.now;
+    harness.engine.handle_report(id, &report, now, now);
+}
+
+#[test]
+fn evacuated_run_with_an_unanswered_start_is_requeued_at_a_restart() {
+    let (mut harness, on, other) = drain_before_the_start_is_answered();
+    let id = task(1, 0, 0);
+    harness.engine.handle_stop_answer(id, 1, harness.now);
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    harness.report(other, vec![]);
+    let orders = harness.round();
+    assert!(starts(&orders).is_empty(), "{:?}", starts(&orders));
+    assert_eq!(
+        stops(&orders),
+        [(id, 1)],
+        "the stop was acknowledged by the first incarnation"
+    );
+    // The start is carried out late, and the run is stopped.
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![listed(id, 1)]);
+    harness.engine.handle_stop_answer(id, 1, harness.now);
+    assert!(starts(&harness.round()).is_empty());
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    harness.report(other, vec![]);
+    assert_eq!(starts(&harness.round()), [(other.to_owned(), id, 2)]);
+}
