fix(sched): keep a run that a runner's new incarnation carries out

Users could see two runs of one task: a runner starts again under its id, its new incarnation carries out and answers a start, and its first report lists the run. The owner, which had not known of the restart, requeued all answered runs of that runner and started the task elsewhere; a run that had already ended 'done' was started again.

A report of a new incarnation now leaves the runs that it lists as running or ended, and those whose start was answered after the report was requested, which the next report decides. Other answered runs are requeued as before.

Runs of an earlier incarnation can't be among those listed, as a runner knows nothing of before its start.

--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -1,6 +1,6 @@
 use super::{Engine, Stage};
-use crate::fleet::RunnerKey;
-use std::time::Instant;
+use crate::{fleet::RunnerKey, Report, TaskId};
+use std::{collections::HashSet, time::Instant};
 
 impl Engine {
     /// Requeues the runs of runners whose lease must have expired.
@@ -20,7 +20,7 @@
             // it stays away.
             self.requeue_lost_runs(
                 RunnerKey(at as u32),
-                |stage| !matches!(stage, Stage::Ordered { .. }),
+                |_, stage| !matches!(stage, Stage::Ordered { .. }),
                 now,
             );
         }
@@ -31,27 +31,34 @@
     pub(crate) fn requeue_lost_runs(
         &mut self,
         key: RunnerKey,
-        is_lost: impl Fn(Stage) -> bool,
+        is_lost: impl Fn((TaskId, u32), Stage) -> bool,
         now: Instant,
     ) {
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             match self.stage_on(key, id, run) {
                 Some(Stage::Committing(_)) => {}
-                Some(stage) if is_lost(stage) => self.requeue(id, run, None, now),
+                Some(stage) if is_lost((id, run), stage) => self.requeue(id, run, None, now),
                 Some(_) => {}
                 None => self.runner_mut(key).release(id, run),
             }
         }
     }
 
-    /// Requeues the runs of an earlier incarnation of a runner. The new incarnation may still carry
-    /// out a start that had no answer, so such a run stays unconfirmed or is stopped again.
-    pub(crate) fn handle_restart(&mut self, key: RunnerKey, incarnation_ms: u64, now: Instant) {
+    /// Requeues the runs of an earlier incarnation of a runner. Those in the report, and those whose
+    /// start was answered after it was requested, may be runs of the new incarnation. It may still
+    /// carry out a start that had no answer, so such a run stays unconfirmed or is stopped again.
+    pub(crate) fn handle_restart(
+        &mut self,
+        key: RunnerKey,
+        report: &Report,
+        requested_at: Instant,
+        now: Instant,
+    ) {
         let lease_term_max = self.options.lease_term_max;
         let runner = self.runner_mut(key);
-        let known = runner.incarnation_ms.replace(incarnation_ms);
-        if known.is_none_or(|known| known == incarnation_ms) {
+        let known = runner.incarnation_ms.replace(report.incarnation_ms);
+        if known.is_none_or(|known| known == report.incarnation_ms) {
             return;
         }
         log::warn!("event=runner.restart runner={}", runner.info.id);
@@ -60,7 +67,12 @@
         runner.pending_ends.clear();
         runner.lease.reset(lease_term_max, now);
         runner.backoff.room_freed();
-        self.requeue_lost_runs(key, |stage| !stage.is_start_unanswered(), now);
+        let known_runs = runs_of(report);
+        let is_lost = |run, stage| match stage {
+            Stage::Running(since) if since >= requested_at => false,
+            _ => !stage.is_start_unanswered() && !known_runs.contains(&run),
+        };
+        self.requeue_lost_runs(key, is_lost, now);
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             match self.stage_on(key, id, run) {
@@ -76,3 +88,10 @@
         }
     }
 }
+
+/// Runs that a report lists as running or ended.
+fn runs_of(report: &Report) -> HashSet<(TaskId, u32)> {
+    let running = report.running.iter().map(|it| (it.task, it.run));
+    let ended = report.ended.iter().map(|it| (it.task, it.run));
+    running.chain(ended).collect()
+}
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -75,7 +75,7 @@
         now: Instant,
     ) {
         let key = self.runner_key(runner);
-        self.handle_restart(key, report.incarnation_ms, now);
+        self.handle_restart(key, report, requested_at, now);
         let lease_term_max = self.options.lease_term_max;
         let it = self.runner_mut(key);
         it.last_report_at = Some(now);
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -506,3 +506,73 @@
     harness.report(other, vec![]);
     assert_eq!(starts(&harness.round()), [(other.to_owned(), id, 2)]);
 }
+
+/// Lets a runner start again under its id and answer a start in its second incarnation; returns
+/// the harness and the id of that runner.
+fn start_answered_by_second_incarnation() -> (TestEngine, String) {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    harness.submit(job(1, vec![step(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    harness.answer_start(task(1, 0, 0), 1, Answer::Started);
+    harness.advance(ROUND_MS);
+    (harness, on)
+}
+
+#[test]
+fn run_listed_by_a_new_incarnation_is_started_again() {
+    let (mut harness, on) = start_answered_by_second_incarnation();
+    let id = task(1, 0, 0);
+    for _ in 0..3 {
+        report_of_second_incarnation(&mut harness, &on, vec![listed(id, 1)]);
+        let orders = harness.round();
+        assert!(orders.is_empty(), "{orders:?}");
+        harness.advance(ROUND_MS);
+    }
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1, "the run is gone");
+}
+
+#[test]
+fn run_done_in_a_new_incarnation_is_started_again() {
+    let (mut harness, on) = start_answered_by_second_incarnation();
+    let done = End {
+        number: 1,
+        task: task(1, 0, 0),
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    };
+    let report = Report {
+        incarnation_ms: 2,
+        ended: vec![done],
+        ..report(harness.clock_ms(), vec![])
+    };
+    let now = harness.now;
+    harness.engine.handle_report(&on, &report, now, now);
+    assert!(starts(&harness.round()).is_empty());
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Completed));
+}
+
+#[test]
+fn run_started_after_the_first_report_of_a_new_incarnation_is_started_again() {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    let id = task(1, 0, 0);
+    harness.submit(job(1, vec![step(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    let requested_at = harness.now;
+    harness.advance(ROUND_MS);
+    harness.answer_start(id, 1, Answer::Started);
+    let earlier = Report {
+        incarnation_ms: 2,
+        ..report(harness.clock_ms(), vec![])
+    };
+    let now = harness.now;
+    harness
+        .engine
+        .handle_report(&on, &earlier, requested_at, now);
+    let orders = harness.round();
+    assert!(orders.is_empty(), "{orders:?}");
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1, "the run is gone");
+}
