--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -75,7 +75,7 @@
         now: Instant,
     ) {
         let key = self.runner_key(runner);
-        self.handle_restart(key, report.incarnation_ms, now);
+        self.handle_restart(key, report, requested_at, now);
         let lease_term_max = self.options.lease_term_max;
         let it = self.runner_mut(key);
         it.last_report_at = Some(now);
@@ -223,6 +223,7 @@
             self.set_stage(run.task, Stage::Running(now));
             self.mark_has_run(run.task);
         }
+        self.mark_start_answered(run.task, stage);
     }
 
     /// Stops a run that is not in the records: one of an earlier owner, or one from a delayed
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{job, listed, report, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
-    Answer, End, EndKind, JobId, Options, Order, Phase, Record, RunnerInfo, RunnerState, StepSpec,
-    StoredRecord, TaskId, TaskRecord, TaskState,
+    Answer, End, EndKind, JobId, Options, Order, Phase, Record, Report, RunStatus, RunnerInfo,
+    RunnerState, StepSpec, StoredRecord, TaskId, TaskRecord, TaskState,
 };
 use std::collections::BTreeMap;
 
@@ -423,3 +423,156 @@
     let orders = leave_before_commit(|harness| harness.engine.unlist_runner("a", harness.now));
     assert!(starts(&orders).is_empty(), "{:?}", starts(&orders));
 }
+
+#[test]
+fn gang_restored_while_one_member_waits_and_the_other_runs_is_placed_again() {
+    let mut fleet = Fleet::new(&["a", "b"], 4_000);
+    let member = |state| TaskRecord {
+        state,
+        run: 1,
+        failures: 0,
+        checkpoint: String::new(),
+    };
+    let record = Record {
+        phase: Phase::Active,
+        runners: vec!["b".to_owned()],
+        tasks: vec![vec![vec![
+            member(TaskState::Waiting),
+            member(TaskState::Placed(0)),
+        ]]],
+    };
+    let stored = StoredRecord {
+        revision: 1,
+        record,
+    };
+    fleet
+        .runners
+        .insert("b".to_owned(), vec![(task(1, 0, 1), 1)]);
+    fleet.harness.restore_job(job(1, vec![gang(2)]), stored);
+    fleet.rounds(RUNS_AGAIN_WITHIN_MS);
+    let runs = [0, 1].map(|index| fleet.runs(task(1, 0, index)));
+    assert!(runs.iter().all(|runs| runs.len() == 1), "{runs:?}");
+    assert_eq!((runs[0][0].1, runs[1][0].1), (2, 2), "{runs:?}");
+}
+
+/// Places a long-running task on a runner that then drains; returns the harness and the ids of
+/// that runner and the other one. The start is not answered.
+fn drain_before_the_start_is_answered() -> (TestEngine, String, &'static str) {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    harness.submit(job(1, vec![long_running(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    let other = if on == "a" { "b" } else { "a" };
+    let info = RunnerInfo {
+        state: RunnerState::Draining,
+        ..crate::support::runner(&on, 4_000)
+    };
+    harness.engine.update_runner(info, harness.now);
+    assert_eq!(stops(&harness.engine.take_orders()), [(task(1, 0, 0), 1)]);
+    (harness, on, other)
+}
+
+/// Delivers a report of the runner's second incarnation.
+fn report_of_second_incarnation(harness: &mut TestEngine, id: &str, running: Vec<RunStatus>) {
+    let report = Report {
+        incarnation_ms: 2,
+        ..report(harness.clock_ms(), running)
+    };
+    let now = harness.now;
+    harness.engine.handle_report(id, &report, now, now);
+}
+
+#[test]
+fn evacuated_run_with_an_unanswered_start_is_requeued_at_a_restart() {
+    let (mut harness, on, other) = drain_before_the_start_is_answered();
+    let id = task(1, 0, 0);
+    harness.engine.handle_stop_answer(id, 1, harness.now);
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    harness.report(other, vec![]);
+    let orders = harness.round();
+    assert!(starts(&orders).is_empty(), "{:?}", starts(&orders));
+    assert_eq!(
+        stops(&orders),
+        [(id, 1)],
+        "the stop was acknowledged by the first incarnation"
+    );
+    // The start is carried out late, and the run is stopped.
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![listed(id, 1)]);
+    harness.engine.handle_stop_answer(id, 1, harness.now);
+    assert!(starts(&harness.round()).is_empty());
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    harness.report(other, vec![]);
+    assert_eq!(starts(&harness.round()), [(other.to_owned(), id, 2)]);
+}
+
+/// Lets a runner start again under its id and answer a start in its second incarnation; returns
+/// the harness and the id of that runner.
+fn start_answered_by_second_incarnation() -> (TestEngine, String) {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    harness.submit(job(1, vec![step(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    harness.answer_start(task(1, 0, 0), 1, Answer::Started);
+    harness.advance(ROUND_MS);
+    (harness, on)
+}
+
+#[test]
+fn run_listed_by_a_new_incarnation_is_started_again() {
+    let (mut harness, on) = start_answered_by_second_incarnation();
+    let id = task(1, 0, 0);
+    for _ in 0..3 {
+        report_of_second_incarnation(&mut harness, &on, vec![listed(id, 1)]);
+        let orders = harness.round();
+        assert!(orders.is_empty(), "{orders:?}");
+        harness.advance(ROUND_MS);
+    }
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1, "the run is gone");
+}
+
+#[test]
+fn run_done_in_a_new_incarnation_is_started_again() {
+    let (mut harness, on) = start_answered_by_second_incarnation();
+    let done = End {
+        number: 1,
+        task: task(1, 0, 0),
+        run: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    };
+    let report = Report {
+        incarnation_ms: 2,
+        ended: vec![done],
+        ..report(harness.clock_ms(), vec![])
+    };
+    let now = harness.now;
+    harness.engine.handle_report(&on, &report, now, now);
+    assert!(starts(&harness.round()).is_empty());
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Completed));
+}
+
+#[test]
+fn run_started_after_the_first_report_of_a_new_incarnation_is_started_again() {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    let id = task(1, 0, 0);
+    harness.submit(job(1, vec![step(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    let requested_at = harness.now;
+    harness.advance(ROUND_MS);
+    harness.answer_start(id, 1, Answer::Started);
+    let earlier = Report {
+        incarnation_ms: 2,
+        ..report(harness.clock_ms(), vec![])
+    };
+    let now = harness.now;
+    harness
+        .engine
+        .handle_report(&on, &earlier, requested_at, now);
+    let orders = harness.round();
+    assert!(orders.is_empty(), "{orders:?}");
+    harness.advance(ROUND_MS);
+    report_of_second_incarnation(&mut harness, &on, vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1, "the run is gone");
+}
