fix(entry): don't send a start that is no longer ordered

Users could see a start of a run that the owner had already given up: a process that is held up between the order and the call sent the start whatever had become of the run meanwhile, and a runner that has not seen the stop could carry it out beside the next run.

The caller now asks the engine for the deadline of this start, which is none unless the run is still ordered on that runner; nothing is sent then, which the engine learns as before.

Found by reading; no run that sent such a start was seen. The engine's call is new, so its test could not be built before the change.

--- a/crates/persimmon-entry/src/group/orders.rs
+++ b/crates/persimmon-entry/src/group/orders.rs
@@ -1,6 +1,6 @@
 use super::OwnedGroup;
 use crate::platform::{Platform, RunRef};
-use persimmon_sched::{Answer, Order};
+use persimmon_sched::{Answer, Order, TaskId};
 use std::rc::Rc;
 
 impl<P: Platform> OwnedGroup<P> {
@@ -14,8 +14,7 @@
                 job,
                 checkpoint,
             } => {
-                let now = self.shared.now();
-                let deadline_ms = self.engine.borrow_mut().lease_deadline_ms(&runner, now);
+                let deadline_ms = self.start_deadline_ms(&runner, task, run);
                 let info = self.runners.borrow().get(&runner).cloned();
                 let answer = match (info, deadline_ms) {
                     (Some(info), Some(deadline_ms)) => {
@@ -81,7 +80,18 @@
         self.wake.notify_one();
     }
 
-    fn run_ref(&self, task: persimmon_sched::TaskId, number: u32) -> RunRef {
+    /// Lease deadline to send with a start; `None` if it must not be sent.
+    fn start_deadline_ms(&self, runner: &str, task: TaskId, run: u32) -> Option<u64> {
+        let now = self.shared.now();
+        let mut engine = self.engine.borrow_mut();
+        let deadline_ms = engine.start_deadline_ms(runner, task, run, now);
+        if deadline_ms.is_none() {
+            log::info!("event=start.withheld task={task} run={run} runner={runner}");
+        }
+        deadline_ms
+    }
+
+    fn run_ref(&self, task: TaskId, number: u32) -> RunRef {
         RunRef {
             task,
             number,
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -66,6 +66,22 @@
         Some(lease.deadline_ms)
     }
 
+    /// Lease deadline to send with the start of a run, as [`Self::lease_deadline_ms`]; `None` also
+    /// if the run is no longer to be started on `runner`.
+    pub fn start_deadline_ms(
+        &mut self,
+        runner: &str,
+        task: TaskId,
+        run: u32,
+        now: Instant,
+    ) -> Option<u64> {
+        let key = *self.runner_keys.get(runner)?;
+        match self.stage_on(key, task, run)? {
+            Stage::Ordered { .. } => self.lease_deadline_ms(runner, now),
+            _ => None,
+        }
+    }
+
     /// Handles a runner's report, which was requested at `requested_at`.
     pub fn handle_report(
         &mut self,
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -576,3 +576,29 @@
     report_of_second_incarnation(&mut harness, &on, vec![]);
     assert_eq!(starts(&harness.round()).len(), 1, "the run is gone");
 }
+
+#[test]
+fn start_held_back_by_its_caller_is_sent_for_a_run_that_is_no_longer_ordered() {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    let id = task(1, 0, 0);
+    harness.submit(job(1, vec![long_running(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    let other = if on == "a" { "b" } else { "a" };
+    let now = harness.now;
+    let engine = &mut harness.engine;
+    assert!(engine.start_deadline_ms(&on, id, 1, now).is_some());
+    assert_eq!(engine.start_deadline_ms(other, id, 1, now), None);
+    let info = RunnerInfo {
+        state: RunnerState::Draining,
+        ..crate::support::runner(&on, 4_000)
+    };
+    engine.update_runner(info, now);
+    assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "stopped");
+    harness.answer_start(id, 1, Answer::NotSent);
+    harness.advance(ROUND_MS);
+    harness.report(other, vec![]);
+    assert_eq!(starts(&harness.round()), [(other.to_owned(), id, 2)]);
+    let now = harness.now;
+    let engine = &mut harness.engine;
+    assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "replaced");
+}
