fix(sched): keep showing a final phase once it is committed

Callers saw a job as cancelled and then as active again. A job was shown with its final phase only while its latest version was committed, and the end of a run that was stopped with the job makes a new version.

The version that made the phase final is kept, and the phase is shown once that version is committed. An uncommitted end is still shown as active.

Later versions can't change a final phase.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -40,6 +40,7 @@
             tasks: Vec::new(),
             version: 0,
             committed_version: 0,
+            final_version: 0,
             commit_in_flight: false,
             store_revision: 0,
             finished_at: None,
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -27,6 +27,8 @@
     /// Incremented by each change that must be committed to the store.
     pub(crate) version: u64,
     pub(crate) committed_version: u64,
+    /// Version that made the phase final; later ones are ends of runs.
+    pub(crate) final_version: u64,
     pub(crate) commit_in_flight: bool,
     pub(crate) store_revision: u64,
     pub(crate) finished_at: Option<Instant>,
@@ -81,6 +83,11 @@
         }
     }
 
+    /// Returns whether a final phase is committed.
+    pub(crate) fn is_end_committed(&self) -> bool {
+        self.phase.is_final() && self.committed_version >= self.final_version
+    }
+
     /// The step of a task.
     pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
         let steps = self.tasks.get(id.occurrence as usize)?;
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -160,6 +160,8 @@
         log::info!("event=job.end job={id} phase={phase:?}");
         job.phase = phase;
         job.finished_at = Some(now);
+        // The change of the phase makes this version.
+        job.final_version = job.version + 1;
         self.mark_changed(id);
         self.timers.retain(|&(_, job, _)| job != id);
         for task in self.task_ids(id) {
@@ -281,7 +283,7 @@
     /// until its final phase is committed.
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let job = self.jobs.get(&id)?;
-        let is_certain = !job.phase.is_final() || job.committed_version == job.version;
+        let is_certain = !job.phase.is_final() || job.is_end_committed();
         Some(if is_certain { job.phase } else { Phase::Active })
     }
 
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -602,3 +602,29 @@
     let engine = &mut harness.engine;
     assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "replaced");
 }
+
+#[test]
+fn final_phase_is_taken_back_at_the_end_of_a_stopped_run() {
+    let mut harness = TestEngine::with_runners(&["a"], 4_000);
+    let id = task(1, 0, 0);
+    harness.submit(job(1, vec![step(1)]));
+    harness.round();
+    harness.answer_start(id, 1, Answer::Started);
+    harness.engine.cancel(JobId(1), harness.now);
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Active));
+    harness.round();
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Cancelled));
+    harness.advance(ROUND_MS);
+    let stopped = End {
+        number: 1,
+        task: id,
+        run: 1,
+        kind: EndKind::Cut,
+        checkpoint: String::new(),
+    };
+    let mut report = report(harness.clock_ms(), vec![]);
+    report.ended = vec![stopped];
+    let now = harness.now;
+    harness.engine.handle_report("a", &report, now, now);
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Cancelled));
+}
