fix(sched): keep an expired job until its end is committed

After an outage of the store longer than the retention, a job that had ended could be removed before its end was written, or while it was: its record was left without the end or was written anew after its removal, and the next owner would restore the job and run it again (inferred from the code; no such run was seen).

An expired job is now removed once its end is committed and no write of it is in flight.

The new test failed before at the first removal, with the cancel uncommitted.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -287,10 +287,15 @@
         Some(if is_certain { job.phase } else { Phase::Active })
     }
 
-    /// Removes jobs that ended longer ago than the retention and returns their ids.
+    /// Removes jobs that ended longer ago than the retention and returns their ids. A job whose end
+    /// is not committed, or that is being written, is kept.
     pub fn remove_expired_jobs(&mut self, now: Instant) -> Vec<JobId> {
         let retention = self.options.retention;
-        let expired = |job: &Job| job.finished_at.is_some_and(|at| now >= at + retention);
+        let expired = |job: &Job| {
+            job.finished_at.is_some_and(|at| now >= at + retention)
+                && job.is_end_committed()
+                && !job.commit_in_flight
+        };
         let ids: Vec<_> = self.jobs.iter().filter(|(_, job)| expired(job)).collect();
         let ids: Vec<_> = ids.into_iter().map(|(&id, _)| id).collect();
         if ids.is_empty() {
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -628,3 +628,23 @@
     harness.engine.handle_report("a", &report, now, now);
     assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Cancelled));
 }
+
+#[test]
+fn expired_job_is_removed_before_its_end_is_committed() {
+    let mut harness = TestEngine::with_runners(&["a"], 4_000);
+    harness.submit(job(1, vec![step(1)]));
+    harness.round();
+    harness.engine.cancel(JobId(1), harness.now);
+    harness.now += Options::default().retention;
+    assert!(harness.engine.remove_expired_jobs(harness.now).is_empty());
+    let commits = harness.engine.take_commits(1);
+    assert!(harness.engine.remove_expired_jobs(harness.now).is_empty());
+    for commit in commits {
+        let revision = commit.revision + 1;
+        harness
+            .engine
+            .handle_commit(commit.job, commit.version, revision);
+    }
+    let removed = harness.engine.remove_expired_jobs(harness.now);
+    assert_eq!(removed, [JobId(1)]);
+}
