--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -160,6 +160,8 @@
         log::info!("event=job.end job={id} phase={phase:?}");
         job.phase = phase;
         job.finished_at = Some(now);
+        // The change of the phase makes this version.
+        job.final_version = job.version + 1;
         self.mark_changed(id);
         self.timers.retain(|&(_, job, _)| job != id);
         for task in self.task_ids(id) {
@@ -281,14 +283,19 @@
     /// until its final phase is committed.
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let job = self.jobs.get(&id)?;
-        let is_certain = !job.phase.is_final() || job.committed_version == job.version;
+        let is_certain = !job.phase.is_final() || job.is_end_committed();
         Some(if is_certain { job.phase } else { Phase::Active })
     }
 
-    /// Removes jobs that ended longer ago than the retention and returns their ids.
+    /// Removes jobs that ended longer ago than the retention and returns their ids. A job whose end
+    /// is not committed, or that is being written, is kept.
     pub fn remove_expired_jobs(&mut self, now: Instant) -> Vec<JobId> {
         let retention = self.options.retention;
-        let expired = |job: &Job| job.finished_at.is_some_and(|at| now >= at + retention);
+        let expired = |job: &Job| {
+            job.finished_at.is_some_and(|at| now >= at + retention)
+                && job.is_end_committed()
+                && !job.commit_in_flight
+        };
         let ids: Vec<_> = self.jobs.iter().filter(|(_, job)| expired(job)).collect();
         let ids: Vec<_> = ids.into_iter().map(|(&id, _)| id).collect();
         if ids.is_empty() {
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -576,3 +576,75 @@
     report_of_second_incarnation(&mut harness, &on, vec![]);
     assert_eq!(starts(&harness.round()).len(), 1, "the run is gone");
 }
+
+#[test]
+fn start_held_back_by_its_caller_is_sent_for_a_run_that_is_no_longer_ordered() {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 4_000);
+    let id = task(1, 0, 0);
+    harness.submit(job(1, vec![long_running(1)]));
+    let on = starts(&harness.round())[0].0.clone();
+    let other = if on == "a" { "b" } else { "a" };
+    let now = harness.now;
+    let engine = &mut harness.engine;
+    assert!(engine.start_deadline_ms(&on, id, 1, now).is_some());
+    assert_eq!(engine.start_deadline_ms(other, id, 1, now), None);
+    let info = RunnerInfo {
+        state: RunnerState::Draining,
+        ..crate::support::runner(&on, 4_000)
+    };
+    engine.update_runner(info, now);
+    assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "stopped");
+    harness.answer_start(id, 1, Answer::NotSent);
+    harness.advance(ROUND_MS);
+    harness.report(other, vec![]);
+    assert_eq!(starts(&harness.round()), [(other.to_owned(), id, 2)]);
+    let now = harness.now;
+    let engine = &mut harness.engine;
+    assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "replaced");
+}
+
+#[test]
+fn final_phase_is_taken_back_at_the_end_of_a_stopped_run() {
+    let mut harness = TestEngine::with_runners(&["a"], 4_000);
+    let id = task(1, 0, 0);
+    harness.submit(job(1, vec![step(1)]));
+    harness.round();
+    harness.answer_start(id, 1, Answer::Started);
+    harness.engine.cancel(JobId(1), harness.now);
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Active));
+    harness.round();
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Cancelled));
+    harness.advance(ROUND_MS);
+    let stopped = End {
+        number: 1,
+        task: id,
+        run: 1,
+        kind: EndKind::Cut,
+        checkpoint: String::new(),
+    };
+    let mut report = report(harness.clock_ms(), vec![]);
+    report.ended = vec![stopped];
+    let now = harness.now;
+    harness.engine.handle_report("a", &report, now, now);
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Cancelled));
+}
+
+#[test]
+fn expired_job_is_removed_before_its_end_is_committed() {
+    let mut harness = TestEngine::with_runners(&["a"], 4_000);
+    harness.submit(job(1, vec![step(1)]));
+    harness.round();
+    harness.engine.cancel(JobId(1), harness.now);
+    harness.now += Options::default().retention;
+    assert!(harness.engine.remove_expired_jobs(harness.now).is_empty());
+    let commits = harness.engine.take_commits(1);
+    assert!(harness.engine.remove_expired_jobs(harness.now).is_empty());
+    for commit in commits {
+        let revision = commit.revision + 1;
+        harness
+            .engine
+            .handle_commit(commit.job, commit.version, revision);
+    }
+    let removed = harness.engine.remove_expired_jobs(harness.now);
+    assert_eq!(removed, [JobId(1)]);
+}
