--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -1,8 +1,7 @@
-use crate::support::{job, listed, report, runner, starts, step, stops, task, TestEngine};
-use persimmon_sched::{
-    Answer, End, EndKind, JobId, Phase, Record, Schedule, StepSpec, StoredRecord, TaskRecord,
-    TaskState,
+use crate::support::{
+    job, listed, placed_record, report, runner, starts, step, stops, task, TestEngine,
 };
+use persimmon_sched::{Answer, End, EndKind, JobId, Phase, Schedule, StepSpec, TaskState};
 
 fn end(number: u64, kind: EndKind) -> End {
     End {
@@ -22,22 +21,6 @@
         .handle_report(runner, &report, harness.now, harness.now);
 }
 
-fn placed_record(runner: &str) -> StoredRecord {
-    StoredRecord {
-        revision: 7,
-        record: Record {
-            phase: Phase::Active,
-            runners: vec![runner.to_owned()],
-            tasks: vec![vec![vec![TaskRecord {
-                state: TaskState::Placed(0),
-                run: 1,
-                failures: 0,
-                checkpoint: String::new(),
-            }]]],
-        },
-    }
-}
-
 #[test]
 fn start_waits_for_commit() {
     let mut harness = TestEngine::with_runners(&["a"], 4_000);
--- a/crates/persimmon-sched/tests/all/interference.rs
+++ b/crates/persimmon-sched/tests/all/interference.rs
@@ -1,8 +1,5 @@
-use crate::support::{job, listed, starts, step, stops, task, TestEngine};
-use persimmon_sched::{
-    Answer, JobId, Order, Phase, Record, RunStatus, StepSpec, StoredRecord, TaskId, TaskRecord,
-    TaskState,
-};
+use crate::support::{job, listed, placed_record, starts, step, stops, task, TestEngine};
+use persimmon_sched::{Answer, JobId, Order, RunStatus, StepSpec, TaskId};
 
 const TARGET_MS: u64 = 100;
 
@@ -50,21 +47,7 @@
 fn restored() -> TestEngine {
     let mut harness = TestEngine::new();
     for (id, step) in [(1, latency_critical(1)), (2, best_effort("batch", false))] {
-        let record = Record {
-            phase: Phase::Active,
-            runners: vec!["a".to_owned()],
-            tasks: vec![vec![vec![TaskRecord {
-                state: TaskState::Placed(0),
-                run: 1,
-                failures: 0,
-                checkpoint: String::new(),
-            }]]],
-        };
-        let stored = StoredRecord {
-            revision: 1,
-            record,
-        };
-        harness.restore_job(job(id, vec![step]), stored);
+        harness.restore_job(job(id, vec![step]), placed_record("a"));
     }
     harness.add_runner("a", 10_000);
     harness
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -1,8 +1,8 @@
 //! Fixtures: jobs, runners, reports, and an engine with a simulated clock.
 
 use persimmon_sched::{
-    Answer, Engine, JobId, JobSpec, Options, Order, Policy, Queue, Report, RunStatus, RunnerInfo,
-    RunnerState, StepSpec, StoredRecord, TaskId,
+    Answer, Engine, JobId, JobSpec, Options, Order, Phase, Policy, Queue, Record, Report,
+    RunStatus, RunnerInfo, RunnerState, StepSpec, StoredRecord, TaskId, TaskRecord, TaskState,
 };
 use persimmon_types::Size;
 use std::time::{Duration, Instant};
@@ -95,6 +95,23 @@
     }
 }
 
+/// Returns the record of an earlier owner in which run 1 of the only task is placed on `runner`.
+pub(crate) fn placed_record(runner: &str) -> StoredRecord {
+    StoredRecord {
+        revision: 7,
+        record: Record {
+            phase: Phase::Active,
+            runners: vec![runner.to_owned()],
+            tasks: vec![vec![vec![TaskRecord {
+                state: TaskState::Placed(0),
+                run: 1,
+                failures: 0,
+                checkpoint: String::new(),
+            }]]],
+        },
+    }
+}
+
 /// An engine with a simulated clock.
 pub(crate) struct TestEngine {
     pub(crate) engine: Engine,
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -1,6 +1,6 @@
 //! Each task whose turn has come is placed again within a bound, whatever ended its last run.
 
-use crate::support::{job, listed, report, starts, step, stops, task, TestEngine};
+use crate::support::{job, listed, placed_record, report, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
     Answer, End, EndKind, JobId, Options, Order, Phase, Record, Report, RunStatus, RunnerInfo,
     RunnerState, StepSpec, StoredRecord, TaskId, TaskRecord, TaskState,
@@ -348,22 +348,8 @@
 fn runner_lost_right_after_a_takeover_does_not_hold_its_tasks_beyond_a_lease_term() {
     let mut fleet = Fleet::new(&["a", "b"], 4_000);
     let id = task(1, 0, 0);
-    let record = Record {
-        phase: Phase::Active,
-        runners: vec!["a".to_owned()],
-        tasks: vec![vec![vec![TaskRecord {
-            state: TaskState::Placed(0),
-            run: 1,
-            failures: 0,
-            checkpoint: String::new(),
-        }]]],
-    };
-    let stored = StoredRecord {
-        revision: 1,
-        record,
-    };
     let spec = job(1, vec![long_running(1)]);
-    fleet.harness.restore_job(spec, stored);
+    fleet.harness.restore_job(spec, placed_record("a"));
     fleet.runners.insert("a".to_owned(), vec![(id, 1)]);
     fleet.harness.engine.predecessor_ended(fleet.harness.now);
     fleet.round();
