fix(sched,entry): start no task on an instance list that is too old

Cause: the engine took the instance list for current however long its watch had been silent, throttled or behind. The watch now reports up to which time nothing is missing: the sending of a list or of a watch call whose answer was not cut short. Beyond listing_age_max, half of the drain bound of the settings, nothing is placed and no ordered start is sent; an ordered start is also withheld once its runner is known to leave. Such a start is answered as withheld, which does not count against the runner.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -2,7 +2,7 @@
 use crate::{
     keys::{self, JobKey},
     platform::{Change, Item, Platform},
-    prefix_watch::{self, WatchOptions},
+    prefix_watch::{self, WatchEvent, WatchOptions},
     requests::{AcceptedJob, Submission},
 };
 use persimmon_sched::{JobId, Record, StoredRecord};
@@ -107,8 +107,8 @@
     pub(super) async fn follow_inbox(self: Rc<Self>, start: (BTreeSet<String>, u64)) {
         let shared = Rc::clone(&self.shared);
         let inbox = keys::inbox(self.id);
-        prefix_watch::follow(&shared, &inbox, INBOX_WATCH, Some(start), |change| {
-            if let Change::Put(item) = change {
+        prefix_watch::follow(&shared, &inbox, INBOX_WATCH, Some(start), |event| {
+            if let WatchEvent::Changed(Change::Put(item)) = event {
                 self.handle_inbox_item(&item);
             }
         })
--- a/crates/persimmon-entry/src/group/orders.rs
+++ b/crates/persimmon-entry/src/group/orders.rs
@@ -17,14 +17,15 @@
                 let deadline_ms = self.start_deadline_ms(&runner, task, run);
                 let info = self.runners.borrow().get(&runner).cloned();
                 let answer = match (info, deadline_ms) {
-                    (Some(info), Some(deadline_ms)) => {
+                    (Some(info), Ok(deadline_ms)) => {
                         let run_ref = self.run_ref(task, run);
                         let platform = &self.shared.platform;
                         platform
                             .start(&info, run_ref, &job, &checkpoint, deadline_ms)
                             .await
                     }
-                    _ => Answer::NotSent,
+                    (None, Ok(_)) => Answer::NotSent,
+                    (_, Err(answer)) => answer,
                 };
                 let now = self.shared.now();
                 self.engine
@@ -80,13 +81,15 @@
         self.wake.notify_one();
     }
 
-    /// Lease deadline to send with a start; `None` if it must not be sent.
-    fn start_deadline_ms(&self, runner: &str, task: TaskId, run: u32) -> Option<u64> {
+    /// Lease deadline to send with a start; the answer to handle instead if it must not be sent.
+    fn start_deadline_ms(&self, runner: &str, task: TaskId, run: u32) -> Result<u64, Answer> {
         let now = self.shared.now();
         let mut engine = self.engine.borrow_mut();
         let deadline_ms = engine.start_deadline_ms(runner, task, run, now);
-        if deadline_ms.is_none() {
-            log::info!("event=start.withheld task={task} run={run} runner={runner}");
+        if let Err(answer) = deadline_ms {
+            log::info!(
+                "event=start.withheld task={task} run={run} runner={runner} answer={answer:?}"
+            );
         }
         deadline_ms
     }
--- a/crates/persimmon-entry/src/group/polling.rs
+++ b/crates/persimmon-entry/src/group/polling.rs
@@ -2,7 +2,7 @@
 use crate::{
     keys::GroupId,
     platform::{Change, Platform, PollRequest},
-    prefix_watch::{self, WatchOptions},
+    prefix_watch::{self, WatchEvent, WatchOptions},
 };
 use persimmon_sched::RunnerInfo;
 use persimmon_types::shard_of;
@@ -29,9 +29,10 @@
 const COMMIT_WAIT: Duration = Duration::from_millis(300);
 
 /// Options of the instance list watch. Runners write every second; the change that matters, a
-/// runner leaving, must be seen well within two seconds.
+/// runner leaving, must be seen well within two seconds. The list counts as known as of the call, so
+/// a call takes less than [`persimmon_sched::Options::listing_age_max`] with the pause.
 const RUNNERS_WATCH: WatchOptions = WatchOptions {
-    wait: Duration::from_millis(1_500),
+    wait: Duration::from_millis(400),
     pause: Duration::from_millis(300),
     by_all_members: false,
 };
@@ -41,26 +42,27 @@
     pub(super) async fn follow_runners(self: Rc<Self>) {
         let shared = Rc::clone(&self.shared);
         let prefix = shared.platform.runners_prefix().to_owned();
-        prefix_watch::follow(
-            &shared,
-            &prefix,
-            RUNNERS_WATCH,
-            None,
-            |change| match change {
-                Change::Put(item) => {
-                    let id = item.key[prefix.len()..].to_owned();
-                    match shared.platform.decode_runner(&id, &item.value) {
-                        Ok(info) => self.handle_listed_runner(info),
-                        Err(err) => {
-                            log::warn!("event=runner.invalid runner={id} fault=\"{err}\"");
-                            self.handle_unlisted_runner(&id);
-                        }
+        prefix_watch::follow(&shared, &prefix, RUNNERS_WATCH, None, |event| match event {
+            WatchEvent::Changed(change) => self.handle_runner_change(&prefix, change),
+            WatchEvent::UpToDate { as_of } => self.engine.borrow_mut().confirm_listing(as_of),
+        })
+        .await;
+    }
+
+    fn handle_runner_change(self: &Rc<Self>, prefix: &str, change: Change) {
+        match change {
+            Change::Put(item) => {
+                let id = &item.key[prefix.len()..];
+                match self.shared.platform.decode_runner(id, &item.value) {
+                    Ok(info) => self.handle_listed_runner(info),
+                    Err(err) => {
+                        log::warn!("event=runner.invalid runner={id} fault=\"{err}\"");
+                        self.handle_unlisted_runner(id);
                     }
                 }
-                Change::Removed { key, .. } => self.handle_unlisted_runner(&key[prefix.len()..]),
-            },
-        )
-        .await;
+            }
+            Change::Removed { key, .. } => self.handle_unlisted_runner(&key[prefix.len()..]),
+        }
     }
 
     fn handle_listed_runner(self: &Rc<Self>, info: RunnerInfo) {
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -6,7 +6,7 @@
     member::{self, Member},
     peers,
     platform::{Change, Item, Platform, Precondition, Txn, TxnOutcome, Write},
-    prefix_watch::{self, WatchOptions},
+    prefix_watch::{self, WatchEvent, WatchOptions},
     state::{Owner, Shared},
 };
 use std::{
@@ -38,16 +38,13 @@
 
 /// Takes groups without an owner and serves them. Never returns.
 pub(crate) async fn run<P: Platform>(shared: Rc<Shared<P>>) {
-    let members = prefix_watch::follow(
-        &shared,
-        keys::MEMBERSHIP,
-        MEMBERSHIP_WATCH,
-        None,
-        |change| {
-            handle_member_change(&shared, &change);
-            handle_owner_change(&shared, change);
-        },
-    );
+    let members =
+        prefix_watch::follow(&shared, keys::MEMBERSHIP, MEMBERSHIP_WATCH, None, |event| {
+            if let WatchEvent::Changed(change) = event {
+                handle_member_change(&shared, &change);
+                handle_owner_change(&shared, change);
+            }
+        });
     tokio::join!(
         members,
         take_free_groups(&shared),
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -85,19 +85,28 @@
     }
 }
 
-/// Calls `on_change` for every item under `prefix` and for each change. With `start`, which holds
-/// the known keys and the revision to watch from, the items are not read first. A change may be
-/// reported twice. Never returns.
+/// What a watch reports.
+#[derive(Debug)]
+pub(crate) enum WatchEvent {
+    /// An item was read, or has changed since.
+    Changed(Change),
+    /// All changes before this time have been reported.
+    UpToDate { as_of: Instant },
+}
+
+/// Calls `on_event` for every item under `prefix`, for each change, and whenever it is known that
+/// none is missing. With `start`, which holds the known keys and the revision to watch from, the
+/// items are not read first. A change may be reported twice. Never returns.
 pub(crate) async fn follow<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
     options: WatchOptions,
     start: Option<(BTreeSet<String>, u64)>,
-    mut on_change: impl FnMut(Change),
+    mut on_event: impl FnMut(WatchEvent),
 ) {
     let (mut known, mut revision) = match start {
         Some(start) => start,
-        None => relist(shared, prefix, &BTreeSet::new(), &mut on_change).await,
+        None => relist(shared, prefix, &BTreeSet::new(), &mut on_event).await,
     };
     loop {
         watch(
@@ -106,10 +115,10 @@
             options,
             &mut known,
             &mut revision,
-            &mut on_change,
+            &mut on_event,
         )
         .await;
-        (known, revision) = relist(shared, prefix, &known, &mut on_change).await;
+        (known, revision) = relist(shared, prefix, &known, &mut on_event).await;
     }
 }
 
@@ -118,19 +127,21 @@
     shared: &Shared<P>,
     prefix: &str,
     known_before: &BTreeSet<String>,
-    on_change: &mut impl FnMut(Change),
+    on_event: &mut impl FnMut(WatchEvent),
 ) -> (BTreeSet<String>, u64) {
+    let called_at = shared.now();
     let (items, revision) = list(shared, prefix).await;
     let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
     for key in known_before.difference(&known) {
-        on_change(Change::Removed {
+        on_event(WatchEvent::Changed(Change::Removed {
             key: key.clone(),
             revision,
-        });
+        }));
     }
     items
         .into_iter()
-        .for_each(|item| on_change(Change::Put(item)));
+        .for_each(|item| on_event(WatchEvent::Changed(Change::Put(item))));
+    on_event(WatchEvent::UpToDate { as_of: called_at });
     (known, revision)
 }
 
@@ -141,7 +152,7 @@
     options: WatchOptions,
     known: &mut BTreeSet<String>,
     revision: &mut u64,
-    on_change: &mut impl FnMut(Change),
+    on_event: &mut impl FnMut(WatchEvent),
 ) {
     let mut failures = 0;
     let mut retry_delay = RetryDelay::new(RETRY_DELAY);
@@ -162,9 +173,10 @@
                         Change::Put(item) => known.insert(item.key.clone()),
                         Change::Removed { key, .. } => known.remove(key),
                     };
-                    on_change(change);
+                    on_event(WatchEvent::Changed(change));
                 }
                 if !has_backlog {
+                    on_event(WatchEvent::UpToDate { as_of: called_at });
                     tokio::time::sleep(pause(shared, options, called_at)).await;
                 }
             }
--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -2,7 +2,7 @@
     handle::CallReceiver,
     ownership, peers,
     platform::{Change, Item, Platform},
-    prefix_watch::{self, WatchOptions},
+    prefix_watch::{self, WatchEvent, WatchOptions},
     session,
     state::Shared,
 };
@@ -114,8 +114,8 @@
 
 async fn follow_policy<P: Platform>(shared: Rc<Shared<P>>) {
     let key = shared.platform.policy_key().to_owned();
-    prefix_watch::follow(&shared, &key, POLICY_WATCH, None, |change| {
-        if let Change::Put(item) = change {
+    prefix_watch::follow(&shared, &key, POLICY_WATCH, None, |event| {
+        if let WatchEvent::Changed(Change::Put(item)) = event {
             apply_policy(&shared, &key, &item);
         }
     })
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -68,6 +68,8 @@
     orphan_runs_until: Instant,
     /// Added to the maximum age of reports in the options.
     extra_report_age: Duration,
+    /// The instance list is known as it was at this time, or later.
+    listed_as_of: Option<Instant>,
     fenced: bool,
 }
 
@@ -93,6 +95,7 @@
             orphan_runs_until: now + options.orphan_run_max,
             options,
             extra_report_age: Duration::ZERO,
+            listed_as_of: None,
             fenced: false,
         }
     }
@@ -247,6 +250,18 @@
         }
     }
 
+    /// Records that all changes of the instance list before `as_of` have been passed on.
+    pub fn confirm_listing(&mut self, as_of: Instant) {
+        self.listed_as_of = self.listed_as_of.max(Some(as_of));
+    }
+
+    /// Returns whether the instance list is known well enough to start tasks: a runner that leaves
+    /// is in the part that is not known yet.
+    pub(crate) fn is_listing_current(&self, now: Instant) -> bool {
+        self.listed_as_of
+            .is_some_and(|at| now < at + self.options.listing_age_max)
+    }
+
     /// Returns the orders issued since the last call.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -4,7 +4,7 @@
 };
 use crate::{
     fleet::{Claim, Runner, RunnerKey},
-    Phase, RunnerState, StepSpec, TaskId,
+    Phase, StepSpec, TaskId,
 };
 use std::{collections::HashMap, time::Instant};
 
@@ -42,9 +42,9 @@
 impl Engine {
     /// Places ready tasks in placement order. Once a demand did not fit, the rest of the step and
     /// all steps that demand at least as much are skipped in this pass. A fenced engine no longer
-    /// owns its group and places nothing.
+    /// owns its group and places nothing, nor does one that knows only an old instance list.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
-        if self.fenced {
+        if self.fenced || !self.is_listing_current(now) {
             return;
         }
         let mut infeasible = InfeasibleDemands::default();
@@ -321,8 +321,7 @@
     /// Returns whether a runner may be given new tasks.
     pub(super) fn is_schedulable(&self, runner: &Runner, now: Instant) -> bool {
         let is_recent = |at: Instant| now < at + self.report_age_max();
-        runner.listed
-            && runner.info.state == RunnerState::Ready
+        !runner.is_leaving()
             && runner.last_report_at.is_some_and(is_recent)
             && runner.backoff.is_over(now)
     }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -1,7 +1,7 @@
 use super::{Engine, Stage, State};
 use crate::{
     fleet::{PendingEnd, RunnerKey},
-    End, EndKind, Phase, Report, RunStatus, TaskId,
+    Answer, End, EndKind, Phase, Report, RunStatus, TaskId,
 };
 use std::{
     collections::HashSet,
@@ -66,20 +66,21 @@
         Some(lease.deadline_ms)
     }
 
-    /// Lease deadline to send with the start of a run, as [`Self::lease_deadline_ms`]; `None` also
-    /// if the run is no longer to be started on `runner`.
+    /// Lease deadline to send with the start of a run, as [`Self::lease_deadline_ms`]. If the start
+    /// must not be sent, returns the answer to handle instead.
     pub fn start_deadline_ms(
         &mut self,
         runner: &str,
         task: TaskId,
         run: u32,
         now: Instant,
-    ) -> Option<u64> {
-        let key = *self.runner_keys.get(runner)?;
-        match self.stage_on(key, task, run)? {
-            Stage::Ordered { .. } => self.lease_deadline_ms(runner, now),
-            _ => None,
+    ) -> Result<u64, Answer> {
+        let key = *self.runner_keys.get(runner).ok_or(Answer::NotSent)?;
+        let is_ordered = matches!(self.stage_on(key, task, run), Some(Stage::Ordered { .. }));
+        if !is_ordered || !self.is_listing_current(now) || self.runner(key).is_leaving() {
+            return Err(Answer::Withheld);
         }
+        self.lease_deadline_ms(runner, now).ok_or(Answer::NotSent)
     }
 
     /// Handles a runner's report, which was requested at `requested_at`.
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -49,7 +49,7 @@
                 self.fenced = true;
                 self.requeue(id, run, None, now);
             }
-            Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent => {
+            Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent | Answer::Withheld => {
                 // A late answer says nothing new: the start has been counted or was stopped.
                 if matches!(stage, Stage::Ordered { .. }) {
                     self.count_refused_start(runner, (id, run), answer, now);
@@ -86,6 +86,7 @@
         match answer {
             Answer::Room => self.note_lack_of_room(runner, run, now),
             Answer::NotSent => self.count_missed_report(runner, now),
+            Answer::Withheld => {}
             _ => self.back_off_runner(runner, now),
         }
     }
--- a/crates/persimmon-sched/src/engine/types.rs
+++ b/crates/persimmon-sched/src/engine/types.rs
@@ -6,6 +6,9 @@
 pub struct Options {
     /// Maximum age of the last report of a runner that is given new tasks.
     pub report_age_max: Duration,
+    /// Maximum age of what is known of the instance list for tasks to be placed and started; well
+    /// below the time in which starts must stop on a runner that leaves.
+    pub listing_age_max: Duration,
     /// Lease term: how long a run may continue without a renewal.
     pub lease_term: Duration,
     /// Longest lease term that a runner grants; it shortens longer ones.
@@ -20,6 +23,7 @@
     fn default() -> Self {
         Self {
             report_age_max: Duration::from_millis(1_800),
+            listing_age_max: Duration::from_secs(1),
             lease_term: Duration::from_secs(6),
             lease_term_max: Duration::from_secs(10),
             orphan_run_max: Duration::from_secs(27),
@@ -82,6 +86,8 @@
     Refused,
     /// Nothing of the call was sent.
     NotSent,
+    /// Nothing of the call was sent, for a reason that says nothing about the runner.
+    Withheld,
     /// The call may have been carried out, or may still be.
     Unknown,
 }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -285,6 +285,11 @@
         f64::from(claim.best_effort_cpu_millis) / capacity
     }
 
+    /// Returns whether the instance list says that the runner leaves or has left.
+    pub(crate) fn is_leaving(&self) -> bool {
+        !self.listed || self.info.state == RunnerState::Draining
+    }
+
     pub(crate) fn free_capacity(&self) -> Size {
         self.info.capacity.saturating_sub(self.used)
     }
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod commit_order;
 mod engine;
 mod id;
+mod instance_list;
 mod interference;
 mod policy;
 mod runner_backoff;
--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -31,6 +31,8 @@
 const CHECKPOINTING_JOB: u64 = 101;
 /// Longest time that a change of the instance list takes to reach an owner.
 const LIST_DELAY_MAX_MS: u64 = 1_500;
+/// Oldest instance list on which tasks are started.
+const LISTING_AGE_MAX_MS: u64 = 1_000;
 /// Longest lease term that a worker grants.
 const LEASE_MAX_MS: u64 = 10_000;
 
@@ -50,6 +52,7 @@
     first_valid_end: u64,
     unreachable_until_ms: u64,
     presence: Presence,
+    draining_since_ms: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -65,6 +68,8 @@
 /// A change of the instance list that has not reached the owners yet.
 #[derive(Clone)]
 struct ListChange {
+    /// When the first change of the worker was made that has not reached the owners.
+    made_at_ms: u64,
     at_ms: u64,
     worker: usize,
     presence: Presence,
@@ -355,10 +360,16 @@
 
     fn set_presence(&mut self, worker: usize, presence: Presence) {
         self.workers[worker].presence = presence;
+        if matches!(presence, Presence::Draining { .. }) {
+            self.workers[worker].draining_since_ms = self.now_ms;
+        }
         let at_ms = self.now_ms + self.rng.random_range(0..LIST_DELAY_MAX_MS);
         // A later change replaces an earlier one that has not been seen.
+        let mut unseen = self.list_changes.iter().filter(|it| it.worker == worker);
+        let made_at_ms = unseen.next().map_or(self.now_ms, |it| it.made_at_ms);
         self.list_changes.retain(|it| it.worker != worker);
         self.list_changes.push(ListChange {
+            made_at_ms,
             at_ms,
             worker,
             presence,
@@ -452,7 +463,12 @@
 
     fn run_owner(&mut self, at: usize) {
         let now = self.now();
-        self.owners[at].engine.tick(0, now);
+        let unseen = self.list_changes.iter().map(|it| it.made_at_ms);
+        let listed_as_of_ms = unseen.min().unwrap_or(self.now_ms);
+        let listed_as_of = self.started_at + Duration::from_millis(listed_as_of_ms);
+        let engine = &mut self.owners[at].engine;
+        engine.confirm_listing(listed_as_of);
+        engine.tick(0, now);
         self.write_records(at);
         for order in self.owners[at].engine.take_orders() {
             self.execute(at, order);
@@ -498,6 +514,19 @@
         found.expect("a known worker")
     }
 
+    /// No start is sent to a worker that has been leaving for longer than the list may be old.
+    fn check_drain(&self, worker: usize, task: TaskId) {
+        let worker = &self.workers[worker];
+        if let Presence::Draining { .. } = worker.presence {
+            let draining_ms = self.now_ms - worker.draining_since_ms;
+            assert!(
+                draining_ms <= LISTING_AGE_MAX_MS,
+                "{task} starts on {}, which drains for {draining_ms} ms",
+                worker.id
+            );
+        }
+    }
+
     fn execute(&mut self, at: usize, order: Order) {
         let now = self.now();
         let fence = self.owners[at].fence;
@@ -507,7 +536,11 @@
             } => {
                 let worker = self.worker(&runner);
                 let engine = &mut self.owners[at].engine;
-                let deadline_ms = engine.lease_deadline_ms(&runner, now).unwrap_or(0);
+                let deadline_ms = match engine.start_deadline_ms(&runner, task, run, now) {
+                    Ok(deadline_ms) => deadline_ms,
+                    Err(answer) => return engine.handle_start_answer(task, run, answer, now),
+                };
+                self.check_drain(worker, task);
                 let start = StartCall {
                     at_ms: self.now_ms,
                     worker,
@@ -689,6 +722,7 @@
             first_valid_end: 0,
             unreachable_until_ms: 0,
             presence: Presence::Ready,
+            draining_since_ms: 0,
         }
     }
 
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -124,6 +124,7 @@
         let now = Instant::now();
         let mut engine = Engine::new(Options::default(), now);
         engine.configure(policy());
+        engine.confirm_listing(now);
         Self {
             engine,
             started_at: now,
@@ -140,7 +141,14 @@
         harness
     }
 
+    /// Lets time pass, at the end of which the instance list is up to date.
     pub(crate) fn advance(&mut self, ms: u64) {
+        self.advance_without_listing(ms);
+        self.engine.confirm_listing(self.now);
+    }
+
+    /// Lets time pass in which nothing is heard of the instance list.
+    pub(crate) fn advance_without_listing(&mut self, ms: u64) {
         self.now += Duration::from_millis(ms);
     }
 
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -572,21 +572,26 @@
     let other = if on == "a" { "b" } else { "a" };
     let now = harness.now;
     let engine = &mut harness.engine;
-    assert!(engine.start_deadline_ms(&on, id, 1, now).is_some());
-    assert_eq!(engine.start_deadline_ms(other, id, 1, now), None);
+    assert!(engine.start_deadline_ms(&on, id, 1, now).is_ok());
+    assert_eq!(
+        engine.start_deadline_ms(other, id, 1, now),
+        Err(Answer::Withheld)
+    );
     let info = RunnerInfo {
         state: RunnerState::Draining,
         ..crate::support::runner(&on, 4_000)
     };
     engine.update_runner(info, now);
-    assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "stopped");
+    let deadline_ms = engine.start_deadline_ms(&on, id, 1, now);
+    assert_eq!(deadline_ms, Err(Answer::Withheld), "stopped");
     harness.answer_start(id, 1, Answer::NotSent);
     harness.advance(ROUND_MS);
     harness.report(other, vec![]);
     assert_eq!(starts(&harness.round()), [(other.to_owned(), id, 2)]);
     let now = harness.now;
     let engine = &mut harness.engine;
-    assert_eq!(engine.start_deadline_ms(&on, id, 1, now), None, "replaced");
+    let deadline_ms = engine.start_deadline_ms(&on, id, 1, now);
+    assert_eq!(deadline_ms, Err(Answer::Withheld), "replaced");
 }
 
 #[test]
