feat(relay,entry): a group's runner calls are made by many instances

Change: the owner decides and relays call. A new crate, persimmon-relay, holds both ends without I/O: assign() gives each runner to a member of its data centre by capacity, at most 48 each; Link (owner) and Relay (member) exchange batches for news over the mesh. A relay passes on the owner's fencing token and lease deadlines that the owner computed on the runner's clock, so it can extend nothing by itself. A start is sent only within 0.7 s of the relay's last news that the owner had seen when it made the order, on a clock that runs through suspension. A report counts as requested when the owner last spoke before. Reports travel as differences, a job's specification once a member. A process that has no other member calls its runners through the same code.

Ruled out: calls passed through a relay one by one (the owner's messages would still grow with polls); a clock on the order itself (clocks differ).

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -117,7 +117,7 @@
         drop(engine);
         self.wake.notify_one();
         self.commit_wake.notify_one();
-        self.written.notify_waiters();
+        self.flush_relays();
     }
 
     fn commit_txn(&self, commits: &[Commit]) -> Option<Txn> {
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -5,12 +5,12 @@
 mod inbox;
 mod learned;
 mod lease_authority;
-mod orders;
-mod polling;
+mod relays;
+mod runner_list;
 
 pub(crate) use self::lease_authority::Predecessors;
 
-use self::{activity::Activity, lease_authority::LeaseAuthority};
+use self::{activity::Activity, lease_authority::LeaseAuthority, relays::Relays};
 use crate::{
     keys::{self, GroupId},
     platform::{Lease, Platform, Precondition, Txn},
@@ -19,14 +19,11 @@
 use persimmon_sched::{Engine, RunnerInfo};
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     rc::Rc,
-    time::Duration,
-};
-use tokio::{
-    sync::{Notify, Semaphore},
-    task::JoinSet,
+    time::{Duration, Instant},
 };
+use tokio::{sync::Notify, task::JoinSet};
 
 /// Shortest pause between decision rounds, so that events that come together are handled and
 /// written together.
@@ -62,17 +59,15 @@
     predecessors: RefCell<Option<Predecessors>>,
     lease_authority: Cell<LeaseAuthority>,
     runners: RefCell<HashMap<String, RunnerInfo>>,
-    polled_runners: RefCell<HashSet<String>>,
-    /// Permits for polls of runners that have not reported yet.
-    first_polls: Semaphore,
+    relays: Relays,
+    /// When this process began to serve the group.
+    started_at: Instant,
     background_tasks: RefCell<JoinSet<()>>,
     /// Signals that something happened that the engine may act on.
     wake: Notify,
     /// Signals that a record may be waiting to be written.
     commit_wake: Notify,
     commits_in_flight: Cell<usize>,
-    /// Signals that records were written.
-    written: Notify,
     is_stopping: Cell<bool>,
     stop_requested: Notify,
     /// What was done since the last log line about it.
@@ -97,13 +92,12 @@
             is_loaded: Cell::new(false),
             lease_authority: Cell::new(LeaseAuthority::default()),
             runners: RefCell::default(),
-            polled_runners: RefCell::default(),
-            first_polls: Semaphore::new(polling::FIRST_POLLS_MAX),
+            relays: Relays::default(),
+            started_at: shared.now(),
             background_tasks: RefCell::default(),
             wake: Notify::new(),
             commit_wake: Notify::new(),
             commits_in_flight: Cell::new(0),
-            written: Notify::new(),
             is_stopping: Cell::new(false),
             stop_requested: Notify::new(),
             activity: Cell::default(),
@@ -119,6 +113,7 @@
                 () = group.stop_requested.notified() => {}
             }
             group.background_tasks.borrow_mut().abort_all();
+            group.close_own_relay();
             shared.groups.borrow_mut().remove(&id);
         });
     }
@@ -158,8 +153,9 @@
             if self.engine.borrow().is_fenced() {
                 self.stop_serving("a runner has seen a higher fencing token");
             }
+            self.assign_runners();
             for order in orders {
-                self.spawn(Rc::clone(self).execute_order(order));
+                self.send_order(order);
             }
             self.commit_wake.notify_one();
             while self.background_tasks.borrow_mut().try_join_next().is_some() {}
@@ -196,13 +192,15 @@
             tokio::time::sleep(LOAD_LOG_INTERVAL).await;
             let load = self.engine.borrow().load(self.shared.now());
             log::info!("event=group.load group={} {load}", self.id.0);
-            let runners = self.polled_runners.borrow().len();
+            let runners = self.relays.runner_count();
+            let relays = self.relays.relay_count();
             let activity = self.activity.take();
             log::info!(
-                "event=group.activity group={} polled_runners={runners} {activity}",
+                "event=group.activity group={} polled_runners={runners} relays={relays} {activity}",
                 self.id.0
             );
             self.log_stalled();
+            self.forget_ended_jobs();
         }
     }
 
--- a/crates/persimmon-entry/src/lib.rs
+++ b/crates/persimmon-entry/src/lib.rs
@@ -18,12 +18,14 @@
 mod platform;
 mod prefix_watch;
 mod process;
+mod relay;
 mod requests;
 mod retry;
 mod session;
 mod state;
 
 pub use handle::{call_channel, Accepted, CallReceiver, Cancelled, Handle, Rejection, Request};
+pub use persimmon_relay::RunnerAddress;
 pub use platform::{
     CallError, Catalog, Change, Effect, Item, Lease, Page, Platform, PollRequest, Precondition,
     RunRef, Runners, Store, Txn, TxnOutcome, WatchOutcome, Write,
--- a/crates/persimmon-entry/src/member.rs
+++ b/crates/persimmon-entry/src/member.rs
@@ -16,17 +16,19 @@
     pub(crate) address: Option<SocketAddr>,
     /// Capacity, in thousandths of a core.
     pub(crate) capacity_millis: u32,
+    /// Data centre; empty if the process does not state it.
+    pub(crate) data_centre: String,
 }
 
 /// Capacity assumed for a process that does not state it, in thousandths of a core.
 const CAPACITY_DEFAULT_MILLIS: u32 = 1;
 
 impl Member {
-    /// Returns the value of the process's key: incarnation, address and capacity.
+    /// Returns the value of the process's key: incarnation, address, capacity and data centre.
     pub(crate) fn value(options: &crate::Options) -> String {
         format!(
-            "{} {} {}",
-            options.incarnation, options.peer_address, options.capacity_millis
+            "{} {} {} {}",
+            options.incarnation, options.peer_address, options.capacity_millis, options.data_centre
         )
     }
 
@@ -37,6 +39,7 @@
             incarnation: next().to_owned(),
             address: next().parse().ok(),
             capacity_millis: next().parse().unwrap_or(CAPACITY_DEFAULT_MILLIS),
+            data_centre: next().to_owned(),
         }
     }
 }
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -9,10 +9,12 @@
 use crate::{
     keys::{self, GroupId},
     platform::{Platform, Txn, TxnOutcome},
+    relay::{self, RelayReply},
     requests::AcceptedJob,
     state::Shared,
 };
 use persimmon_mesh::{Authority, Credentials, Handler, Mesh, Options, SetupError};
+use persimmon_relay::Batch;
 use persimmon_sched::{JobId, Phase};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
@@ -25,6 +27,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long an owner that did not answer is not called again.
 const UNRESPONSIVE_BACKOFF: Duration = Duration::from_secs(1);
+/// Longest time for which an answer to a batch waits for news.
+const HOLD_MAX: Duration = Duration::from_secs(1);
 /// Delay before the keys are looked up again.
 const KEYS_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -41,6 +45,9 @@
     Waiting(u16),
     /// Asks what the process knows of a group's owner.
     OwnerView(u16),
+    /// A group's owner tells a relay what to do; the answer waits up to so many milliseconds for
+    /// news.
+    Relay(Box<Batch>, Option<u32>),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -57,6 +64,8 @@
     Waiting(BTreeMap<String, u64>),
     /// What the process knows of the group's owner.
     OwnerView(OwnerView),
+    /// The answer to a batch.
+    Relay(RelayReply),
 }
 
 /// What a process knows of a group's owner.
@@ -112,6 +121,15 @@
     tokio::spawn(mesh.serve(Arc::new(PeerHandler { requests })));
     while let Some((request, reply)) = queue.recv().await {
         // The send fails if the peer's call was given up, which needs no answer.
+        if let PeerRequest::Relay(batch, hold_ms) = request {
+            let shared = Rc::clone(&shared);
+            tokio::task::spawn_local(async move {
+                let hold = hold_ms.map(|it| Duration::from_millis(u64::from(it)).min(HOLD_MAX));
+                let answer = relay::exchange(&shared, *batch, hold).await;
+                let _ = reply.send(PeerReply::Relay(answer));
+            });
+            continue;
+        }
         let _ = reply.send(handle_request(&shared, request));
     }
 }
@@ -165,6 +183,7 @@
         PeerRequest::Submitted(job) => shared.home_group(job.spec.id),
         PeerRequest::Cancelled(job) | PeerRequest::Phase(job) => shared.home_group(*job),
         PeerRequest::Waiting(group) | PeerRequest::OwnerView(group) => GroupId(*group),
+        PeerRequest::Relay(..) => return PeerReply::Unknown,
     };
     let groups = shared.groups.borrow();
     let Some(group) = groups.get(&group).filter(|it| it.is_loaded.get()) else {
@@ -186,7 +205,7 @@
             let phase = group.engine.borrow().phase(job);
             phase.map_or(PeerReply::Unknown, PeerReply::Phase)
         }
-        PeerRequest::Waiting(_) | PeerRequest::OwnerView(_) => {
+        PeerRequest::Waiting(_) | PeerRequest::OwnerView(_) | PeerRequest::Relay(..) => {
             PeerReply::Waiting(group.engine.borrow().waiting_jobs())
         }
     }
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -1,3 +1,4 @@
+use persimmon_relay::RunnerAddress;
 use persimmon_sched::{Answer, JobSpec, Policy, Report, RunnerInfo, TaskId};
 use std::time::Duration;
 
@@ -205,22 +206,23 @@
 /// Calls to the runners.
 pub trait Runners {
     /// Renews a runner's lease and returns its report.
-    async fn poll(&self, runner: &RunnerInfo, request: PollRequest) -> Result<Report, CallError>;
+    async fn poll(&self, runner: &RunnerAddress, request: PollRequest)
+        -> Result<Report, CallError>;
     /// Starts a run.
     async fn start(
         &self,
-        runner: &RunnerInfo,
+        runner: &RunnerAddress,
         run: RunRef,
         job: &JobSpec,
         checkpoint: &str,
         deadline_ms: u64,
     ) -> Answer;
     /// Stops a run, or prevents it from starting.
-    async fn stop(&self, runner: &RunnerInfo, run: RunRef) -> Result<(), CallError>;
+    async fn stop(&self, runner: &RunnerAddress, run: RunRef) -> Result<(), CallError>;
     /// Limits the CPU share of a run to `percent`.
     async fn throttle(
         &self,
-        runner: &RunnerInfo,
+        runner: &RunnerAddress,
         run: RunRef,
         percent: u8,
     ) -> Result<(), CallError>;
--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -3,6 +3,7 @@
     ownership, peers,
     platform::{Change, Item, Platform},
     prefix_watch::{self, WatchEvent, WatchOptions},
+    relay::RelayService,
     session,
     state::Shared,
 };
@@ -39,6 +40,8 @@
     pub incarnation: u64,
     /// Address at which other processes call this one.
     pub peer_address: SocketAddr,
+    /// Data centre of the instance.
+    pub data_centre: String,
     /// Capacity of the instance, in thousandths of a core. Processes with more capacity are
     /// preferred as owners of groups.
     pub capacity_millis: u32,
@@ -82,6 +85,7 @@
         peers: RefCell::default(),
         unresponsive_peers: RefCell::default(),
         draining: Cell::default(),
+        relay: RelayService::default(),
     });
     let status = calls.status();
     tokio::task::spawn_local(session::maintain(Rc::clone(&shared)));
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     group::OwnedGroup, keys::GroupId, member::Member, peers::Peers, platform::Lease,
-    session::SESSION_TTL, Options,
+    relay::RelayService, session::SESSION_TTL, Options,
 };
 use persimmon_sched::{JobId, Policy};
 use persimmon_types::{shard_of, Clock};
@@ -67,6 +67,7 @@
     /// Peers that did not answer, and when to call them again.
     pub(crate) unresponsive_peers: RefCell<HashMap<SocketAddr, Instant>>,
     pub(crate) draining: Cell<bool>,
+    pub(crate) relay: RelayService,
 }
 
 impl<P> Shared<P> {
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -2,8 +2,8 @@
 
 use persimmon_entry::{
     call_channel, run, CallError, Catalog, Change, Effect, Handle, Item, Lease, Options, Page,
-    PollRequest, Precondition, Request, RunRef, Runners, Store, Txn, TxnOutcome, WatchOutcome,
-    Write,
+    PollRequest, Precondition, Request, RunRef, RunnerAddress, Runners, Store, Txn, TxnOutcome,
+    WatchOutcome, Write,
 };
 use persimmon_sched::{
     Answer, End, EndKind, JobId, JobSpec, Phase, Policy, Queue, Report, RunStatus, RunnerInfo,
@@ -468,7 +468,11 @@
 }
 
 impl Runners for PlatformClient {
-    async fn poll(&self, runner: &RunnerInfo, request: PollRequest) -> Result<Report, CallError> {
+    async fn poll(
+        &self,
+        runner: &RunnerAddress,
+        request: PollRequest,
+    ) -> Result<Report, CallError> {
         let costs = self.state.call_costs.get();
         let cost = if request.wait.is_zero() {
             costs.first_poll
@@ -524,7 +528,7 @@
 
     async fn start(
         &self,
-        runner: &RunnerInfo,
+        runner: &RunnerAddress,
         run: RunRef,
         job: &JobSpec,
         _checkpoint: &str,
@@ -555,7 +559,7 @@
         Answer::Started
     }
 
-    async fn stop(&self, runner: &RunnerInfo, run: RunRef) -> Result<(), CallError> {
+    async fn stop(&self, runner: &RunnerAddress, run: RunRef) -> Result<(), CallError> {
         tokio::time::sleep(Duration::from_millis(2)).await;
         let mut runners = self.state.runners.borrow_mut();
         let fake_runner = runners.get_mut(&runner.id);
@@ -570,7 +574,7 @@
         Ok(())
     }
 
-    async fn throttle(&self, _: &RunnerInfo, run: RunRef, percent: u8) -> Result<(), CallError> {
+    async fn throttle(&self, _: &RunnerAddress, run: RunRef, percent: u8) -> Result<(), CallError> {
         tokio::time::sleep(Duration::from_millis(2)).await;
         let throttle = (run.task, run.number, percent);
         self.state.throttles.borrow_mut().push(throttle);
@@ -605,6 +609,7 @@
         Ok(RunnerInfo {
             id: id.to_owned(),
             address: String::new(),
+            data_centre: String::new(),
             service: SERVICE.to_owned(),
             state: if value == DRAINING {
                 RunnerState::Draining
@@ -703,6 +708,7 @@
             name: name.to_owned(),
             incarnation: self.processes.len() as u64,
             peer_address,
+            data_centre: String::new(),
             capacity_millis,
             group_count,
             store_reads_per_s: self
--- /dev/null
+++ b/crates/persimmon-relay/src/link.rs
@@ -0,0 +1,361 @@
+//! The owner's end of a connection to a relay.
+
+use crate::{
+    message::{AnswerWire, Grant, OrderWire, Rows},
+    Batch, News, RunnerAddress, RunnerIndex,
+};
+use persimmon_sched::{Answer, JobId, JobSpec, Order, Report, TaskId};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Interval at which a runner's lease is renewed; several fit into the lease term.
+const RENEW_INTERVAL: Duration = Duration::from_millis(900);
+
+/// What happened at a relay's runners.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// A runner has reported.
+    Report {
+        /// Id of the runner.
+        runner: String,
+        /// The report.
+        report: Report,
+        /// The report was requested after this time on the owner's clock, in microseconds.
+        requested_us: u64,
+    },
+    /// A runner did not answer a poll.
+    Missed {
+        /// Id of the runner.
+        runner: String,
+    },
+    /// A start was answered.
+    Started(TaskId, u32, Answer),
+    /// A stop was acknowledged.
+    Stopped(TaskId, u32),
+    /// A CPU limit, in percent, was acknowledged.
+    Throttled(TaskId, u32, u8),
+}
+
+/// The owner's end of a connection to a relay.
+#[derive(Debug)]
+pub struct Link {
+    group: u16,
+    fencing_token: u64,
+    session: u64,
+    handled_news: u64,
+    next_index: u32,
+    runners: BTreeMap<RunnerIndex, Runner>,
+    indexes: HashMap<String, RunnerIndex>,
+    removed: Vec<RunnerIndex>,
+    known_jobs: HashSet<JobId>,
+    jobs: Vec<Arc<JobSpec>>,
+    ended_jobs: Vec<JobId>,
+    orders: Vec<OrderWire>,
+    /// Starts that were sent and not answered.
+    unanswered: BTreeSet<(TaskId, u32)>,
+}
+
+#[derive(Debug)]
+struct Runner {
+    address: RunnerAddress,
+    is_added: bool,
+    granted_end: u64,
+    renewed_at: Option<Instant>,
+    rows: Rows,
+}
+
+impl Runner {
+    fn new(address: RunnerAddress) -> Self {
+        Self {
+            address,
+            is_added: false,
+            granted_end: 0,
+            renewed_at: None,
+            rows: Rows::new(),
+        }
+    }
+}
+
+impl Link {
+    /// Creates a link without runners for the owner of `group`. The number of the session must be
+    /// higher than those of earlier links to the same relay.
+    pub fn new(group: u16, fencing_token: u64, session: u64) -> Self {
+        Self {
+            group,
+            fencing_token,
+            session,
+            handled_news: 0,
+            next_index: 0,
+            runners: BTreeMap::new(),
+            indexes: HashMap::new(),
+            removed: Vec::new(),
+            known_jobs: HashSet::new(),
+            jobs: Vec::new(),
+            ended_jobs: Vec::new(),
+            orders: Vec::new(),
+            unanswered: BTreeSet::new(),
+        }
+    }
+
+    /// Number of runners.
+    pub fn len(&self) -> usize {
+        self.runners.len()
+    }
+
+    /// Returns whether the relay has no runners.
+    pub fn is_empty(&self) -> bool {
+        self.runners.is_empty()
+    }
+
+    /// Returns whether the runner called `id` is one of the relay's.
+    pub fn has_runner(&self, id: &str) -> bool {
+        self.indexes.contains_key(id)
+    }
+
+    /// Gives the relay a runner. One whose address has changed is taken for a new one.
+    pub fn add_runner(&mut self, address: RunnerAddress) {
+        if let Some(index) = self.indexes.get(&address.id) {
+            if self.runners[index].address == address {
+                return;
+            }
+            self.remove_runner(&address.id);
+        }
+        let index = RunnerIndex(self.next_index);
+        self.next_index += 1;
+        self.indexes.insert(address.id.clone(), index);
+        self.runners.insert(index, Runner::new(address));
+    }
+
+    /// Takes a runner from the relay. Orders for it that were not sent yet are dropped; returns the
+    /// starts among them.
+    pub fn remove_runner(&mut self, id: &str) -> Vec<Event> {
+        let Some(index) = self.indexes.remove(id) else {
+            return Vec::new();
+        };
+        if let Some(runner) = self.runners.remove(&index) {
+            if runner.is_added {
+                self.removed.push(index);
+            }
+        }
+        let (dropped, orders) = std::mem::take(&mut self.orders)
+            .into_iter()
+            .partition(|it| it.runner() == index);
+        self.orders = orders;
+        let dropped: Vec<_> = dropped;
+        withheld(&dropped)
+    }
+
+    /// Queues an order; returns the event to handle instead if the runner is not one of the
+    /// relay's. A start carries its lease deadline on the runner's clock.
+    pub fn push_order(&mut self, order: Order, deadline_ms: u64) -> Option<Event> {
+        let (Order::Start { runner, .. }
+        | Order::Stop { runner, .. }
+        | Order::Throttle { runner, .. }) = &order;
+        let index = self.indexes.get(runner).copied();
+        let order = match (order, index) {
+            (Order::Start { task, run, .. }, None) => {
+                return Some(Event::Started(task, run, Answer::Withheld));
+            }
+            (_, None) => return None,
+            (order, Some(runner)) => self.encode(order, runner, deadline_ms),
+        };
+        self.orders.push(order);
+        None
+    }
+
+    fn encode(&mut self, order: Order, runner: RunnerIndex, deadline_ms: u64) -> OrderWire {
+        match order {
+            Order::Start {
+                task,
+                run,
+                job,
+                checkpoint,
+                ..
+            } => {
+                if self.known_jobs.insert(task.job) {
+                    self.jobs.push(job);
+                }
+                OrderWire::Start {
+                    runner,
+                    task,
+                    run,
+                    checkpoint,
+                    deadline_ms,
+                }
+            }
+            Order::Stop { task, run, .. } => OrderWire::Stop { runner, task, run },
+            Order::Throttle {
+                task, run, percent, ..
+            } => OrderWire::Throttle {
+                runner,
+                task,
+                run,
+                percent,
+            },
+        }
+    }
+
+    /// Drops what the relay knows of jobs for which `is_open` does not hold.
+    pub fn forget_jobs(&mut self, is_open: impl Fn(JobId) -> bool) {
+        let ended_jobs = &mut self.ended_jobs;
+        self.known_jobs.retain(|&id| {
+            let keep = is_open(id);
+            if !keep {
+                ended_jobs.push(id);
+            }
+            keep
+        });
+    }
+
+    /// Returns whether an order waits, a runner is to be added, or an ended run was acknowledged.
+    pub fn is_urgent(&self, acknowledged_end: impl Fn(&str) -> u64) -> bool {
+        let mut runners = self.runners.values();
+        !self.orders.is_empty()
+            || !self.removed.is_empty()
+            || runners.any(|it| !it.is_added || acknowledged_end(&it.address.id) > it.granted_end)
+    }
+
+    /// Returns what is to be sent at `now`, which is `made_at_us` microseconds on the owner's clock.
+    /// `acknowledged_end` and `permission` are asked for runners that are due.
+    pub fn take_batch(
+        &mut self,
+        now: Instant,
+        made_at_us: u64,
+        idle_wait: Duration,
+        acknowledged_end: impl Fn(&str) -> u64,
+        mut deadline_ms: impl FnMut(&str) -> Option<u64>,
+    ) -> Batch {
+        let mut added = Vec::new();
+        let mut grants = Vec::new();
+        for (&index, it) in &mut self.runners {
+            if !it.is_added {
+                it.is_added = true;
+                added.push((index, it.address.clone()));
+            }
+            let end = acknowledged_end(&it.address.id);
+            let is_due = it.renewed_at.is_none_or(|at| now >= at + RENEW_INTERVAL);
+            let deadline_ms = is_due.then(|| deadline_ms(&it.address.id)).flatten();
+            if deadline_ms.is_some() {
+                it.renewed_at = Some(now);
+            }
+            if deadline_ms.is_some() || end != it.granted_end {
+                it.granted_end = end;
+                grants.push(Grant {
+                    runner: index,
+                    deadline_ms: deadline_ms.unwrap_or(0),
+                    acknowledged_end: end,
+                });
+            }
+        }
+        let orders = std::mem::take(&mut self.orders);
+        self.unanswered
+            .extend(orders.iter().filter_map(OrderWire::start));
+        let jobs = std::mem::take(&mut self.jobs);
+        Batch {
+            group: self.group,
+            fencing_token: self.fencing_token,
+            session: self.session,
+            made_at_us,
+            handled_news: self.handled_news,
+            idle_wait_ms: u32::try_from(idle_wait.as_millis()).unwrap_or(u32::MAX),
+            added,
+            removed: std::mem::take(&mut self.removed),
+            grants,
+            jobs: jobs.iter().map(|job| (**job).clone()).collect(),
+            ended_jobs: std::mem::take(&mut self.ended_jobs),
+            orders,
+        }
+    }
+
+    /// Handles news from the relay, unless it is of an earlier session or was handled before.
+    pub fn handle_news(&mut self, news: News) -> Vec<Event> {
+        if news.session != self.session || news.number <= self.handled_news {
+            return Vec::new();
+        }
+        self.handled_news = news.number;
+        let mut events = Vec::with_capacity(news.reports.len() + news.answers.len());
+        for report in news.reports {
+            if let Some(it) = self.runners.get_mut(&report.runner) {
+                events.push(Event::Report {
+                    runner: it.address.id.clone(),
+                    requested_us: report.requested_us,
+                    report: report.into_report(&mut it.rows),
+                });
+            }
+        }
+        for index in news.missed {
+            let runner = self.runners.get(&index);
+            events.extend(runner.map(|it| Event::Missed {
+                runner: it.address.id.clone(),
+            }));
+        }
+        for answer in news.answers {
+            events.push(match answer {
+                AnswerWire::Start(task, run, answer) => {
+                    self.unanswered.remove(&(task, run));
+                    Event::Started(task, run, answer.into())
+                }
+                AnswerWire::Stopped(task, run) => Event::Stopped(task, run),
+                AnswerWire::Throttled(task, run, percent) => Event::Throttled(task, run, percent),
+            });
+        }
+        events
+    }
+
+    /// Number of the session.
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
+    /// Handles a call to the relay that failed: what it knows is no longer certain, so the given
+    /// session begins. Starts that were sent may have been carried out.
+    pub fn fail(&mut self, session: u64) -> Vec<Event> {
+        self.session = session;
+        self.handled_news = 0;
+        self.removed.clear();
+        self.known_jobs.clear();
+        self.jobs.clear();
+        self.ended_jobs.clear();
+        for runner in self.runners.values_mut() {
+            *runner = Runner::new(runner.address.clone());
+        }
+        let unanswered = std::mem::take(&mut self.unanswered).into_iter();
+        let unknown = unanswered.map(|(task, run)| Event::Started(task, run, Answer::Unknown));
+        let mut events: Vec<_> = unknown.collect();
+        events.extend(withheld(&std::mem::take(&mut self.orders)));
+        events
+    }
+
+    /// Ids of the relay's runners.
+    pub fn runner_ids(&self) -> Vec<String> {
+        self.indexes.keys().cloned().collect()
+    }
+}
+
+impl OrderWire {
+    fn runner(&self) -> RunnerIndex {
+        match self {
+            Self::Start { runner, .. }
+            | Self::Stop { runner, .. }
+            | Self::Throttle { runner, .. } => *runner,
+        }
+    }
+
+    fn start(&self) -> Option<(TaskId, u32)> {
+        match self {
+            Self::Start { task, run, .. } => Some((*task, *run)),
+            Self::Stop { .. } | Self::Throttle { .. } => None,
+        }
+    }
+}
+
+/// Answers the starts among orders that were not sent; other orders are repeated by the engine.
+fn withheld(orders: &[OrderWire]) -> Vec<Event> {
+    let starts = orders.iter().filter_map(OrderWire::start);
+    starts
+        .map(|(task, run)| Event::Started(task, run, Answer::Withheld))
+        .collect()
+}
--- /dev/null
+++ b/crates/persimmon-relay/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the division of runner calls among relays.
+
+mod assign;
+mod exchange;
+mod simulation;
+mod support;
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -358,6 +358,7 @@
         let info = RunnerInfo {
             id: id.to_owned(),
             address: String::new(),
+            data_centre: String::new(),
             service: String::new(),
             state: RunnerState::Draining,
             capacity: persimmon_types::Size::ZERO,
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -12,6 +12,8 @@
     pub id: String,
     /// Listen address, `IP:PORT`.
     pub address: String,
+    /// Data centre that it is in.
+    pub data_centre: String,
     /// Service (pool of runners) that it belongs to.
     pub service: String,
     /// Whether it accepts new tasks.
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -66,6 +66,7 @@
     RunnerInfo {
         id: id.to_owned(),
         address: "10.0.0.1:80".to_owned(),
+        data_centre: String::new(),
         service: SERVICE.to_owned(),
         state: RunnerState::Ready,
         capacity: Size {
--- a/crates/persimmonshift-load/src/experiment/engine.rs
+++ b/crates/persimmonshift-load/src/experiment/engine.rs
@@ -193,6 +193,7 @@
         let now = self.instant_at(at_ms);
         self.deliver_reports(at_ms);
         let engine = &mut self.engine;
+        engine.confirm_listing(now);
         measure_time(&mut self.cost.placing, || engine.tick(at_ms, now));
         measure_time(&mut self.cost.records, || {
             for commit in engine.take_commits(usize::MAX) {
@@ -307,6 +308,7 @@
     RunnerInfo {
         id: format!("r-{number:06}"),
         address: "10.0.0.1:80".to_owned(),
+        data_centre: String::new(),
         service: "bookings".to_owned(),
         state: RunnerState::Ready,
         capacity: Size {
