fix(sched): a task that finished while its runner was not heard runs once

At 25.3 s it took the lease for expired and started run 3 at 27.7 s. The runner's deadline passed at 26.7 s with nothing running, so no lease lapsed there and the end of run 1 at 20.4 s stayed valid; it was acknowledged at 30.2 s.

Silence was taken for the runner's, although nobody had asked it in vain; and an end that arrived after the run was given up was acknowledged without counting it.

Change: an expired lease gives runs up only on a runner that is not listed or has not answered a request since its last report, else 8 s later. A run that succeeded makes its task done as long as no other run was ordered; after that its end is not acknowledged, until an end by expiry shows that the lease did lapse. Ends by expiry are a kind of their own.

Ruled out: orders sent twice or an extended lease: no poll carried a deadline beyond the owner's last.

Tests: late_ends.rs (6).

--- a/crates/persimmon-relay/src/message.rs
+++ b/crates/persimmon-relay/src/message.rs
@@ -125,6 +125,7 @@
     Done,
     Failed,
     Cut,
+    Lapsed,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -176,6 +177,7 @@
                 EndKind::Done => EndKindWire::Done,
                 EndKind::Failed => EndKindWire::Failed,
                 EndKind::Cut => EndKindWire::Cut,
+                EndKind::Lapsed => EndKindWire::Lapsed,
             },
             checkpoint: end.checkpoint.clone(),
         }
@@ -192,6 +194,7 @@
                 EndKindWire::Done => EndKind::Done,
                 EndKindWire::Failed => EndKind::Failed,
                 EndKindWire::Cut => EndKind::Cut,
+                EndKindWire::Lapsed => EndKind::Lapsed,
             },
             checkpoint: wire.checkpoint,
         }
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -113,7 +113,7 @@
 
     /// Acknowledges the ended runs of each runner up to, but not including, the first one that is
     /// not committed yet.
-    fn acknowledge(&mut self) {
+    pub(super) fn acknowledge(&mut self) {
         let jobs = &self.jobs;
         for runner in &mut self.runners {
             while let Some(&end) = runner.pending_ends.front() {
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -7,7 +7,7 @@
     pub(crate) fn expire_leases(&mut self, now: Instant) {
         for at in 0..self.runners.len() {
             let runner = &self.runners[at];
-            if runner.claims.is_empty() || now < runner.lease.expires_at() {
+            if runner.claims.is_empty() || !runner.has_lost_runs(now) {
                 continue;
             }
             log::warn!(
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -1,7 +1,7 @@
 use super::{Engine, Stage, State};
 use crate::{
-    fleet::{PendingEnd, RunnerKey},
-    Answer, End, EndKind, Phase, Report, RunStatus, TaskId,
+    fleet::{PendingEnd, RunnerKey, NEVER_COMMITTED},
+    Answer, End, EndKind, Phase, Report, RunStatus, StepSpec, TaskId,
 };
 use std::{
     collections::HashSet,
@@ -96,9 +96,19 @@
         let lease_term_max = self.options.lease_term_max;
         let it = self.runner_mut(key);
         it.last_report_at = Some(now);
+        it.has_missed_report = false;
         it.lease.update_clock(report.clock_ms, lease_term_max, now);
+        let lapses = report
+            .ended
+            .iter()
+            .filter(|end| end.kind == EndKind::Lapsed);
+        let last_lapse = lapses.map(|end| end.number).max().unwrap_or(0);
+        self.invalidate_ends(key, last_lapse);
         for end in &report.ended {
-            self.handle_end(key, end, now);
+            self.handle_end(key, end, last_lapse, now);
+        }
+        if last_lapse > 0 {
+            self.acknowledge();
         }
         let mut listed = HashSet::with_capacity(report.running.len());
         for run in &report.running {
@@ -110,7 +120,7 @@
         self.process_measurements(key, &report.running, now);
     }
 
-    fn handle_end(&mut self, key: RunnerKey, end: &End, now: Instant) {
+    fn handle_end(&mut self, key: RunnerKey, end: &End, last_lapse: u64, now: Instant) {
         let runner = self.runner_mut(key);
         if end.number <= runner.processed {
             return;
@@ -129,8 +139,14 @@
         if current {
             self.apply_end(key, end, now);
         }
+        let is_contradicted =
+            !current && end.number > last_lapse && !self.accept_late_end(key, end, now);
         let job = self.jobs.get(&end.task.job);
-        let version = job.map_or(0, |job| job.version);
+        let version = match job {
+            Some(_) if is_contradicted => NEVER_COMMITTED,
+            Some(job) => job.version,
+            None => 0,
+        };
         let committed = job.is_none_or(|job| job.committed_version >= version);
         let runner = self.runner_mut(key);
         if committed && runner.pending_ends.is_empty() {
@@ -188,7 +204,7 @@
                     self.finish(id.job, Phase::Failed, now);
                 }
             }
-            EndKind::Done | EndKind::Failed | EndKind::Cut => {
+            EndKind::Done | EndKind::Failed | EndKind::Cut | EndKind::Lapsed => {
                 if end.kind == EndKind::Failed {
                     self.count_failed_run(key, now);
                 }
@@ -197,6 +213,56 @@
         }
     }
 
+    /// Allows ends to be acknowledged that precede the expiry of a run's lease: they count no more.
+    fn invalidate_ends(&mut self, key: RunnerKey, last_lapse: u64) {
+        let ends = self.runner_mut(key).pending_ends.iter_mut();
+        for end in ends.filter(|end| end.number < last_lapse && end.version == NEVER_COMMITTED) {
+            end.version = 0;
+        }
+    }
+
+    /// Takes a task for done whose run was given up, because its runner was not heard in time, and
+    /// had succeeded. Returns `false` if another run was ordered since, which decides for itself.
+    fn accept_late_end(&mut self, key: RunnerKey, end: &End, now: Instant) -> bool {
+        let id = end.task;
+        let is_single = |step: &StepSpec| !step.long_running && !step.gang;
+        let is_unordered = self.task(id).is_some_and(|task| {
+            let state = task.state();
+            let is_committing = matches!(
+                state,
+                State::Placed {
+                    stage: Stage::Committing(_),
+                    ..
+                }
+            );
+            end.run <= task.run && (task.is_waiting() || is_committing)
+        });
+        if end.kind != EndKind::Done || !self.step_of(id).is_some_and(is_single) {
+            return true;
+        }
+        let is_done = self
+            .task(id)
+            .is_some_and(|task| task.state() == State::Done);
+        if is_done && self.task(id).is_some_and(|task| task.run == end.run) {
+            return true;
+        }
+        if !is_unordered {
+            return false;
+        }
+        if self.is_final(id) {
+            return true;
+        }
+        log::info!(
+            "event=run.late_end task={id} run={} runner={}",
+            end.run,
+            self.runner(key).info.id
+        );
+        self.mark_has_run(id);
+        self.set_state(id, State::Done);
+        self.advance(id, now);
+        true
+    }
+
     fn is_final(&self, id: TaskId) -> bool {
         self.jobs
             .get(&id.job)
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -84,8 +84,10 @@
     Done,
     /// The run failed, through its own fault or the runner's.
     Failed,
-    /// The run was stopped, its lease lapsed, or another member of its gang ended.
+    /// The run was stopped, or another member of its gang ended.
     Cut,
+    /// The run's lease expired. Ends before it that are not acknowledged count no more.
+    Lapsed,
 }
 
 /// Index into the engine's runners.
@@ -143,6 +145,10 @@
     pub(crate) version: u64,
 }
 
+/// Version of an end that is not acknowledged while its job is kept: a run that succeeded although
+/// it was given up, after another one was started. Acknowledged, both would count.
+pub(crate) const NEVER_COMMITTED: u64 = u64::MAX;
+
 #[derive(Debug)]
 pub(crate) struct Runner {
     pub(crate) info: RunnerInfo,
@@ -150,6 +156,8 @@
     pub(crate) listed: bool,
     pub(crate) incarnation_ms: Option<u64>,
     pub(crate) last_report_at: Option<Instant>,
+    /// Whether a report request has gone unanswered since the last report.
+    pub(crate) has_missed_report: bool,
     pub(crate) lease: Lease,
     pub(crate) claims: BTreeMap<(TaskId, u32), Claim>,
     pub(crate) used: Size,
@@ -185,6 +193,9 @@
 const CLOCK_DRIFT_PERMILLE: u64 = 20;
 /// Maximum lag of a runner's clock over one lease term.
 pub(crate) const LEASE_CLOCK_SLACK: Duration = Duration::from_millis(500);
+/// How long after the end of a lease its runs are kept while no request for a report has failed: a
+/// runner that is not heard because of our own connections may have finished them in time.
+const UNASKED_MAX: Duration = Duration::from_secs(8);
 /// Safety margin after the end of a lease before its runs count as ended.
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(300);
 
@@ -207,6 +218,11 @@
         self.unknown_leases_until = self.unknown_leases_until.max(until);
     }
 
+    /// Returns when the runs on a runner count as lost although nobody has asked it in vain.
+    pub(crate) fn presumed_expired_at(&self) -> Instant {
+        self.expires_at() + UNASKED_MAX
+    }
+
     /// Returns when all runs on the runner have ended, unless the lease is renewed.
     pub(crate) fn expires_at(&self) -> Instant {
         let Some((clock_ms, at)) = self.clock_sample else {
@@ -229,6 +245,7 @@
             listed: true,
             incarnation_ms: None,
             last_report_at: None,
+            has_missed_report: false,
             lease: Lease {
                 deadline_ms: 0,
                 earlier_deadline_ms: 0,
@@ -287,6 +304,12 @@
         f64::from(claim.best_effort_cpu_millis) / capacity
     }
 
+    /// Returns whether the lease has expired on a runner that is not listed or does not answer.
+    pub(crate) fn has_lost_runs(&self, now: Instant) -> bool {
+        let is_asked = self.has_missed_report || !self.listed;
+        now >= self.lease.expires_at() && (is_asked || now >= self.lease.presumed_expired_at())
+    }
+
     /// Returns whether the instance list says that the runner leaves or has left.
     pub(crate) fn is_leaving(&self) -> bool {
         !self.listed || self.info.state == RunnerState::Draining
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -156,6 +156,7 @@
     harness.restore_job(job(1, vec![step(1)]), placed_record("a"));
     for _ in 0..53 {
         harness.advance(500);
+        harness.miss_report("a");
         harness.report("b", vec![]);
         assert!(starts(&harness.round()).is_empty(), "it may run on a");
     }
--- /dev/null
+++ b/crates/persimmon-sched/tests/all/late_ends.rs
@@ -0,0 +1,147 @@
+//! Runs that were given up because their runner was not heard in time.
+
+use crate::support::{job, listed, report, starts, step, task, TestEngine};
+use persimmon_sched::{Answer, End, EndKind, Phase, StepSpec};
+
+/// Longer than the longest lease term and all margins.
+const LEASE_EXPIRY_MS: u64 = 12_000;
+
+fn end(number: u64, kind: EndKind) -> End {
+    End {
+        number,
+        task: task(1, 0, 0),
+        run: 1,
+        kind,
+        checkpoint: String::new(),
+    }
+}
+
+/// Run 1 of the only task of job 1 runs on the larger runner, `a`.
+fn running() -> TestEngine {
+    let mut harness = TestEngine::with_runners(&["a"], 8_000);
+    harness.submit(job(1, vec![step(1)]));
+    assert_eq!(starts(&harness.round()).len(), 1);
+    harness.answer_start(task(1, 0, 0), 1, Answer::Started);
+    let now = harness.now;
+    harness.engine.lease_deadline_ms("a", now);
+    harness
+}
+
+fn report_ends(harness: &mut TestEngine, runner: &str, ends: Vec<End>) {
+    let mut report = report(harness.clock_ms(), vec![]);
+    report.ended = ends;
+    let now = harness.now;
+    harness.engine.handle_report(runner, &report, now, now);
+}
+
+#[test]
+fn task_of_a_runner_that_nobody_asked_runs_again() {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.add_runner("b", 8_000);
+    harness.report("b", vec![]);
+    assert!(
+        starts(&harness.round()).is_empty(),
+        "a may have finished it"
+    );
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    harness.round();
+    let id = persimmon_sched::JobId(1);
+    assert_eq!(harness.engine.phase(id), Some(Phase::Completed));
+}
+
+#[test]
+fn silent_runner_holds_its_tasks_for_ever() {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    harness.add_runner("b", 8_000);
+    harness.report("b", vec![]);
+    let restarts = starts(&harness.round());
+    assert_eq!(restarts, [("b".to_owned(), task(1, 0, 0), 2)]);
+
+    let mut harness = running();
+    harness.advance(3 * LEASE_EXPIRY_MS);
+    harness.add_runner("b", 8_000);
+    harness.report("b", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1, "asked or not");
+}
+
+/// An end stays valid when the lease expires while nothing runs any more.
+#[test]
+fn run_that_succeeded_before_it_was_given_up_runs_again() {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    assert!(
+        starts(&harness.round()).is_empty(),
+        "there is no other runner"
+    );
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    assert!(starts(&harness.round()).is_empty());
+    let id = persimmon_sched::JobId(1);
+    assert_eq!(harness.engine.phase(id), Some(Phase::Completed));
+    assert_eq!(harness.engine.acknowledged("a"), 1);
+}
+
+/// Acknowledged, the end would make the second start one of a task that was done.
+#[test]
+fn end_is_acknowledged_after_the_task_was_started_again() {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    harness.add_runner("b", 8_000);
+    harness.report("b", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1);
+    harness.answer_start(task(1, 0, 0), 2, Answer::Started);
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    harness.round();
+    assert_eq!(harness.engine.acknowledged("a"), 0);
+    harness.report("b", vec![listed(task(1, 0, 0), 2)]);
+
+    // What ran on at the expiry shows that the lease did end.
+    let lapsed = End {
+        task: task(9, 0, 0),
+        ..end(2, EndKind::Lapsed)
+    };
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done), lapsed]);
+    harness.round();
+    assert_eq!(harness.engine.acknowledged("a"), 2);
+}
+
+/// The end of a run whose lease expired after it counts no more, so the task must run again.
+#[test]
+fn end_before_an_expiry_makes_a_task_done() {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    harness.round();
+    let lapsed = End {
+        task: task(9, 0, 0),
+        ..end(2, EndKind::Lapsed)
+    };
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done), lapsed]);
+    // The runner is given no task for a while after a request that it did not answer.
+    harness.advance(1_000);
+    harness.report("a", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1);
+}
+
+#[test]
+fn long_running_task_counts_as_done() {
+    let mut harness = TestEngine::with_runners(&["a"], 8_000);
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    harness.submit(job(1, vec![long_running]));
+    harness.round();
+    harness.answer_start(task(1, 0, 0), 1, Answer::Started);
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    harness.round();
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    harness.advance(1_000);
+    harness.report("a", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1);
+}
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod id;
 mod instance_list;
 mod interference;
+mod late_ends;
 mod policy;
 mod runner_backoff;
 mod simulation;
--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -53,6 +53,8 @@
     unreachable_until_ms: u64,
     presence: Presence,
     draining_since_ms: u64,
+    /// When the runs ended that succeeded, by the number of the end.
+    done_ms: HashMap<u64, u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -120,6 +122,8 @@
     /// The last one is the current owner; the others do not know yet that they were replaced.
     owners: Vec<Owner>,
     done: BTreeSet<TaskId>,
+    /// When each task was started last.
+    started_ms: BTreeMap<TaskId, u64>,
     /// Runs of gangs whose members were all present at a time.
     complete_gangs: BTreeSet<(JobId, u32)>,
     faults_enabled: bool,
@@ -145,6 +149,7 @@
             revision: 0,
             owners: Vec::new(),
             done: BTreeSet::new(),
+            started_ms: BTreeMap::new(),
             complete_gangs: BTreeSet::new(),
             faults_enabled: true,
             calm_since_ms: 0,
@@ -415,6 +420,7 @@
             worker.ended.clear();
             worker.next_end = 1;
             worker.first_valid_end = 0;
+            worker.done_ms.clear();
         }
     }
 
@@ -428,7 +434,8 @@
             let now_ms = self.now_ms;
             let worker = &mut self.workers[at];
             let lapsed = clock_ms > worker.deadline_ms;
-            if lapsed {
+            // A lease that expires while nothing runs leaves earlier ends as they are.
+            if lapsed && !worker.running.is_empty() {
                 worker.first_valid_end = worker.next_end;
             }
             let ended: Vec<_> = worker
@@ -439,10 +446,11 @@
                 .collect();
             for (task, run, fails) in ended {
                 let kind = match (lapsed, fails) {
-                    (true, _) => EndKind::Cut,
+                    (true, _) => EndKind::Lapsed,
                     (false, true) => EndKind::Failed,
                     (false, false) => EndKind::Done,
                 };
+                worker.done_ms.insert(worker.next_end, now_ms);
                 worker.end(task, run, kind);
             }
         }
@@ -647,6 +655,7 @@
             },
         );
         let task = start.task;
+        self.started_ms.insert(task, self.now_ms);
         let copies = self.workers.iter();
         let copies = copies.filter(|it| it.running.contains_key(&task)).count();
         assert_eq!(copies, 1, "{task} runs twice at {} ms", self.now_ms);
@@ -696,6 +705,13 @@
         for end in seen {
             let is_lasting = end.task.job == JobId(LONG_RUNNING_JOB);
             if end.kind == EndKind::Done && !is_lasting && end.number >= first_valid_end {
+                let done_ms = self.workers[worker].done_ms.get(&end.number);
+                let started_ms = self.started_ms.get(&end.task);
+                assert!(
+                    done_ms.is_none_or(|done_ms| started_ms <= Some(done_ms)),
+                    "{} started again after it was done, and that is acknowledged",
+                    end.task
+                );
                 self.note_done(end.task);
             }
         }
@@ -723,6 +739,7 @@
             unreachable_until_ms: 0,
             presence: Presence::Ready,
             draining_since_ms: 0,
+            done_ms: HashMap::new(),
         }
     }
 
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -164,6 +164,11 @@
             .handle_report(runner, &report, self.now, self.now);
     }
 
+    /// A runner does not answer a request for its report.
+    pub(crate) fn miss_report(&mut self, runner: &str) {
+        self.engine.handle_missed_report(runner, self.now);
+    }
+
     pub(crate) fn submit(&mut self, spec: JobSpec) {
         self.engine.add_job(spec, None, 0, self.now);
     }
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -60,9 +60,11 @@
         }
     }
 
-    /// Ends the answers and reports of a runner, without an end of its runs.
+    /// Ends the answers and reports of a runner, without an end of its runs. Requests for its
+    /// report fail from then on.
     fn silence(&mut self, id: &str) {
         self.runners.remove(id);
+        self.harness.miss_report(id);
     }
 
     fn drain(&mut self, id: &str) {
