feat(relay,entry): bound what owner and relays send by their links

Cause: on small twins (18 instances, 2 Mbit/s) datagrams of all exchanges were dropped together when traffic began: the owner sent each job's specification to up to 17 relays, 60 to 100 KB/s in bursts, and each relay failed in turn.

Change: relays read a specification from the store, once a job, with the cheap read that may be old and else the other one; batches hold orders only. Orders of all relays take turns and use half of the owner's link at most; a start is checked again when its turn comes. A relay makes as many calls at once as its capacity allows, and a stop that still waits is not repeated beside itself. The owner logs records, their bytes, the slowest write and bytes to peers.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -99,8 +99,14 @@
             self.stop_serving("a record can't be encoded");
             return Ok(());
         };
+        let sent_at = self.shared.now();
         match self.send_until_answered(&txn).await {
-            Written::Applied(revisions) => self.handle_written(commits, &revisions),
+            Written::Applied(revisions) => {
+                let duration = self.shared.now().saturating_duration_since(sent_at);
+                let bytes = txn.writes.iter().map(|write| write.value.len()).sum();
+                self.record(|it| it.add_write(commits.len(), bytes, duration));
+                self.handle_written(commits, &revisions);
+            }
             Written::Rejected(err) => return Err(err),
             Written::Stopped => {}
         }
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -196,14 +196,22 @@
             let relays = self.relays.relay_count();
             let activity = self.activity.take();
             log::info!(
-                "event=group.activity group={} polled_runners={runners} relays={relays} {activity}",
-                self.id.0
+                "event=group.activity group={} polled_runners={runners} relays={relays} {activity} \
+                 {}",
+                self.id.0,
+                self.peer_bytes()
             );
             self.log_stalled();
-            self.forget_ended_jobs();
         }
     }
 
+    /// Describes the payload bytes exchanged with peers since the process started.
+    fn peer_bytes(&self) -> String {
+        let peers = self.shared.peers.borrow();
+        let (sent, received) = peers.as_ref().map_or((0, 0), |it| it.transferred_bytes());
+        format!("peer_bytes_sent={sent} peer_bytes_received={received}")
+    }
+
     /// Logs tasks that have not run for long for no known reason.
     fn log_stalled(&self) {
         let now = self.shared.now();
--- a/crates/persimmon-entry/src/group/relays.rs
+++ b/crates/persimmon-entry/src/group/relays.rs
@@ -20,7 +20,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 /// Longest time for which a relay may hold back news. A start is sent only if its order was made
 /// within 0.7 s of the relay's last news.
@@ -32,6 +32,11 @@
 const RELAY_SILENCE_MAX: Duration = Duration::from_secs(4);
 /// Shortest interval between batches that do not wait for news.
 const BATCH_INTERVAL: Duration = Duration::from_millis(8);
+/// Share of the link of this process that batches with orders may use. The rest is for records,
+/// watches, renewals and callers.
+const ORDERS_LINK_SHARE: f64 = 0.5;
+/// Largest batch of orders, in bytes.
+const ORDER_BYTES_MAX: usize = 4_096;
 /// How long a member that did not answer carries no runners.
 const FAILED_RELAY_BACKOFF: Duration = Duration::from_secs(2);
 /// Interval at which the runners are assigned again without a change that is known of.
@@ -51,6 +56,8 @@
     /// Until when members that did not answer carry no runners.
     failed_until: RefCell<HashMap<String, Instant>>,
     last_session: Cell<u64>,
+    /// Held by the batch that is being sent, so that batches do not fill the link together.
+    orders_turn: Mutex<()>,
     assigned_at: Cell<Option<Instant>>,
     /// When a relay other than this process answered last.
     answered_at: Cell<Option<Instant>>,
@@ -216,16 +223,9 @@
         let (Order::Start { runner, .. }
         | Order::Stop { runner, .. }
         | Order::Throttle { runner, .. }) = &order;
-        let deadline_ms = match &order {
-            Order::Start { task, run, .. } => match self.start_deadline_ms(runner, *task, *run) {
-                Ok(deadline_ms) => deadline_ms,
-                Err(answer) => return self.handle_event(Event::Started(*task, *run, answer)),
-            },
-            Order::Stop { .. } | Order::Throttle { .. } => 0,
-        };
         let event = match (self.relays.connection_of(runner), order) {
             (Some(connection), order) => {
-                let event = connection.link.borrow_mut().push_order(order, deadline_ms);
+                let event = connection.link.borrow_mut().push_order(order);
                 connection.has_orders.notify_one();
                 event
             }
@@ -266,15 +266,6 @@
         }
     }
 
-    /// Lets the relays forget the specifications of jobs that have ended.
-    pub(super) fn forget_ended_jobs(&self) {
-        let engine = self.engine.borrow();
-        let is_open = |job| engine.phase(job).is_some_and(|phase| !phase.is_final());
-        for connection in self.relays.connections.borrow().values() {
-            connection.link.borrow_mut().forget_jobs(is_open);
-        }
-    }
-
     /// Exchanges batches for news until the relay has no runners or fails.
     async fn follow_news(self: Rc<Self>, connection: Rc<Connection>) {
         while !connection.is_closed.get() {
@@ -300,30 +291,50 @@
         }
     }
 
-    /// Sends batches as orders come, without waiting for news.
+    /// Sends batches with the orders as they come, without waiting for news.
     async fn send_orders(self: Rc<Self>, connection: Rc<Connection>) {
         while !connection.is_closed.get() {
-            connection.has_orders.notified().await;
-            let batch = self.take_batch(&connection);
+            if !connection.link.borrow().has_orders() {
+                connection.has_orders.notified().await;
+            }
+            // All relays share the link of this process.
+            let turn = self.relays.orders_turn.lock().await;
+            let mut batch = self.take_batch(&connection);
+            let (bytes, events) = connection.link.borrow_mut().add_orders(
+                &mut batch,
+                ORDER_BYTES_MAX,
+                |runner, task, run| self.start_deadline_ms(runner, task, run),
+            );
+            self.handle_events(events);
             if !batch.is_empty() {
-                let session = batch.session;
-                let group = Rc::clone(&self);
-                let connection = Rc::clone(&connection);
-                self.spawn(async move {
-                    match group.exchange(&connection, batch, None).await {
-                        Ok(RelayReply::Superseded(token)) => group.handle_superseded(token),
-                        Ok(RelayReply::SessionLost) => {
-                            group.fail_relay(&connection, session, "it has lost the session");
-                        }
-                        Ok(_) => {}
-                        Err(Failed(reason)) => group.fail_relay(&connection, session, &reason),
-                    }
-                });
+                self.spawn(Rc::clone(&self).send_batch(Rc::clone(&connection), batch));
+            }
+            if connection.address.is_some() {
+                tokio::time::sleep(self.sending_time(bytes)).await;
             }
+            drop(turn);
             tokio::time::sleep(BATCH_INTERVAL).await;
         }
     }
 
+    /// Time for which a batch of this size uses the share of the link that is for orders.
+    fn sending_time(&self, bytes: usize) -> Duration {
+        let bytes_per_s = self.shared.options.link_bytes_per_s.max(1) as f64;
+        Duration::from_secs_f64(bytes as f64 / (bytes_per_s * ORDERS_LINK_SHARE))
+    }
+
+    async fn send_batch(self: Rc<Self>, connection: Rc<Connection>, batch: Batch) {
+        let session = batch.session;
+        match self.exchange(&connection, batch, None).await {
+            Ok(RelayReply::Superseded(token)) => self.handle_superseded(token),
+            Ok(RelayReply::SessionLost) => {
+                self.fail_relay(&connection, session, "it has lost the session");
+            }
+            Ok(_) => {}
+            Err(Failed(reason)) => self.fail_relay(&connection, session, &reason),
+        }
+    }
+
     fn take_batch(&self, connection: &Connection) -> Batch {
         let now = self.shared.now();
         let may_renew = self.may_renew();
--- a/crates/persimmon-entry/src/lib.rs
+++ b/crates/persimmon-entry/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod group;
 mod handle;
+mod job_cache;
 mod keys;
 mod member;
 mod ownership;
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -160,6 +160,8 @@
 pub trait Store {
     /// Reads a key.
     async fn get(&self, key: &str) -> Result<Option<Item>, CallError>;
+    /// Reads a key as it may have been seconds ago, at a fraction of the price.
+    async fn get_stale(&self, key: &str) -> Result<Option<Item>, CallError>;
     /// Reads a page of the keys that start with `prefix` and sort after `after`.
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError>;
     /// Waits up to `wait` for changes under `prefix` after `revision`.
--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -1,5 +1,6 @@
 use crate::{
     handle::CallReceiver,
+    job_cache::JobCache,
     ownership, peers,
     platform::{Change, Item, Platform},
     prefix_watch::{self, WatchEvent, WatchOptions},
@@ -45,6 +46,8 @@
     /// Capacity of the instance, in thousandths of a core. Processes with more capacity are
     /// preferred as owners of groups.
     pub capacity_millis: u32,
+    /// Bandwidth of the instance's link, in bytes per second.
+    pub link_bytes_per_s: u64,
     /// Number of groups, the same on all instances.
     pub group_count: u16,
     /// Limit on the read calls that all processes make to the store, per second.
@@ -70,6 +73,8 @@
         options.group_count
     );
     let shared = Rc::new(Shared {
+        relay: RelayService::new(options.capacity_millis),
+        job_cache: JobCache::default(),
         platform,
         options,
         clock,
@@ -85,7 +90,6 @@
         peers: RefCell::default(),
         unresponsive_peers: RefCell::default(),
         draining: Cell::default(),
-        relay: RelayService::default(),
     });
     let status = calls.status();
     tokio::task::spawn_local(session::maintain(Rc::clone(&shared)));
--- a/crates/persimmon-entry/src/relay.rs
+++ b/crates/persimmon-entry/src/relay.rs
@@ -1,6 +1,8 @@
 //! The relay of this instance: makes calls to runners on behalf of the owners of groups.
 
 use crate::{
+    job_cache,
+    keys::GroupId,
     platform::{Platform, PollRequest, RunRef},
     state::Shared,
 };
@@ -16,11 +18,13 @@
 /// How long a runner with runs may delay its report while no run ends. A tail latency in a report
 /// covers half a second.
 pub(crate) const POLL_WAIT: Duration = Duration::from_millis(800);
-/// Maximum number of polls in flight of runners that have not reported yet. They are answered at
-/// once and take a new connection each; more would delay the calls that keep the session.
-const FIRST_POLLS_MAX: usize = 128;
-/// Maximum number of starts, stops and CPU limits in flight.
-const ORDERS_MAX: usize = 256;
+/// Calls in flight for each thousandth of a core of capacity, which counts 10 for each Mbit/s of the
+/// link: a start takes about 4 KB, and what waits for the link delays the calls that keep leases.
+const CALLS_PER_CAPACITY_MILLI: f64 = 0.25;
+/// Fewest and most starts, stops and CPU limits in flight, and polls of runners that have not
+/// reported yet; these take a new connection each.
+const CALLS_MIN: usize = 4;
+const CALLS_MAX: usize = 128;
 /// Pause between polls of a runner, so that runs that end together are handled together.
 const POLL_PAUSE: Duration = Duration::from_millis(30);
 /// First and longest delay before a runner that did not answer is polled again.
@@ -40,14 +44,17 @@
     orders: Semaphore,
 }
 
-impl Default for RelayService {
-    fn default() -> Self {
+impl RelayService {
+    /// Creates the relay of an instance with this capacity, in thousandths of a core.
+    pub(crate) fn new(capacity_millis: u32) -> Self {
+        let calls = f64::from(capacity_millis) * CALLS_PER_CAPACITY_MILLI;
+        let calls = (calls as usize).clamp(CALLS_MIN, CALLS_MAX);
         Self {
             state: RefCell::default(),
             has_news: Notify::new(),
             acknowledged: Notify::new(),
-            first_polls: Semaphore::new(FIRST_POLLS_MAX),
-            orders: Semaphore::new(ORDERS_MAX),
+            first_polls: Semaphore::new(calls),
+            orders: Semaphore::new(calls),
         }
     }
 }
@@ -225,12 +232,13 @@
     };
     let acknowledged = match &call.kind {
         OrderKind::Start {
-            job,
             checkpoint,
             deadline_ms,
             expires_at,
         } => {
-            if shared.now() >= *expires_at {
+            let group = GroupId(call.session.group);
+            let job = job_cache::specification(shared, group, call.task.job).await;
+            let Some(job) = job.filter(|_| shared.now() < *expires_at) else {
                 log::info!(
                     "event=start.withheld task={} run={} runner={} reason=\"the order is old\"",
                     call.task,
@@ -238,10 +246,9 @@
                     call.runner.id
                 );
                 return Outcome::Start(Answer::Withheld);
-            }
-            let started = shared
-                .platform
-                .start(&call.runner, run, job, checkpoint, *deadline_ms);
+            };
+            let platform = &shared.platform;
+            let started = platform.start(&call.runner, run, &job, checkpoint, *deadline_ms);
             return Outcome::Start(started.await);
         }
         OrderKind::Stop => shared.platform.stop(&call.runner, run).await,
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -1,8 +1,8 @@
 //! State shared by the tasks of the process, all of which run on one thread.
 
 use crate::{
-    group::OwnedGroup, keys::GroupId, member::Member, peers::Peers, platform::Lease,
-    relay::RelayService, session::SESSION_TTL, Options,
+    group::OwnedGroup, job_cache::JobCache, keys::GroupId, member::Member, peers::Peers,
+    platform::Lease, relay::RelayService, session::SESSION_TTL, Options,
 };
 use persimmon_sched::{JobId, Policy};
 use persimmon_types::{shard_of, Clock};
@@ -68,6 +68,7 @@
     pub(crate) unresponsive_peers: RefCell<HashMap<SocketAddr, Instant>>,
     pub(crate) draining: Cell<bool>,
     pub(crate) relay: RelayService,
+    pub(crate) job_cache: JobCache,
 }
 
 impl<P> Shared<P> {
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -82,6 +82,8 @@
     processor_free_at: Cell<Option<Instant>>,
     /// Number of leases granted.
     pub(crate) grants: Cell<u64>,
+    /// While set, reads that may be stale are older than all keys.
+    pub(crate) stale_reads_find_nothing: Cell<bool>,
     /// While set, watches get no answer.
     pub(crate) watches_are_silent: Cell<bool>,
     /// Transactions that write a longer value are rejected; 0 for no limit.
@@ -343,6 +345,13 @@
         Ok(items.get(key).map(|(item, _)| item.clone()))
     }
 
+    async fn get_stale(&self, key: &str) -> Result<Option<Item>, CallError> {
+        if self.state.stale_reads_find_nothing.get() {
+            return Ok(None);
+        }
+        self.get(key).await
+    }
+
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError> {
         self.simulate_call("range").await?;
         self.state.page_reads.set(self.state.page_reads.get() + 1);
@@ -710,6 +719,7 @@
             peer_address,
             data_centre: String::new(),
             capacity_millis,
+            link_bytes_per_s: 125_000_000,
             group_count,
             store_reads_per_s: self
                 .state
--- a/crates/persimmon-relay/src/link.rs
+++ b/crates/persimmon-relay/src/link.rs
@@ -4,16 +4,18 @@
     message::{AnswerWire, Grant, OrderWire, Rows},
     Batch, News, RunnerAddress, RunnerIndex,
 };
-use persimmon_sched::{Answer, JobId, JobSpec, Order, Report, TaskId};
+use persimmon_sched::{Answer, Order, Report, TaskId};
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
-    sync::Arc,
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
 /// Interval at which a runner's lease is renewed; several fit into the lease term.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Size of an order in a batch, estimated.
+const ORDER_BYTES: usize = 48;
+
 /// What happened at a relay's runners.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -50,10 +52,8 @@
     runners: BTreeMap<RunnerIndex, Runner>,
     indexes: HashMap<String, RunnerIndex>,
     removed: Vec<RunnerIndex>,
-    known_jobs: HashSet<JobId>,
-    jobs: Vec<Arc<JobSpec>>,
-    ended_jobs: Vec<JobId>,
-    orders: Vec<OrderWire>,
+    /// Orders that were not sent yet, with their runners.
+    orders: VecDeque<(RunnerIndex, Order)>,
     /// Starts that were sent and not answered.
     unanswered: BTreeSet<(TaskId, u32)>,
 }
@@ -92,10 +92,7 @@
             runners: BTreeMap::new(),
             indexes: HashMap::new(),
             removed: Vec::new(),
-            known_jobs: HashSet::new(),
-            jobs: Vec::new(),
-            ended_jobs: Vec::new(),
-            orders: Vec::new(),
+            orders: VecDeque::new(),
             unanswered: BTreeSet::new(),
         }
     }
@@ -142,75 +139,94 @@
         }
         let (dropped, orders) = std::mem::take(&mut self.orders)
             .into_iter()
-            .partition(|it| it.runner() == index);
+            .partition(|(runner, _)| *runner == index);
         self.orders = orders;
-        let dropped: Vec<_> = dropped;
+        let dropped: VecDeque<_> = dropped;
         withheld(&dropped)
     }
 
     /// Queues an order; returns the event to handle instead if the runner is not one of the
-    /// relay's. A start carries its lease deadline on the runner's clock.
-    pub fn push_order(&mut self, order: Order, deadline_ms: u64) -> Option<Event> {
+    /// relay's.
+    pub fn push_order(&mut self, order: Order) -> Option<Event> {
         let (Order::Start { runner, .. }
         | Order::Stop { runner, .. }
         | Order::Throttle { runner, .. }) = &order;
-        let index = self.indexes.get(runner).copied();
-        let order = match (order, index) {
-            (Order::Start { task, run, .. }, None) => {
-                return Some(Event::Started(task, run, Answer::Withheld));
-            }
-            (_, None) => return None,
-            (order, Some(runner)) => self.encode(order, runner, deadline_ms),
-        };
-        self.orders.push(order);
-        None
+        if let Some(&index) = self.indexes.get(runner) {
+            self.orders.push_back((index, order));
+            return None;
+        }
+        match order {
+            Order::Start { task, run, .. } => Some(Event::Started(task, run, Answer::Withheld)),
+            // The engine repeats an order that is not acknowledged.
+            Order::Stop { .. } | Order::Throttle { .. } => None,
+        }
     }
 
-    fn encode(&mut self, order: Order, runner: RunnerIndex, deadline_ms: u64) -> OrderWire {
-        match order {
-            Order::Start {
-                task,
-                run,
-                job,
-                checkpoint,
-                ..
-            } => {
-                if self.known_jobs.insert(task.job) {
-                    self.jobs.push(job);
-                }
-                OrderWire::Start {
+    /// Returns whether an order waits.
+    pub fn has_orders(&self) -> bool {
+        !self.orders.is_empty()
+    }
+
+    /// Moves orders of up to about `bytes_max` into a batch, at least one. `start_deadline_ms`
+    /// returns the lease deadline of a start, or the answer to handle if it must not be sent.
+    /// Returns the size, and what is to be handled.
+    pub fn add_orders(
+        &mut self,
+        batch: &mut Batch,
+        bytes_max: usize,
+        mut start_deadline_ms: impl FnMut(&str, TaskId, u32) -> Result<u64, Answer>,
+    ) -> (usize, Vec<Event>) {
+        let (mut bytes, mut events) = (0, Vec::new());
+        while bytes < bytes_max {
+            let Some((index, order)) = self.orders.pop_front() else {
+                break;
+            };
+            bytes += ORDER_BYTES;
+            let order = match order {
+                Order::Start {
                     runner,
                     task,
                     run,
                     checkpoint,
-                    deadline_ms,
+                    ..
+                } => {
+                    let deadline_ms = match start_deadline_ms(&runner, task, run) {
+                        Ok(deadline_ms) => deadline_ms,
+                        Err(answer) => {
+                            events.push(Event::Started(task, run, answer));
+                            continue;
+                        }
+                    };
+                    self.unanswered.insert((task, run));
+                    OrderWire::Start {
+                        runner: index,
+                        task,
+                        run,
+                        checkpoint,
+                        deadline_ms,
+                    }
                 }
-            }
-            Order::Stop { task, run, .. } => OrderWire::Stop { runner, task, run },
-            Order::Throttle {
-                task, run, percent, ..
-            } => OrderWire::Throttle {
-                runner,
-                task,
-                run,
-                percent,
-            },
+                Order::Stop { task, run, .. } => OrderWire::Stop {
+                    runner: index,
+                    task,
+                    run,
+                },
+                Order::Throttle {
+                    task, run, percent, ..
+                } => OrderWire::Throttle {
+                    runner: index,
+                    task,
+                    run,
+                    percent,
+                },
+            };
+            batch.orders.push(order);
         }
+        (bytes, events)
     }
 
-    /// Drops what the relay knows of jobs for which `is_open` does not hold.
-    pub fn forget_jobs(&mut self, is_open: impl Fn(JobId) -> bool) {
-        let ended_jobs = &mut self.ended_jobs;
-        self.known_jobs.retain(|&id| {
-            let keep = is_open(id);
-            if !keep {
-                ended_jobs.push(id);
-            }
-            keep
-        });
-    }
-
-    /// Returns whether an order waits, a runner is to be added, or an ended run was acknowledged.
+    /// Returns whether an order waits, a runner is to be added or removed, or an ended run was
+    /// acknowledged.
     pub fn is_urgent(&self, acknowledged_end: impl Fn(&str) -> u64) -> bool {
         let mut runners = self.runners.values();
         !self.orders.is_empty()
@@ -218,8 +234,8 @@
             || runners.any(|it| !it.is_added || acknowledged_end(&it.address.id) > it.granted_end)
     }
 
-    /// Returns what is to be sent at `now`, which is `made_at_us` microseconds on the owner's clock.
-    /// `acknowledged_end` and `permission` are asked for runners that are due.
+    /// Returns what is to be sent at `now` besides orders, which is `made_at_us` microseconds on the
+    /// owner's clock. `deadline_ms` returns the lease deadline of a runner whose lease is due.
     pub fn take_batch(
         &mut self,
         now: Instant,
@@ -250,10 +266,6 @@
                 });
             }
         }
-        let orders = std::mem::take(&mut self.orders);
-        self.unanswered
-            .extend(orders.iter().filter_map(OrderWire::start));
-        let jobs = std::mem::take(&mut self.jobs);
         Batch {
             group: self.group,
             fencing_token: self.fencing_token,
@@ -264,9 +276,7 @@
             added,
             removed: std::mem::take(&mut self.removed),
             grants,
-            jobs: jobs.iter().map(|job| (**job).clone()).collect(),
-            ended_jobs: std::mem::take(&mut self.ended_jobs),
-            orders,
+            orders: Vec::new(),
         }
     }
 
@@ -316,9 +326,6 @@
         self.session = session;
         self.handled_news = 0;
         self.removed.clear();
-        self.known_jobs.clear();
-        self.jobs.clear();
-        self.ended_jobs.clear();
         for runner in self.runners.values_mut() {
             *runner = Runner::new(runner.address.clone());
         }
@@ -335,27 +342,11 @@
     }
 }
 
-impl OrderWire {
-    fn runner(&self) -> RunnerIndex {
-        match self {
-            Self::Start { runner, .. }
-            | Self::Stop { runner, .. }
-            | Self::Throttle { runner, .. } => *runner,
-        }
-    }
-
-    fn start(&self) -> Option<(TaskId, u32)> {
-        match self {
-            Self::Start { task, run, .. } => Some((*task, *run)),
-            Self::Stop { .. } | Self::Throttle { .. } => None,
-        }
-    }
-}
-
 /// Answers the starts among orders that were not sent; other orders are repeated by the engine.
-fn withheld(orders: &[OrderWire]) -> Vec<Event> {
-    let starts = orders.iter().filter_map(OrderWire::start);
-    starts
-        .map(|(task, run)| Event::Started(task, run, Answer::Withheld))
-        .collect()
+fn withheld(orders: &VecDeque<(RunnerIndex, Order)>) -> Vec<Event> {
+    let starts = orders.iter().filter_map(|(_, order)| match order {
+        Order::Start { task, run, .. } => Some(Event::Started(*task, *run, Answer::Withheld)),
+        Order::Stop { .. } | Order::Throttle { .. } => None,
+    });
+    starts.collect()
 }
--- a/crates/persimmon-relay/src/message.rs
+++ b/crates/persimmon-relay/src/message.rs
@@ -1,6 +1,6 @@
 //! What an owner and its relays exchange.
 
-use persimmon_sched::{Answer, End, EndKind, JobId, JobSpec, Report, RunStatus, TaskId};
+use persimmon_sched::{Answer, End, EndKind, Report, RunStatus, TaskId};
 use serde::{Deserialize, Serialize};
 
 /// Where a runner is called.
@@ -45,8 +45,6 @@
     pub(crate) added: Vec<(RunnerIndex, RunnerAddress)>,
     pub(crate) removed: Vec<RunnerIndex>,
     pub(crate) grants: Vec<Grant>,
-    pub(crate) jobs: Vec<JobSpec>,
-    pub(crate) ended_jobs: Vec<JobId>,
     pub(crate) orders: Vec<OrderWire>,
 }
 
@@ -246,7 +244,6 @@
         self.added.is_empty()
             && self.removed.is_empty()
             && self.grants.is_empty()
-            && self.ended_jobs.is_empty()
             && self.orders.is_empty()
     }
 }
--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -4,11 +4,10 @@
     message::{AnswerWire, EndWire, OrderWire, ReportWire, RowWire, Rows},
     Batch, News, RunnerAddress, RunnerIndex, SessionKey,
 };
-use persimmon_sched::{Answer, JobId, JobSpec, Report, RunStatus, TaskId};
+use persimmon_sched::{Answer, Report, RunStatus, TaskId};
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, HashMap, VecDeque},
-    sync::Arc,
+    collections::{BTreeMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -66,8 +65,6 @@
 pub enum OrderKind {
     /// Starts it.
     Start {
-        /// The job that the task belongs to.
-        job: Arc<JobSpec>,
         /// The checkpoint to resume from; empty for none.
         checkpoint: String,
         /// Lease deadline, on the runner's clock.
@@ -120,7 +117,8 @@
     idle_wait: Duration,
     last_batch_at: Instant,
     runners: BTreeMap<RunnerIndex, Runner>,
-    jobs: HashMap<JobId, Arc<JobSpec>>,
+    /// Stops that have no outcome yet; the owner repeats those without an answer.
+    stopping: HashSet<(TaskId, u32)>,
     missed: Vec<RunnerIndex>,
     answers: Vec<AnswerWire>,
     last_news: u64,
@@ -246,6 +244,9 @@
         let Some(session) = self.session(call.session) else {
             return;
         };
+        if matches!(call.kind, OrderKind::Stop) {
+            session.stopping.remove(&(call.task, call.run));
+        }
         let answer = match (&call.kind, outcome) {
             (_, Outcome::Start(answer)) => AnswerWire::Start(call.task, call.run, answer.into()),
             (OrderKind::Stop, Outcome::Acknowledged) => AnswerWire::Stopped(call.task, call.run),
@@ -301,7 +302,7 @@
             idle_wait: Duration::ZERO,
             last_batch_at: now,
             runners: BTreeMap::new(),
-            jobs: HashMap::new(),
+            stopping: HashSet::new(),
             missed: Vec::new(),
             answers: Vec::new(),
             last_news: 0,
@@ -327,18 +328,12 @@
                 it.acknowledged_end = grant.acknowledged_end;
             }
         }
-        for job in batch.jobs {
-            self.jobs.insert(job.id, Arc::new(job));
-        }
         let expires_at = self
             .sent_at(batch.handled_news)
             .map(|at| at + START_AGE_MAX);
         for order in batch.orders {
             actions.extend(self.call(order, expires_at).map(Action::Call));
         }
-        for job in batch.ended_jobs {
-            self.jobs.remove(&job);
-        }
         actions
     }
 
@@ -365,11 +360,9 @@
                 deadline_ms,
                 ..
             } => {
-                let job = self.jobs.get(&task.job).cloned();
-                let known = self.runners.contains_key(&index);
-                match (job, expires_at) {
-                    (Some(job), Some(expires_at)) if known => OrderKind::Start {
-                        job,
+                let is_known = self.runners.contains_key(&index);
+                match expires_at {
+                    Some(expires_at) if is_known => OrderKind::Start {
                         checkpoint,
                         deadline_ms,
                         expires_at,
@@ -381,10 +374,14 @@
                     }
                 }
             }
+            OrderWire::Stop { .. } if !self.stopping.insert((task, run)) => return None,
             OrderWire::Stop { .. } => OrderKind::Stop,
             OrderWire::Throttle { percent, .. } => OrderKind::Throttle(percent),
         };
-        let runner = self.runners.get_mut(&index)?;
+        let Some(runner) = self.runners.get_mut(&index) else {
+            self.stopping.remove(&(task, run));
+            return None;
+        };
         runner.has_orders = true;
         Some(OrderCall {
             session: self.key,
