--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -28,11 +28,6 @@
         });
         let critical_path_ms = self.durations.critical_path_ms(&spec);
         let time_budget_ms = (critical_path_ms * queue.stretch.max(1.0)) as u64 + queue.target_ms;
-        if queue.priority == 0 {
-            spec.steps
-                .iter()
-                .for_each(|step| self.urgent_sizes.add(step));
-        }
         let id = spec.id;
         let mut job = Job {
             service: queue.service,
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -15,7 +15,6 @@
 mod start;
 mod task;
 mod types;
-mod urgent_sizes;
 
 pub use learned::Learned;
 pub use load::Load;
@@ -27,7 +26,7 @@
 pub(crate) use job::{Job, Rank, Stage, State, Step};
 pub(crate) use task::Task;
 
-use self::{dirty::DirtyJobs, durations::Durations, urgent_sizes::UrgentSizes};
+use self::{dirty::DirtyJobs, durations::Durations};
 
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, LEASE_CLOCK_SLACK},
@@ -63,7 +62,6 @@
     image_keys: HashMap<String, ImageKey>,
     interference: InterferenceModel,
     durations: Durations,
-    urgent_sizes: UrgentSizes,
     /// Jobs that were cancelled before their submission arrived.
     cancelled_before_submission: HashSet<JobId>,
     /// When all runs started by earlier owners on unreachable runners have ended.
@@ -93,7 +91,6 @@
             image_keys: HashMap::new(),
             interference: InterferenceModel::default(),
             durations: Durations::default(),
-            urgent_sizes: UrgentSizes::default(),
             cancelled_before_submission: HashSet::new(),
             orphan_runs_until: now + options.orphan_run_max,
             options,
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -310,9 +310,7 @@
             let Some(interference_penalty) = self.interference_penalty(runner, claim) else {
                 continue;
             };
-            let score = score(step, claim, runner, rack.as_deref())
-                - interference_penalty
-                - self.urgent_slots_lost(step, runner) * URGENT_SLOT_WEIGHT;
+            let score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
             if best.is_none_or(|(best_score, _)| score > best_score) {
                 best = Some((score, key));
             }
@@ -320,21 +318,6 @@
         best.map(|(_, key)| key)
     }
 
-    /// Number of urgent tasks of the usual size that fit on a runner now, and no longer beside a
-    /// task of a long-running step.
-    fn urgent_slots_lost(&self, step: &StepSpec, runner: &Runner) -> i64 {
-        let Some(urgent_millis) = self
-            .urgent_sizes
-            .mean_millis()
-            .filter(|_| step.long_running)
-        else {
-            return 0;
-        };
-        let free_millis = runner.free_capacity().cpu_millis;
-        let left_millis = free_millis.saturating_sub(step.claim().cpu_millis);
-        i64::from(free_millis / urgent_millis) - i64::from(left_millis / urgent_millis)
-    }
-
     /// Returns whether a runner may be given new tasks.
     pub(super) fn is_schedulable(&self, runner: &Runner, now: Instant) -> bool {
         let is_recent = |at: Instant| now < at + self.report_age_max();
@@ -385,8 +368,6 @@
         && step.claim().fits(runner.free_capacity())
 }
 
-/// Score of an urgent task that would no longer fit; more than any difference in free capacity.
-const URGENT_SLOT_WEIGHT: i64 = 100_000;
 /// Score of the preferred rack: work on another takes several times as long.
 const RACK_WEIGHT: i64 = 1_000_000;
 
