fix(entry): a backlog of changes no longer makes the instance list unknown

Change: while answers come with a backlog, the owner reads the store's revision beside the watch; once the watch has reached it, the list is known as of that read.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -17,6 +17,7 @@
     wait: Duration::from_millis(1_500),
     pause: Duration::from_millis(15),
     by_all_members: false,
+    confirms_backlog: false,
 };
 
 #[derive(Default)]
--- a/crates/persimmon-entry/src/group/runner_list.rs
+++ b/crates/persimmon-entry/src/group/runner_list.rs
@@ -15,6 +15,7 @@
     wait: Duration::from_millis(400),
     pause: Duration::from_millis(300),
     by_all_members: false,
+    confirms_backlog: true,
 };
 
 impl<P: Platform> OwnedGroup<P> {
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -1,4 +1,5 @@
 use crate::{
+    keys,
     platform::{CallError, Change, Item, Page, Platform, WatchOutcome},
     retry::RetryDelay,
     state::Shared,
@@ -18,6 +19,8 @@
     /// Whether all members watch the prefix. One change then causes a call of each of them, so
     /// their calls are kept within a fraction of the store's read limit.
     pub(crate) by_all_members: bool,
+    /// Whether to find out how old the known items are while answers come with a backlog.
+    pub(crate) confirms_backlog: bool,
 }
 
 /// The store limits the number of changes in an answer. One with this many or more may leave some
@@ -156,6 +159,7 @@
 ) {
     let mut failures = 0;
     let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    let mut marker = None;
     loop {
         let called_at = shared.now();
         match shared.platform.watch(prefix, *revision, options.wait).await {
@@ -175,6 +179,13 @@
                     };
                     on_event(WatchEvent::Changed(change));
                 }
+                if let Some((as_of, _)) = marker.filter(|(_, at)| *revision >= *at) {
+                    marker = None;
+                    on_event(WatchEvent::UpToDate { as_of });
+                }
+                if has_backlog && marker.is_none() && options.confirms_backlog {
+                    marker = read_marker(shared).await;
+                }
                 if !has_backlog {
                     on_event(WatchEvent::UpToDate { as_of: called_at });
                     tokio::time::sleep(pause(shared, options, called_at)).await;
@@ -193,6 +204,19 @@
     }
 }
 
+/// Reads the store's revision. Returns when it was asked for, and the revision: a watch that has
+/// reached it misses no change made before.
+async fn read_marker<P: Platform>(shared: &Shared<P>) -> Option<(Instant, u64)> {
+    let asked_at = shared.now();
+    match shared.platform.range(keys::OWNERS, "").await {
+        Ok(page) => Some((asked_at, page.revision)),
+        Err(err) => {
+            log::debug!("event=store.marker fault=\"{err}\"");
+            None
+        }
+    }
+}
+
 /// Returns the pause after a watch call that was made at `called_at`.
 fn pause<P>(shared: &Shared<P>, options: WatchOptions, called_at: Instant) -> Duration {
     if !options.by_all_members {
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -82,6 +82,8 @@
     processor_free_at: Cell<Option<Instant>>,
     /// Number of leases granted.
     pub(crate) grants: Cell<u64>,
+    /// Added to the latency of each call to the store.
+    pub(crate) extra_store_latency: Cell<Duration>,
     /// While set, reads that may be stale are older than all keys.
     pub(crate) stale_reads_find_nothing: Cell<bool>,
     /// While set, watches get no answer.
@@ -190,7 +192,8 @@
             return Err(call_error(operation, Effect::Unknown));
         }
         self.use_processor(self.state.call_costs.get().other).await;
-        tokio::time::sleep(Duration::from_millis(4)).await;
+        let latency = Duration::from_millis(4) + self.state.extra_store_latency.get();
+        tokio::time::sleep(latency).await;
         self.expire();
         self.throttle_call(operation)
     }
--- a/crates/persimmon-entry/tests/all/scale.rs
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -124,3 +124,37 @@
     }
     assert_eq!(cluster.start_count(1), 1, "the new runner is seen in time");
 }
+
+/// Thousands of runners write so much that each answer to a watch comes with a backlog. The list is
+/// current all the same.
+#[tokio::test(start_paused = true)]
+async fn backlog_of_a_large_instance_list_keeps_tasks_from_starting() {
+    let names: Vec<_> = (0..300).map(|index| format!("r{index}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut cluster = Cluster::new(&names);
+    cluster.state.extra_store_latency.set(SECOND / 10);
+    let handle = cluster.start("one");
+    cluster.advance(4 * SECOND).await;
+    let submitted = cluster.run_until(handle.submit(request(1), spec(500)));
+    submitted.await.expect("accepted");
+    for _ in 0..30 {
+        for name in &names {
+            cluster.write_runner(name, b"");
+        }
+        cluster.advance(SECOND / 10).await;
+    }
+    assert_eq!(cluster.start_count(1), 1);
+}
+
+/// A read that may be stale does not find the specification of a job just accepted.
+#[tokio::test(start_paused = true)]
+async fn task_of_a_job_that_a_stale_read_does_not_find_is_never_started() {
+    let mut cluster = Cluster::new(&["a"]);
+    cluster.state.stale_reads_find_nothing.set(true);
+    let handle = cluster.start("one");
+    cluster.advance(4 * SECOND).await;
+    let submitted = cluster.run_until(handle.submit(request(1), spec(500)));
+    submitted.await.expect("accepted");
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(cluster.start_count(1), 1);
+}
