fix(sched): an earlier success counts when the newer run never existed

Traced with answers in full: 9b5ef7f1.0.0.3 run 5 was done at 39.3 s, not heard, and given up at 45.3 s; run 6 was ordered, its start had no answer and never happened; the end of run 5 arrived at 45.8 s, while run 6 might have existed; at 50.1 s run 6 was known not to exist, and run 7 started.

Change: such an end is remembered; once the newer run is known never to have existed (refused, withheld, or stopped and not listed), the task is done by the earlier one, and the end is acknowledged.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod infeasible;
 mod interference;
 mod job;
+mod late_end;
 mod learned;
 mod lease_expiry;
 mod load;
@@ -62,6 +63,9 @@
     image_keys: HashMap<String, ImageKey>,
     interference: InterferenceModel,
     durations: Durations,
+    /// Runner and number of the end of a run that succeeded after it was given up, by task, while a
+    /// newer run may exist.
+    late_ends: HashMap<TaskId, (RunnerKey, u64)>,
     /// Jobs that were cancelled before their submission arrived.
     cancelled_before_submission: HashSet<JobId>,
     /// When all runs started by earlier owners on unreachable runners have ended.
@@ -91,6 +95,7 @@
             image_keys: HashMap::new(),
             interference: InterferenceModel::default(),
             durations: Durations::default(),
+            late_ends: HashMap::new(),
             cancelled_before_submission: HashSet::new(),
             orphan_runs_until: now + options.orphan_run_max,
             options,
@@ -320,6 +325,8 @@
             self.jobs.remove(id);
         }
         let jobs = &self.jobs;
+        self.late_ends
+            .retain(|task, _| jobs.contains_key(&task.job));
         self.dirty.retain(|id| jobs.contains_key(&id));
         self.unsettled_runs
             .retain(|(task, _)| jobs.contains_key(&task.job));
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -1,7 +1,7 @@
 use super::{Engine, Stage, State};
 use crate::{
     fleet::{PendingEnd, RunnerKey, NEVER_COMMITTED},
-    Answer, End, EndKind, Phase, Report, RunStatus, StepSpec, TaskId,
+    Answer, End, EndKind, Phase, Report, RunStatus, TaskId,
 };
 use std::{
     collections::HashSet,
@@ -141,6 +141,9 @@
         }
         let is_contradicted =
             !current && end.number > last_lapse && !self.accept_late_end(key, end, now);
+        if is_contradicted {
+            self.remember_late_end(key, end);
+        }
         let job = self.jobs.get(&end.task.job);
         let version = match job {
             Some(_) if is_contradicted => NEVER_COMMITTED,
@@ -213,64 +216,14 @@
         }
     }
 
-    /// Allows ends to be acknowledged that precede the expiry of a run's lease: they count no more.
-    fn invalidate_ends(&mut self, key: RunnerKey, last_lapse: u64) {
-        let ends = self.runner_mut(key).pending_ends.iter_mut();
-        for end in ends.filter(|end| end.number < last_lapse && end.version == NEVER_COMMITTED) {
-            end.version = 0;
-        }
-    }
-
-    /// Takes a task for done whose run was given up, because its runner was not heard in time, and
-    /// had succeeded. Returns `false` if another run was ordered since, which decides for itself.
-    fn accept_late_end(&mut self, key: RunnerKey, end: &End, now: Instant) -> bool {
-        let id = end.task;
-        let is_single = |step: &StepSpec| !step.long_running && !step.gang;
-        let is_unordered = self.task(id).is_some_and(|task| {
-            let state = task.state();
-            let is_committing = matches!(
-                state,
-                State::Placed {
-                    stage: Stage::Committing(_),
-                    ..
-                }
-            );
-            end.run <= task.run && (task.is_waiting() || is_committing)
-        });
-        if end.kind != EndKind::Done || !self.step_of(id).is_some_and(is_single) {
-            return true;
-        }
-        let is_done = self
-            .task(id)
-            .is_some_and(|task| task.state() == State::Done);
-        if is_done && self.task(id).is_some_and(|task| task.run == end.run) {
-            return true;
-        }
-        if !is_unordered {
-            return false;
-        }
-        if self.is_final(id) {
-            return true;
-        }
-        log::info!(
-            "event=run.late_end task={id} run={} runner={}",
-            end.run,
-            self.runner(key).info.id
-        );
-        self.mark_has_run(id);
-        self.set_state(id, State::Done);
-        self.advance(id, now);
-        true
-    }
-
-    fn is_final(&self, id: TaskId) -> bool {
+    pub(super) fn is_final(&self, id: TaskId) -> bool {
         self.jobs
             .get(&id.job)
             .is_none_or(|job| job.phase.is_final())
     }
 
     /// Opens the steps that depended on a finished task, or completes the job.
-    fn advance(&mut self, id: TaskId, now: Instant) {
+    pub(super) fn advance(&mut self, id: TaskId, now: Instant) {
         self.open_steps(id.job, id.occurrence);
         let Some(job) = self.jobs.get(&id.job) else {
             return;
@@ -361,7 +314,12 @@
                     "event=run.absent task={id} run={run} runner={}",
                     self.runner(key).info.id
                 );
+                let never_ran = self.placement(id, run);
+                let never_ran = never_ran.is_some_and(|(_, it)| it.is_start_unanswered());
                 self.requeue(id, run, None, now);
+                if never_ran {
+                    self.settle_late_end(id, now);
+                }
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -55,6 +55,7 @@
                     self.count_refused_start(runner, (id, run), answer, now);
                 }
                 self.requeue(id, run, Some(now + REFUSED_START_BACKOFF), now);
+                self.settle_late_end(id, now);
             }
         }
     }
--- a/crates/persimmon-sched/tests/all/late_ends.rs
+++ b/crates/persimmon-sched/tests/all/late_ends.rs
@@ -145,3 +145,27 @@
     harness.report("a", vec![]);
     assert_eq!(starts(&harness.round()).len(), 1);
 }
+
+/// Whether the newer run exists decides which of the two counts.
+#[test]
+fn task_that_was_done_starts_again_after_a_start_that_never_happened() {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    harness.add_runner("b", 8_000);
+    harness.report("b", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1);
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    assert_eq!(
+        harness.engine.acknowledged("a"),
+        0,
+        "run 2 may have started"
+    );
+    harness.answer_start(task(1, 0, 0), 2, Answer::Withheld);
+    harness.advance(1_000);
+    harness.report("b", vec![]);
+    assert!(starts(&harness.round()).is_empty());
+    let id = persimmon_sched::JobId(1);
+    assert_eq!(harness.engine.phase(id), Some(Phase::Completed));
+    assert_eq!(harness.engine.acknowledged("a"), 1);
+}
