fix(entry): records use at most two fifths of the owner's link

Cause: on small twins the owner wrote about 135 records a second, 75 KB/s and half as much again in text form, on a link of 250 KB/s with watches and exchanges; writes took 280 to 550 ms from 15 s on, exchanges timed out, and leases lapsed.

Change: after each batch of records the next one waits for the time that the batch takes on two fifths of the link. Records that wait are written with what has changed meanwhile, so there are fewer. On 200 Mbit/s the wait stays below the interval that there was.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -17,6 +17,12 @@
 /// Interval between batches of changed records. Records that change together share a transaction,
 /// which keeps the number of transactions low.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(15);
+/// Share of the link of this process that records may use. Records that wait are written with what
+/// has changed meanwhile, so a slow link makes fewer of them.
+const RECORDS_LINK_SHARE: f64 = 0.4;
+/// Estimated size of a record and of a task in it.
+const RECORD_BYTES: usize = 300;
+const RECORD_TASK_BYTES: usize = 24;
 /// First and longest delay before an unanswered write is retried.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(20);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(320);
@@ -41,18 +47,26 @@
     pub(super) async fn commit(self: Rc<Self>) {
         loop {
             self.commit_wake.notified().await;
+            let mut bytes = 0;
             while self.commits_in_flight.get() < TXNS_IN_FLIGHT_MAX {
                 let commits = self.engine.borrow_mut().take_commits(RECORDS_PER_TXN_MAX);
                 if commits.is_empty() {
                     break;
                 }
+                bytes += commits.iter().map(estimated_bytes).sum::<usize>();
                 self.commits_in_flight.set(self.commits_in_flight.get() + 1);
                 self.spawn(Rc::clone(&self).write(commits));
             }
-            tokio::time::sleep(COMMIT_INTERVAL).await;
+            tokio::time::sleep(COMMIT_INTERVAL.max(self.records_sending_time(bytes))).await;
         }
     }
 
+    /// Time for which records of this size use the share of the link that is for records.
+    fn records_sending_time(&self, bytes: usize) -> Duration {
+        let bytes_per_s = self.shared.options.link_bytes_per_s.max(1) as f64;
+        Duration::from_secs_f64(bytes as f64 / (bytes_per_s * RECORDS_LINK_SHARE))
+    }
+
     async fn write(self: Rc<Self>, commits: Vec<Commit>) {
         if let Err(err) = self.write_records(&commits).await {
             log::warn!(
@@ -239,6 +253,12 @@
     }
 }
 
+/// Estimates what a record takes on the link: its text form is a third larger than its bytes.
+fn estimated_bytes(commit: &Commit) -> usize {
+    let tasks: usize = commit.record.tasks.iter().flatten().map(Vec::len).sum();
+    RECORD_BYTES + tasks * RECORD_TASK_BYTES
+}
+
 /// Returns the revisions of the written keys if an earlier attempt of `txn` was applied, judged by
 /// the items in the conflict of a later attempt; `None` if it was not.
 fn revisions_if_applied(txn: &Txn, items: &[Item]) -> Option<HashMap<String, u64>> {
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -82,6 +82,10 @@
     processor_free_at: Cell<Option<Instant>>,
     /// Number of leases granted.
     pub(crate) grants: Cell<u64>,
+    /// Bandwidth of the link of processes that are started, in bytes per second; 0 for 1 Gbit/s.
+    pub(crate) link_bytes_per_s: Cell<u64>,
+    /// Bytes of all records that were written, in their text form.
+    pub(crate) record_bytes: Cell<usize>,
     /// Added to the latency of each call to the store.
     pub(crate) extra_store_latency: Cell<Duration>,
     /// While set, reads that may be stale are older than all keys.
@@ -273,6 +277,10 @@
     }
 
     fn put(&self, write: &Write, revision: u64) {
+        if write.key.contains("/st/") {
+            let bytes = self.state.record_bytes.get() + write.value.len() * 4 / 3;
+            self.state.record_bytes.set(bytes);
+        }
         let item = Item {
             key: write.key.clone(),
             value: write.value.clone(),
@@ -722,7 +730,10 @@
             peer_address,
             data_centre: String::new(),
             capacity_millis,
-            link_bytes_per_s: 125_000_000,
+            link_bytes_per_s: match self.state.link_bytes_per_s.get() {
+                0 => 125_000_000,
+                bytes_per_s => bytes_per_s,
+            },
             group_count,
             store_reads_per_s: self
                 .state
--- a/crates/persimmon-entry/tests/all/scale.rs
+++ b/crates/persimmon-entry/tests/all/scale.rs
@@ -158,3 +158,31 @@
     cluster.advance(2 * SECOND).await;
     assert_eq!(cluster.start_count(1), 1);
 }
+
+/// On a full link the renewals of the session and of leases wait behind the records of jobs.
+#[tokio::test(start_paused = true)]
+async fn records_take_the_whole_link_of_an_owner() {
+    const LINK_BYTES_PER_S: u64 = 10_000;
+    let mut cluster = Cluster::new(&["a", "b", "c", "d"]);
+    cluster.state.link_bytes_per_s.set(LINK_BYTES_PER_S);
+    let handle = cluster.start("one");
+    cluster.advance(4 * SECOND).await;
+    for job in 1..=80 {
+        let mut wide = spec(100);
+        wide.steps[0].count = 20;
+        let submitted = cluster.run_until(handle.submit(request(job), wide)).await;
+        submitted.expect("accepted");
+    }
+    let before = cluster.state.record_bytes.get();
+    cluster.advance(10 * SECOND).await;
+    let bytes = cluster.state.record_bytes.get() - before;
+    assert!(
+        bytes <= LINK_BYTES_PER_S as usize * 10 * 4 / 10,
+        "{bytes} bytes of records in 10 s"
+    );
+    cluster.advance(50 * SECOND).await;
+    for job in 1..=80 {
+        let phase = phase(&mut cluster, &handle, job).await;
+        assert_eq!(phase, Some(Phase::Completed), "job {job}");
+    }
+}
