fix(sched): a placement pass has a bound, so that an owner outlives it

Cause: a pass places all ready tasks and looks at each runner for each. Change: a pass looks at 600,000 runners at most; the rest is placed in the next one, in the same order.

Test: pass_over_thousands_of_runners_and_tasks_has_no_end (3,000 tasks in the first pass before, at most 200 now, all of them after 21).

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -11,6 +11,10 @@
 /// A result is worthless to its caller after this multiple of the time budget.
 const OVERDUE_FACTOR: u64 = 3;
 
+/// Most runners looked at in a pass. A pass of a group with thousands of runners and tasks would
+/// otherwise outlast the owner's session, and that of each owner after it.
+const RUNNER_CHECKS_MAX: usize = 600_000;
+
 /// Placement order within a priority, first to last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -42,16 +46,22 @@
 impl Engine {
     /// Places ready tasks in placement order. Once a demand did not fit, the rest of the step and
     /// all steps that demand at least as much are skipped in this pass. A fenced engine no longer
-    /// owns its group and places nothing, nor does one that knows only an old instance list.
+    /// owns its group and places nothing, nor does one that knows only an old instance list. What a
+    /// pass leaves is placed in the next one.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
         if self.fenced || !self.is_listing_current(now) {
             return;
         }
         let mut infeasible = InfeasibleDemands::default();
+        let mut choices_left = (RUNNER_CHECKS_MAX / self.runners.len().max(1)).max(1);
         for candidate in self.candidates(wall_ms) {
-            if let Some(rejected) = self.place_candidate(&candidate, &infeasible, now) {
+            let rejected = self.place_candidate(&candidate, &infeasible, &mut choices_left, now);
+            if let Some(rejected) = rejected {
                 infeasible.insert(rejected);
             }
+            if choices_left == 0 {
+                return;
+            }
         }
     }
 
@@ -60,6 +70,7 @@
         &mut self,
         candidate: &Candidate,
         infeasible: &InfeasibleDemands,
+        choices_left: &mut usize,
         now: Instant,
     ) -> Option<Demand> {
         // All tasks of a step have the same demand.
@@ -71,9 +82,13 @@
         }
         let is_gang = self.step_of(first)?.gang;
         for id in self.ready_tasks(candidate) {
+            if *choices_left == 0 {
+                return None;
+            }
             if !self.may_place(id, now) {
                 continue;
             }
+            *choices_left -= 1;
             let placed = if is_gang {
                 self.place_gang(id, claim, now)
             } else {
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -541,3 +541,25 @@
     started.extend(starts(&harness.round()));
     assert_eq!(started.len(), 1, "{started:?}");
 }
+
+/// An owner whose pass takes seconds loses its session, and so does the next one.
+#[test]
+fn pass_over_thousands_of_runners_and_tasks_has_no_end() {
+    const RUNNERS: usize = 3_000;
+    let ids: Vec<_> = (0..RUNNERS).map(|at| format!("r{at}")).collect();
+    let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+    let mut harness = TestEngine::with_runners(&ids, 1_000);
+    for id in 1..=30 {
+        harness.submit(job(id, vec![step(100)]));
+    }
+    let first = starts(&harness.round()).len();
+    assert!(
+        (1..=200).contains(&first),
+        "{first} tasks in the first pass"
+    );
+    let mut total = first;
+    for _ in 0..20 {
+        total += starts(&harness.round()).len();
+    }
+    assert_eq!(total, RUNNERS, "the others follow");
+}
