--- a/crates/persimmon-entry/src/handle.rs
+++ b/crates/persimmon-entry/src/handle.rs
@@ -183,8 +183,9 @@
     // Sending a reply fails if the caller is gone, which is fine.
     match call {
         Call::Submit(request, spec, reply) => {
+            let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
             let outcome = requests::submit(&shared, &request, *spec).await;
-            log_outcome("job.submit", &request, &outcome);
+            log_submission(&shared, &request, tasks, &outcome);
             let _ = reply.send(outcome);
         }
         Call::Cancel(request, reply) => {
@@ -205,6 +206,37 @@
     }
 }
 
+/// Logs a submission with the queue and the version of the policy that decided it.
+fn log_submission<P>(
+    shared: &Shared<P>,
+    request: &Request,
+    tasks: u64,
+    outcome: &Result<Accepted, Rejection>,
+) {
+    let policy = shared.policy.borrow();
+    let version = policy.as_ref().map_or(0, |policy| policy.version);
+    let queue = policy
+        .as_ref()
+        .and_then(|policy| policy.find(&request.host, &request.path));
+    let (queue, job) = match queue {
+        Some(queue) => {
+            let job = request.path.strip_prefix(&queue.prefix);
+            (queue.name.as_str(), job.unwrap_or_default())
+        }
+        None => ("", request.path.as_str()),
+    };
+    match outcome {
+        Ok(Accepted { is_new }) => log::info!(
+            "event=job.submit job={job} queue={queue} policy={version} tasks={tasks} \
+             outcome=accepted is_new={is_new}"
+        ),
+        Err(err) => log::info!(
+            "event=job.submit job={job} queue={queue} policy={version} tasks={tasks} \
+             outcome=rejected reason=\"{err}\""
+        ),
+    }
+}
+
 fn log_outcome<T: std::fmt::Debug>(event: &str, request: &Request, outcome: &Result<T, Rejection>) {
     let path = &request.path;
     match outcome {
--- a/crates/persimmon-relay/src/link.rs
+++ b/crates/persimmon-relay/src/link.rs
@@ -335,11 +335,6 @@
         events.extend(withheld(&std::mem::take(&mut self.orders)));
         events
     }
-
-    /// Ids of the relay's runners.
-    pub fn runner_ids(&self) -> Vec<String> {
-        self.indexes.keys().cloned().collect()
-    }
 }
 
 /// Answers the starts among orders that were not sent; other orders are repeated by the engine.
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -81,24 +81,38 @@
             return None;
         }
         let is_gang = self.step_of(first)?.gang;
-        for id in self.ready_tasks(candidate) {
-            if *choices_left == 0 {
-                return None;
+        let ready = self.ready_tasks(candidate);
+        let (mut placed, mut is_rejected) = (0, false);
+        for &id in &ready {
+            if *choices_left == 0 || is_rejected {
+                break;
             }
             if !self.may_place(id, now) {
                 continue;
             }
             *choices_left -= 1;
-            let placed = if is_gang {
+            let fits = if is_gang {
                 self.place_gang(id, claim, now)
             } else {
                 self.place(id, claim, now)
             };
-            if !placed {
-                return Some(demand);
-            }
+            placed += usize::from(fits);
+            is_rejected = !fits;
         }
-        None
+        if placed > 0 {
+            log::info!(
+                "event=step.place job={} occurrence={} step={} priority={} urgency={:?} \
+                 placed={placed} ready={} policy={}",
+                first.job,
+                first.occurrence,
+                first.step,
+                candidate.priority,
+                candidate.urgency,
+                ready.len(),
+                self.policy.version
+            );
+        }
+        is_rejected.then_some(demand)
     }
 
     /// Lists the steps with ready tasks in placement order.
--- a/crates/persimmon-sched/tests/all/late_ends.rs
+++ b/crates/persimmon-sched/tests/all/late_ends.rs
@@ -16,7 +16,7 @@
     }
 }
 
-/// Run 1 of the only task of job 1 runs on the larger runner, `a`.
+/// Run 1 of the only task of job 1 runs on `a`.
 fn running() -> TestEngine {
     let mut harness = TestEngine::with_runners(&["a"], 8_000);
     harness.submit(job(1, vec![step(1)]));
@@ -27,6 +27,18 @@
     harness
 }
 
+/// The task is given up and ordered again on `b`, as run 2.
+fn ordered_again() -> TestEngine {
+    let mut harness = running();
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("a");
+    harness.add_runner("b", 8_000);
+    harness.report("b", vec![]);
+    let restarts = starts(&harness.round());
+    assert_eq!(restarts, [("b".to_owned(), task(1, 0, 0), 2)]);
+    harness
+}
+
 fn report_ends(harness: &mut TestEngine, runner: &str, ends: Vec<End>) {
     let mut report = report(harness.clock_ms(), vec![]);
     report.ended = ends;
@@ -52,13 +64,7 @@
 
 #[test]
 fn silent_runner_holds_its_tasks_for_ever() {
-    let mut harness = running();
-    harness.advance(LEASE_EXPIRY_MS);
-    harness.miss_report("a");
-    harness.add_runner("b", 8_000);
-    harness.report("b", vec![]);
-    let restarts = starts(&harness.round());
-    assert_eq!(restarts, [("b".to_owned(), task(1, 0, 0), 2)]);
+    ordered_again();
 
     let mut harness = running();
     harness.advance(3 * LEASE_EXPIRY_MS);
@@ -87,12 +93,7 @@
 /// Acknowledged, the end would make the second start one of a task that was done.
 #[test]
 fn end_is_acknowledged_after_the_task_was_started_again() {
-    let mut harness = running();
-    harness.advance(LEASE_EXPIRY_MS);
-    harness.miss_report("a");
-    harness.add_runner("b", 8_000);
-    harness.report("b", vec![]);
-    assert_eq!(starts(&harness.round()).len(), 1);
+    let mut harness = ordered_again();
     harness.answer_start(task(1, 0, 0), 2, Answer::Started);
     report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
     harness.round();
@@ -149,12 +150,7 @@
 /// Whether the newer run exists decides which of the two counts.
 #[test]
 fn task_that_was_done_starts_again_after_a_start_that_never_happened() {
-    let mut harness = running();
-    harness.advance(LEASE_EXPIRY_MS);
-    harness.miss_report("a");
-    harness.add_runner("b", 8_000);
-    harness.report("b", vec![]);
-    assert_eq!(starts(&harness.round()).len(), 1);
+    let mut harness = ordered_again();
     report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
     assert_eq!(
         harness.engine.acknowledged("a"),
