feat(sched): say why a best-effort task waits, and log each failed run

A best-effort task that waited was left out of task.stalled, since free capacity alone does not decide about it, and a failed run was logged at debug level.

Best-effort tasks are listed now, with the number of runners that have idle processors and are ruled out for interference. The new test failed before: the task was not listed. No decision changes.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -341,20 +341,7 @@
     }
 
     fn claim_of_step(&mut self, step: &StepSpec, now: Instant) -> Claim {
-        let best_effort_cpu_millis = if step.best_effort {
-            step.size.cpu_millis
-        } else {
-            0
-        };
-        Claim {
-            size: step.claim(),
-            best_effort_cpu_millis,
-            latency_critical: step.is_latency_critical(),
-            image: self.image_key(&step.image),
-            percent: Some(100),
-            throttle_due_at: None,
-            placed_at: now,
-        }
+        Claim::new(step, self.image_key(&step.image), now)
     }
 
     fn runner_key(&mut self, id: &str) -> RunnerKey {
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -200,7 +200,14 @@
             }
             EndKind::Failed if !long_running => {
                 task.failures += 1;
-                let attempts_exhausted = task.failures >= attempts_max;
+                let failures = task.failures;
+                let attempts_exhausted = failures >= attempts_max;
+                log::info!(
+                    "event=run.fail task={id} run={} runner={} failures={failures} \
+                     attempts_max={attempts_max}",
+                    end.run,
+                    self.runner(key).info.id
+                );
                 self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF), now);
                 self.count_failed_run(key, now);
                 if attempts_exhausted && !self.is_final(id) {
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -1,7 +1,13 @@
 //! Tasks that have not run for long although nothing seems to prevent it.
 
-use super::{place::satisfies_constraints, Engine, Job, Stage, State, Step};
-use crate::{fleet::Runner, RunnerState, TaskId};
+use super::{
+    place::{idle_cpu_millis, satisfies_constraints},
+    Engine, Job, Stage, State, Step,
+};
+use crate::{
+    fleet::{Claim, Runner},
+    RunnerState, TaskId,
+};
 use std::{
     collections::{BTreeMap, HashMap},
     fmt,
@@ -49,6 +55,8 @@
     NotPlaced {
         /// Runners that may be given new tasks.
         schedulable: usize,
+        /// Runners that a best-effort task is kept off for its interference.
+        interfering: usize,
         /// Runners that are backed off from or refused such a demand.
         backing_off: usize,
         /// Runners without a recent report.
@@ -83,11 +91,13 @@
             Self::NotQueued => out.write_str("cause=not_queued"),
             Self::NotPlaced {
                 schedulable,
+                interfering,
                 backing_off,
                 silent,
             } => write!(
                 out,
-                "cause=not_placed schedulable={schedulable} backing_off={backing_off} silent={silent}"
+                "cause=not_placed schedulable={schedulable} interfering={interfering} \
+                 backing_off={backing_off} silent={silent}"
             ),
             Self::NotRunning {
                 runner,
@@ -104,8 +114,7 @@
 impl Engine {
     /// Lists tasks whose turn has come and that have not run for at least `min`, as far as earlier
     /// calls saw. A queued task is listed only if a ready runner has free capacity for it in two
-    /// calls in a row; best-effort tasks are not listed, as capacity alone does not decide about
-    /// them.
+    /// calls in a row, which for a best-effort task includes idle processors.
     pub fn stalled(&mut self, min: Duration, now: Instant) -> Vec<Stalled> {
         let idle = self.idle_tasks();
         let mut seen = std::mem::take(&mut self.idle_tasks);
@@ -154,9 +163,7 @@
                         step: step as u16,
                         index,
                     };
-                    if !job.spec.steps[step].best_effort {
-                        idle.extend(idle_tasks_of(state).map(|(at, run)| (task_id(at), run)));
-                    }
+                    idle.extend(idle_tasks_of(state).map(|(at, run)| (task_id(at), run)));
                 }
             }
         }
@@ -194,6 +201,9 @@
     fn not_placed(&self, job: &Job, id: TaskId, now: Instant) -> Option<StallCause> {
         let step = &job.spec.steps[usize::from(id.step)];
         let siblings = self.siblings(id);
+        let image = self.image_keys.get(&step.image);
+        let claim = image.map(|&image| Claim::new(step, image, now));
+        let idle_needed = claim.map_or(0, |it| i64::from(it.best_effort_cpu_millis));
         let fits = |(at, runner): &(usize, &Runner)| {
             let key = crate::fleet::RunnerKey(*at as u32);
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
@@ -201,20 +211,29 @@
                 && runner.info.state == RunnerState::Ready
                 && runner.info.service == job.service
                 && satisfies_constraints(step, runner, sibling_count)
+                && (idle_needed == 0 || idle_cpu_millis(runner) >= idle_needed)
         };
-        let (mut schedulable, mut backing_off, mut silent) = (0, 0, 0);
+        let (mut schedulable, mut interfering) = (0, 0);
+        let (mut backing_off, mut silent) = (0, 0);
         for (_, runner) in self.runners.iter().enumerate().filter(fits) {
             let admits = runner.backoff.admits(step.claim(), now);
             if self.is_schedulable(runner, now) && admits {
-                schedulable += 1;
+                let penalty = |claim| self.interference_penalty(runner, &claim);
+                if claim.is_some_and(|it| penalty(it).is_none()) {
+                    interfering += 1;
+                } else {
+                    schedulable += 1;
+                }
             } else if !runner.backoff.is_over(now) || !admits {
                 backing_off += 1;
             } else {
                 silent += 1;
             }
         }
-        (schedulable + backing_off + silent > 0).then_some(StallCause::NotPlaced {
+        let ready = schedulable + interfering + backing_off + silent;
+        (ready > 0).then_some(StallCause::NotPlaced {
             schedulable,
+            interfering,
             backing_off,
             silent,
         })
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -1,4 +1,4 @@
-use crate::{engine::Backoff, JobId, TaskId};
+use crate::{engine::Backoff, JobId, StepSpec, TaskId};
 use persimmon_types::Size;
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -110,6 +110,26 @@
     pub(crate) placed_at: Instant,
 }
 
+impl Claim {
+    /// The claim of an unthrottled run of a step whose image has this key.
+    pub(crate) fn new(step: &StepSpec, image: ImageKey, placed_at: Instant) -> Self {
+        let best_effort_cpu_millis = if step.best_effort {
+            step.size.cpu_millis
+        } else {
+            0
+        };
+        Self {
+            size: step.claim(),
+            best_effort_cpu_millis,
+            latency_critical: step.is_latency_critical(),
+            image,
+            percent: Some(100),
+            throttle_due_at: None,
+            placed_at,
+        }
+    }
+}
+
 /// Interned name of an image.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct ImageKey(pub(crate) u32);
--- a/crates/persimmon-sched/tests/all/stalled.rs
+++ b/crates/persimmon-sched/tests/all/stalled.rs
@@ -1,5 +1,5 @@
-use crate::support::{job, starts, step, task, TestEngine};
-use persimmon_sched::{Answer, StallCause, StepSpec};
+use crate::support::{job, listed, starts, step, task, TestEngine};
+use persimmon_sched::{Answer, RunStatus, StallCause, StepSpec};
 use std::time::Duration;
 
 const MIN: Duration = Duration::from_secs(4);
@@ -54,6 +54,7 @@
     assert!(causes(&mut harness).is_empty(), "the runner is new");
     let cause = StallCause::NotPlaced {
         schedulable: 0,
+        interfering: 0,
         backing_off: 0,
         silent: 1,
     };
@@ -74,8 +75,42 @@
     );
     let cause = StallCause::NotPlaced {
         schedulable: 0,
+        interfering: 0,
         backing_off: 1,
         silent: 0,
     };
     assert_eq!(causes(&mut harness), [cause]);
 }
+
+#[test]
+fn best_effort_task_kept_off_by_a_tail_latency_is_stalled() {
+    let mut harness = TestEngine::with_runners(&["a"], 10_000);
+    harness.submit(job(1, vec![serving_step()]));
+    harness.round();
+    harness.answer_start(task(1, 0, 0), 1, Answer::Started);
+    let over_target = RunStatus {
+        measurement: 200,
+        ..listed(task(1, 0, 0), 1)
+    };
+    harness.report("a", vec![over_target.clone()]);
+    let best_effort = StepSpec {
+        best_effort: true,
+        ..step(1)
+    };
+    harness.submit(job(2, vec![best_effort]));
+    assert!(starts(&harness.round()).is_empty());
+    causes(&mut harness);
+    harness.advance(4_000);
+    harness.report("a", vec![over_target]);
+    assert!(
+        causes(&mut harness).is_empty(),
+        "it may be placed in the next pass"
+    );
+    let cause = StallCause::NotPlaced {
+        schedulable: 0,
+        interfering: 1,
+        backing_off: 0,
+        silent: 0,
+    };
+    assert_eq!(causes(&mut harness), [cause]);
+}
