test(sched): best-effort tasks that wait without a bound though there is room for them

Interference that was predicted too high, reserved processors that are not used, and a demand above what any runner leaves each keep a best-effort task out for good.

--- /dev/null
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -0,0 +1,343 @@
+//! Best-effort tasks run within a bound, beside latency-critical tasks that they may slow down.
+
+use crate::support::{job, report, runner, size, step, task, TestEngine};
+use persimmon_sched::{
+    Answer, End, EndKind, JobId, Learned, Order, Phase, RunStatus, StepSpec, TaskId,
+};
+use std::collections::VecDeque;
+
+/// Time within which a task runs while there are no faults and a runner has room for it.
+const PLACED_WITHIN_MS: u64 = 3_000;
+/// Time for which the tail latency of a task may be over its target because of best-effort work.
+const HARM_MAX_MS: u64 = 4_000;
+const ROUND_MS: u64 = 100;
+/// Rounds between two reports of a runner.
+const REPORT_ROUNDS: u64 = 3;
+/// Rounds that a measurement covers.
+const MEASURED_ROUNDS: usize = 5;
+const TARGET_MS: u64 = 1_000;
+const RUNNER_CPU_MILLIS: u32 = 10_000;
+/// Largest weight that is learned.
+const WEIGHT_MAX: f64 = 12.0;
+
+fn serving_step() -> StepSpec {
+    StepSpec {
+        image: "serving".to_owned(),
+        tail_target_ms: TARGET_MS,
+        long_running: true,
+        per_runner_max: 1,
+        ..step(1)
+    }
+}
+
+fn best_effort(count: u32, cpu_millis: u32) -> StepSpec {
+    StepSpec {
+        image: "batch".to_owned(),
+        best_effort: true,
+        size: size(cpu_millis),
+        ..step(count)
+    }
+}
+
+struct Run {
+    task: TaskId,
+    run: u32,
+    percent: u64,
+    cpu_millis: u32,
+    /// Time until it is done at full use.
+    left_ms: Option<u64>,
+}
+
+impl Run {
+    fn used_millis(&self) -> u64 {
+        u64::from(self.cpu_millis) * self.percent / 100
+    }
+}
+
+/// A runner whose tail latencies rise with the processor use of best-effort runs.
+struct Worker {
+    id: String,
+    runs: Vec<Run>,
+    ends: Vec<End>,
+    /// Ratio of tail latency to target without best-effort work.
+    own_ratio: f64,
+    /// Ratio and best-effort use in the latest rounds.
+    measured: VecDeque<(f64, u64)>,
+    fails_all: bool,
+    /// For how long a tail has been over its target because of best-effort work.
+    harm_ms: u64,
+    harm_most_ms: u64,
+}
+
+struct Fleet {
+    harness: TestEngine,
+    workers: Vec<Worker>,
+    /// Logarithm of the rise of the tails by best-effort work that uses all processors.
+    weight: f64,
+    /// Run time of best-effort tasks at full use.
+    run_ms: u64,
+    rounds: u64,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let mut harness = TestEngine::new();
+        let worker = |at| Worker {
+            id: format!("w{at}"),
+            runs: Vec::new(),
+            ends: Vec::new(),
+            own_ratio: 0.5,
+            measured: VecDeque::new(),
+            fails_all: false,
+            harm_ms: 0,
+            harm_most_ms: 0,
+        };
+        let workers: Vec<_> = (0..count).map(worker).collect();
+        for worker in &workers {
+            harness.add_runner(&worker.id, RUNNER_CPU_MILLIS);
+        }
+        Self {
+            harness,
+            workers,
+            weight: 0.0,
+            run_ms: 1_000,
+            rounds: 0,
+        }
+    }
+
+    /// As [`Self::new`], with a latency-critical task on each runner.
+    fn serving(count: usize) -> Self {
+        let mut fleet = Self::new(count);
+        for at in 0..count {
+            let label = format!("w{at}");
+            let mut info = runner(&label, RUNNER_CPU_MILLIS);
+            info.labels.push(label.clone());
+            fleet.harness.engine.update_runner(info, fleet.harness.now);
+            let serving = StepSpec {
+                constraint: Some(label),
+                ..serving_step()
+            };
+            fleet.harness.submit(job(1_000 + at as u64, vec![serving]));
+        }
+        fleet.rounds(1_000);
+        assert!(fleet.workers.iter().all(|it| it.runs.len() == 1));
+        fleet
+    }
+
+    fn restore_weight(&mut self, weight: f64) {
+        let weight = ("serving".to_owned(), "batch".to_owned(), weight);
+        self.harness.engine.restore_learned(Learned {
+            interference_weights: vec![weight],
+            ..Learned::default()
+        });
+    }
+
+    fn rounds(&mut self, ms: u64) {
+        for _ in 0..ms / ROUND_MS {
+            self.round();
+        }
+    }
+
+    fn round(&mut self) {
+        self.harness.advance(ROUND_MS);
+        self.rounds += 1;
+        for at in 0..self.workers.len() {
+            let weight = self.weight;
+            self.workers[at].work(weight);
+            if self.rounds % REPORT_ROUNDS == at as u64 % REPORT_ROUNDS {
+                self.report(at);
+            }
+        }
+        for order in self.harness.round() {
+            self.execute(order);
+        }
+    }
+
+    fn report(&mut self, at: usize) {
+        let worker = &self.workers[at];
+        let rounds = worker.measured.len().max(1);
+        let tail: f64 = worker.measured.iter().map(|it| it.0).sum::<f64>() / rounds as f64;
+        let status = |run: &Run| RunStatus {
+            task: run.task,
+            run: run.run,
+            checkpoint: String::new(),
+            measurement: if run.task.job.0 >= 1_000 {
+                (tail * TARGET_MS as f64) as u64
+            } else {
+                run.used_millis()
+            },
+            percent: run.percent as u8,
+        };
+        let mut report = report(
+            self.harness.clock_ms(),
+            worker.runs.iter().map(status).collect(),
+        );
+        report.ended.clone_from(&worker.ends);
+        let (id, now) = (worker.id.clone(), self.harness.now);
+        self.harness.engine.lease_deadline_ms(&id, now);
+        self.harness.engine.handle_report(&id, &report, now, now);
+    }
+
+    fn execute(&mut self, order: Order) {
+        let now = self.harness.now;
+        let runner = order.runner().to_owned();
+        let found = self.workers.iter_mut().find(|it| it.id == runner);
+        let worker = found.expect("a known runner");
+        match order {
+            Order::Start { task, run, job, .. } => {
+                let step = &job.steps[usize::from(task.step)];
+                worker.runs.push(Run {
+                    task,
+                    run,
+                    percent: 100,
+                    cpu_millis: step.size.cpu_millis,
+                    left_ms: (!step.long_running).then_some(self.run_ms),
+                });
+                let engine = &mut self.harness.engine;
+                engine.handle_start_answer(task, run, Answer::Started, now);
+            }
+            Order::Stop { task, run, .. } => {
+                worker.runs.retain(|it| (it.task, it.run) != (task, run));
+                self.harness.engine.handle_stop_answer(task, run, now);
+            }
+            Order::Throttle {
+                task, run, percent, ..
+            } => {
+                let mut runs = worker.runs.iter_mut();
+                if let Some(it) = runs.find(|it| (it.task, it.run) == (task, run)) {
+                    it.percent = u64::from(percent);
+                }
+                let engine = &mut self.harness.engine;
+                engine.handle_throttle_answer(task, run, percent, now);
+            }
+        }
+    }
+
+    fn is_running(&self, id: TaskId) -> bool {
+        let mut runs = self.workers.iter().flat_map(|it| &it.runs);
+        runs.any(|it| it.task == id)
+    }
+
+    fn phase(&self, id: u64) -> Option<Phase> {
+        self.harness.engine.phase(JobId(id))
+    }
+
+    fn harm_most_ms(&self) -> u64 {
+        let each = self.workers.iter().map(|it| it.harm_most_ms);
+        each.max().unwrap_or(0)
+    }
+}
+
+impl Worker {
+    /// Lets its runs go on for a round.
+    fn work(&mut self, weight: f64) {
+        let is_serving = |run: &&Run| run.task.job.0 >= 1_000;
+        let batch_runs = self.runs.iter().filter(|it| !is_serving(it));
+        let used: u64 = batch_runs.map(Run::used_millis).sum();
+        let share = used as f64 / f64::from(RUNNER_CPU_MILLIS);
+        let ratio = self.own_ratio * (weight * share).exp();
+        self.measured.push_back((ratio, used));
+        if self.measured.len() > MEASURED_ROUNDS {
+            self.measured.pop_front();
+        }
+        let is_harmed = ratio > 1.0 && self.own_ratio < 1.0 && used > 0;
+        self.harm_ms = if is_harmed {
+            self.harm_ms + ROUND_MS
+        } else {
+            0
+        };
+        self.harm_most_ms = self.harm_most_ms.max(self.harm_ms);
+        let fails_all = self.fails_all;
+        let mut ended = Vec::new();
+        self.runs.retain_mut(|run| {
+            let Some(left_ms) = &mut run.left_ms else {
+                return true;
+            };
+            *left_ms = left_ms.saturating_sub(ROUND_MS * run.percent / 100);
+            let ends = fails_all || *left_ms == 0;
+            if ends {
+                ended.push((run.task, run.run));
+            }
+            !ends
+        });
+        for (task, run) in ended {
+            self.ends.push(End {
+                number: self.ends.len() as u64 + 1,
+                task,
+                run,
+                kind: if fails_all {
+                    EndKind::Failed
+                } else {
+                    EndKind::Done
+                },
+                checkpoint: String::new(),
+            });
+        }
+    }
+}
+
+#[test]
+fn weight_that_is_too_high_does_not_keep_an_image_off_all_runners() {
+    let mut fleet = Fleet::serving(3);
+    fleet.restore_weight(WEIGHT_MAX);
+    fleet.harness.submit(job(1, vec![best_effort(1, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    let ran = fleet.is_running(task(1, 0, 0)) || fleet.phase(1) == Some(Phase::Completed);
+    assert!(ran);
+}
+
+/// Each run shows that the image does not interfere.
+#[test]
+fn weight_that_is_too_high_is_corrected_by_runs_of_the_image() {
+    let mut fleet = Fleet::serving(3);
+    fleet.restore_weight(WEIGHT_MAX);
+    fleet.harness.submit(job(1, vec![best_effort(30, 3_000)]));
+    fleet.rounds(60_000);
+    assert_eq!(fleet.phase(1), Some(Phase::Completed));
+}
+
+#[test]
+fn trials_of_an_image_that_interferes_harm_no_tail_for_long() {
+    for checkpointing in [false, true] {
+        let mut fleet = Fleet::serving(3);
+        fleet.run_ms = 3_000;
+        fleet.weight = 4.0;
+        for id in 1..=10 {
+            let batch = StepSpec {
+                checkpointing,
+                ..best_effort(4, 3_000)
+            };
+            fleet.harness.submit(job(id, vec![batch]));
+        }
+        fleet.rounds(60_000);
+        let harm_ms = fleet.harm_most_ms();
+        assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms");
+    }
+}
+
+/// Reserved processor time is left to best-effort work while it is not used.
+#[test]
+fn reserved_but_idle_processors_do_not_shut_best_effort_work_out() {
+    let mut fleet = Fleet::new(1);
+    let reserving = StepSpec {
+        long_running: true,
+        size: size(RUNNER_CPU_MILLIS),
+        ..step(1)
+    };
+    fleet.harness.submit(job(1, vec![reserving]));
+    fleet.rounds(1_000);
+    fleet.workers[0].runs[0].percent = 1;
+    fleet.rounds(1_000);
+    fleet.harness.submit(job(2, vec![best_effort(1, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    assert!(fleet.is_running(task(2, 0, 0)) || fleet.phase(2) == Some(Phase::Completed));
+}
+
+#[test]
+fn best_effort_task_that_asks_for_more_than_a_runner_has_runs_on_what_is_idle() {
+    let mut fleet = Fleet::serving(2);
+    let large = best_effort(1, 2 * RUNNER_CPU_MILLIS);
+    fleet.harness.submit(job(1, vec![large]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    assert!(fleet.is_running(task(1, 0, 0)) || fleet.phase(1) == Some(Phase::Completed));
+}
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler.
 
+mod best_effort;
 mod commit_order;
 mod engine;
 mod id;
