feat(entry): log how far a group's jobs are read while it is not served

A taker logged group.take and then nothing until all of its records were read, however long that took. It now logs group.loading every 2 s, with the time since the takeover and the items, pages, bytes and failed calls so far. A listing logs its bytes, failures and duration, group.read the number of ended jobs and the time since the takeover, learned.read the bytes.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -2,12 +2,14 @@
 use crate::{
     keys::{self, JobKey},
     platform::{Change, Item, Platform},
-    prefix_watch::{self, WatchEvent, WatchOptions},
+    prefix_watch::{self, ListProgress, WatchEvent, WatchOptions},
     requests::{AcceptedJob, Submission},
 };
 use persimmon_sched::{JobId, Record, StoredRecord};
 use std::{
+    cell::Cell,
     collections::{BTreeSet, HashMap},
+    convert::Infallible,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -20,6 +22,9 @@
     confirms_backlog: false,
 };
 
+/// Interval at which an owner that does not serve its group yet is logged.
+const LOADING_LOG_INTERVAL: Duration = Duration::from_secs(2);
+
 #[derive(Default)]
 struct StoredJob {
     job: Option<AcceptedJob>,
@@ -32,7 +37,11 @@
     /// watch it from.
     pub(super) async fn load(&self) -> (BTreeSet<String>, u64) {
         let prefix = keys::jobs(self.id);
-        let (items, revision) = prefix_watch::list(&self.shared, &prefix).await;
+        let progress = Cell::default();
+        let (items, revision) = tokio::select! {
+            loaded = prefix_watch::list(&self.shared, &prefix, &progress) => loaded,
+            never = self.log_loading(&progress) => match never {},
+        };
         let inbox = keys::inbox(self.id);
         let keys = items.iter().map(|item| item.key.clone());
         let known = keys.filter(|key| key.starts_with(&inbox)).collect();
@@ -40,10 +49,14 @@
         for item in items {
             self.add_item(&item, &mut jobs);
         }
+        let has_ended =
+            |job: &&StoredJob| matches!(&job.stored, Some(it) if it.record.phase.is_final());
         log::info!(
-            "event=group.read group={} jobs={} revision={revision}",
+            "event=group.read group={} jobs={} ended_jobs={} revision={revision} duration_ms={}",
             self.id.0,
-            jobs.len()
+            jobs.len(),
+            jobs.values().filter(has_ended).count(),
+            self.owned_for().as_millis()
         );
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
         for (id, stored) in jobs {
@@ -58,6 +71,25 @@
         (known, revision)
     }
 
+    /// Logs periodically how far the jobs are read while the group is not served yet. Never
+    /// returns.
+    async fn log_loading(&self, progress: &Cell<ListProgress>) -> Infallible {
+        loop {
+            tokio::time::sleep(LOADING_LOG_INTERVAL).await;
+            log::warn!(
+                "event=group.loading group={} fence={} owned_for_ms={} {}",
+                self.id.0,
+                self.fencing_token,
+                self.owned_for().as_millis(),
+                progress.get()
+            );
+        }
+    }
+
+    fn owned_for(&self) -> Duration {
+        self.shared.now().saturating_duration_since(self.started_at)
+    }
+
     fn add_item(&self, item: &Item, jobs: &mut HashMap<JobId, StoredJob>) {
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
--- a/crates/persimmon-entry/src/group/learned.rs
+++ b/crates/persimmon-entry/src/group/learned.rs
@@ -20,6 +20,11 @@
         let Some(item) = item else {
             return;
         };
+        log::info!(
+            "event=learned.read group={} bytes={}",
+            self.id.0,
+            item.value.len()
+        );
         match postcard::from_bytes(&item.value) {
             Ok(learned) => self.engine.borrow_mut().restore_learned(learned),
             Err(err) => log::error!("event=learned.invalid key={} fault=\"{err}\"", item.key),
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -5,7 +5,9 @@
     state::Shared,
 };
 use std::{
+    cell::Cell,
     collections::BTreeSet,
+    fmt,
     time::{Duration, Instant},
 };
 
@@ -44,25 +46,59 @@
     );
 }
 
+/// How far a list has been read.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ListProgress {
+    pages: u32,
+    items: usize,
+    /// Bytes of keys and values.
+    bytes: usize,
+    failures: u32,
+}
+
+impl ListProgress {
+    fn add_page(&mut self, page: &Page) {
+        self.pages += 1;
+        self.items += page.items.len();
+        let sizes = page.items.iter().map(|it| it.key.len() + it.value.len());
+        self.bytes += sizes.sum::<usize>();
+    }
+}
+
+impl fmt::Display for ListProgress {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            out,
+            "items={} pages={} bytes={} failures={}",
+            self.items, self.pages, self.bytes, self.failures
+        )
+    }
+}
+
 /// Reads all items under `prefix`. Returns them with the revision to watch from. A page that can't
 /// be read is retried, so that a long list makes progress however often a call fails.
-pub(crate) async fn list<P: Platform>(shared: &Shared<P>, prefix: &str) -> (Vec<Item>, u64) {
+pub(crate) async fn list<P: Platform>(
+    shared: &Shared<P>,
+    prefix: &str,
+    progress: &Cell<ListProgress>,
+) -> (Vec<Item>, u64) {
+    let started_at = shared.now();
     let mut items: Vec<Item> = Vec::new();
     let mut revision = None;
-    let mut pages = 0;
     loop {
         let after = items.last().map_or("", |item| item.key.as_str());
-        let page = read_page(shared, prefix, after).await;
+        let page = read_page(shared, prefix, after, progress).await;
         // The pages are not one snapshot: changes made while they are read are covered by watching
         // from the revision of the first page.
         let first_revision = *revision.get_or_insert(page.revision);
         let is_empty = page.items.is_empty();
         items.extend(page.items);
-        pages += 1;
         if !page.has_more || is_empty {
+            let duration = shared.now().saturating_duration_since(started_at);
             log::info!(
-                "event=store.list prefix={prefix} items={} pages={pages}",
-                items.len()
+                "event=store.list prefix={prefix} {} duration_ms={}",
+                progress.get(),
+                duration.as_millis()
             );
             return (items, first_revision);
         }
@@ -70,17 +106,27 @@
 }
 
 /// Reads the page of items under `prefix` that begins after the key `after`.
-async fn read_page<P: Platform>(shared: &Shared<P>, prefix: &str, after: &str) -> Page {
+async fn read_page<P: Platform>(
+    shared: &Shared<P>,
+    prefix: &str,
+    after: &str,
+    progress: &Cell<ListProgress>,
+) -> Page {
     let mut failures = 0;
     let mut retry_delay = RetryDelay::new(RETRY_DELAY);
     loop {
+        let mut known = progress.get();
         match shared.platform.range(prefix, after).await {
             Ok(page) => {
                 shared.record_store_answer();
+                known.add_page(&page);
+                progress.set(known);
                 return page;
             }
             Err(err) => {
                 failures += 1;
+                known.failures += 1;
+                progress.set(known);
                 log_failure("store.list", prefix, failures, &err);
                 tokio::time::sleep(retry_delay.after(&err)).await;
             }
@@ -133,7 +179,7 @@
     on_event: &mut impl FnMut(WatchEvent),
 ) -> (BTreeSet<String>, u64) {
     let called_at = shared.now();
-    let (items, revision) = list(shared, prefix).await;
+    let (items, revision) = list(shared, prefix, &Cell::default()).await;
     let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
     for key in known_before.difference(&known) {
         on_event(WatchEvent::Changed(Change::Removed {
