fix(sched): place a best-effort step on trial after 2 s of being held back by estimates

Callers saw a best-effort task wait for as long as nothing of its image ran, with room for it. Three estimates had no bound in time: the predicted interference (a weight that was learned too high, or that of an image never seen, is only corrected by runs of the image), the idle processors (reserved ones counted as busy although their runs do not use them), and the size of the demand (above what any runner leaves it never fits). The engine did not know for how long a step had been held back.

A step now knows since when its ready tasks fit nowhere. After 2 s one of them is placed on trial: where the predicted harm is least, each measured tail latency is below the threshold at which runs give way, the measured use leaves the demand or half of the runner idle, and no other trial began within 4 s. The effect is measured and the run throttled, paused or evicted like any other, and what it shows corrects the weight. A runner without latency-critical tasks is never ruled out by interference, as before. The wait bounds each step, not each of its tasks: a step of which runs end goes on as they do, and one of which all runs interfere takes a trial each 2 s.

Letting weights lose force with age was ruled out: all runners would admit all waiting tasks of an image in one pass.

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -1,7 +1,10 @@
 //! Interference of best-effort runs with latency-critical ones: limits where best-effort runs are
 //! placed, and throttles, pauses or evicts them when a tail latency nears its target.
 
-use super::{place::idle_cpu_millis, Engine, Order, Stage};
+use super::{
+    place::{idle_cpu_millis, measured_idle_cpu_millis, Admission},
+    Engine, Order, Stage,
+};
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, TailLatency},
     RunStatus, TaskId,
@@ -40,6 +43,13 @@
 /// Penalty on the score of a runner for each unit of predicted rise, in thousandths of a core.
 const RISE_PENALTY: f64 = 50_000.0;
 
+/// Minimum interval between two trials on a runner with latency-critical tasks: longer than it takes
+/// to measure the effect of one and to end it.
+const TRIAL_INTERVAL_MIN: Duration = Duration::from_secs(4);
+/// Penalty on the score of a runner on trial for each unit by which the logarithm of a tail latency
+/// is predicted to exceed that of [`PLACEMENT_RATIO_MAX`]; it outweighs idle processors.
+const TRIAL_EXCESS_PENALTY: f64 = 10_000_000.0;
+
 /// Penalty on the score of a runner for each other latency-critical image on it, larger than any
 /// difference in free resources. Images are sensitive to different batch work: keeping them apart
 /// leaves more runners on which a given batch image does not interfere.
@@ -111,6 +121,7 @@
             let service = ServiceKey(tail.image.0);
             self.interference.learn(service, tail.ratio, &used);
         }
+        self.record_use(key, running, now);
         let runner = self.runner_mut(key);
         runner.tails = tails;
         runner
@@ -122,6 +133,20 @@
         }
     }
 
+    /// Records how much of the processors each run uses. A measurement of a run that was placed
+    /// just before covers only part of its time.
+    fn record_use(&mut self, key: RunnerKey, running: &[RunStatus], now: Instant) {
+        let runner = self.runner_mut(key);
+        for status in running {
+            if let Some(claim) = runner.claims.get_mut(&(status.task, status.run)) {
+                let is_measured =
+                    !claim.latency_critical && claim.placed_at + MEASUREMENT_DELAY <= now;
+                let cpu_millis = u32::try_from(status.measurement).unwrap_or(u32::MAX);
+                claim.measured_cpu_millis = is_measured.then_some(cpu_millis);
+            }
+        }
+    }
+
     fn measurements(
         &self,
         key: RunnerKey,
@@ -322,9 +347,18 @@
 
     /// Penalty on the score of a runner due to interference with a claim; `None` if the claim must
     /// not be placed there.
-    pub(crate) fn interference_penalty(&self, runner: &Runner, claim: &Claim) -> Option<i64> {
+    pub(crate) fn interference_penalty(
+        &self,
+        runner: &Runner,
+        claim: &Claim,
+        admission: Admission,
+        now: Instant,
+    ) -> Option<i64> {
         if claim.best_effort_cpu_millis > 0 {
-            return self.best_effort_penalty(runner, claim);
+            return match admission {
+                Admission::Predicted => self.best_effort_penalty(runner, claim),
+                Admission::Trial => self.trial_penalty(runner, claim, now),
+            };
         }
         if !claim.latency_critical {
             return Some(0);
@@ -348,16 +382,9 @@
             return None;
         }
         let ln_safe = PLACEMENT_RATIO_MAX.ln();
-        let class = ClassKey(claim.image.0);
-        let share = runner.share(claim);
         let mut total = 0.0;
         for tail in &runner.tails {
-            let service = ServiceKey(tail.image.0);
-            let rise = self.interference.weight(service, class) * share;
-            let unmeasured = runner.unmeasured.iter();
-            let unmeasured = unmeasured
-                .map(|it| self.interference.weight(service, ClassKey(it.image.0)) * it.share);
-            let all = rise + unmeasured.sum::<f64>();
+            let (rise, all) = self.predicted_rises(runner, tail, claim);
             if all >= ATTRIBUTED_RISE_MIN && tail.ln_ratio + all >= ln_safe {
                 return None;
             }
@@ -366,6 +393,43 @@
         Some((total * RISE_PENALTY) as i64)
     }
 
+    /// As [`Self::best_effort_penalty`] for a run on trial. Its effect is measured and acted upon
+    /// like that of any other run, so it is kept off only where the measurement would not tell, and
+    /// where measured use leaves it little to run on.
+    fn trial_penalty(&self, runner: &Runner, claim: &Claim, now: Instant) -> Option<i64> {
+        let capacity = i64::from(runner.info.capacity.cpu_millis);
+        let needed = i64::from(claim.best_effort_cpu_millis).min(capacity / 2);
+        if measured_idle_cpu_millis(runner) < needed {
+            return None;
+        }
+        if runner.tails.iter().any(|tail| tail.ratio >= THROTTLE_RATIO) {
+            return None;
+        }
+        let is_trial_recent = |at: Instant| now < at + TRIAL_INTERVAL_MIN;
+        if !runner.tails.is_empty() && runner.trial_at.is_some_and(is_trial_recent) {
+            return None;
+        }
+        let ln_safe = PLACEMENT_RATIO_MAX.ln();
+        let (mut total, mut excess) = (0.0, 0.0_f64);
+        for tail in &runner.tails {
+            let (rise, all) = self.predicted_rises(runner, tail, claim);
+            excess = excess.max(tail.ln_ratio + all - ln_safe);
+            total += rise;
+        }
+        Some((total * RISE_PENALTY + excess * TRIAL_EXCESS_PENALTY) as i64)
+    }
+
+    /// Predicted rise of the logarithm of a tail latency by a best-effort run, and by that run and
+    /// all that are not reflected in measurements yet.
+    fn predicted_rises(&self, runner: &Runner, tail: &TailLatency, claim: &Claim) -> (f64, f64) {
+        let service = ServiceKey(tail.image.0);
+        let weight = |image: ImageKey| self.interference.weight(service, ClassKey(image.0));
+        let rise = weight(claim.image) * runner.share(claim);
+        let unmeasured = runner.unmeasured.iter();
+        let unmeasured = unmeasured.map(|it| weight(it.image) * it.share);
+        (rise, rise + unmeasured.sum::<f64>())
+    }
+
     /// Maximum processor shares of the best-effort runs on a runner.
     fn best_effort_shares(runner: &Runner) -> Vec<(ClassKey, f64)> {
         let claims = runner.claims.values();
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -39,6 +39,8 @@
     pub(crate) tasks: Vec<Task>,
     pub(crate) done: u32,
     pub(crate) open: bool,
+    /// Since when ready tasks of a best-effort step fit nowhere, while none of them was placed.
+    pub(crate) held_since: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -115,6 +117,7 @@
             tasks: vec![Task::new(); count],
             done: 0,
             open: false,
+            held_since: None,
         }
     }
 
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -6,7 +6,10 @@
     fleet::{Claim, Runner, RunnerKey},
     Phase, StepSpec, TaskId,
 };
-use std::{collections::HashMap, time::Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 /// A result is worthless to its caller after this multiple of the time budget.
 const OVERDUE_FACTOR: u64 = 3;
@@ -15,6 +18,27 @@
 /// otherwise outlast the owner's session, and that of each owner after it.
 const RUNNER_CHECKS_MAX: usize = 600_000;
 
+/// Time for which a best-effort step is held back by estimates before one of its tasks is placed on
+/// trial; a task counts as lost after 3 s, and its commit and start take part of them.
+const TRIAL_AFTER: Duration = Duration::from_secs(2);
+
+/// Which runners a best-effort task may be placed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Admission {
+    /// Those on which it is predicted to fit and to do no harm.
+    Predicted,
+    /// Those on which its effect can be measured. Estimates of an image of which nothing runs are
+    /// never corrected otherwise.
+    Trial,
+}
+
+/// What a placement pass has found so far.
+struct Pass {
+    infeasible: InfeasibleDemands,
+    infeasible_trials: InfeasibleDemands,
+    choices_left: usize,
+}
+
 /// Placement order within a priority, first to last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -52,53 +76,58 @@
         if self.fenced || !self.is_listing_current(now) {
             return;
         }
-        let mut infeasible = InfeasibleDemands::default();
-        let mut choices_left = (RUNNER_CHECKS_MAX / self.runners.len().max(1)).max(1);
+        let mut pass = Pass {
+            infeasible: InfeasibleDemands::default(),
+            infeasible_trials: InfeasibleDemands::default(),
+            choices_left: (RUNNER_CHECKS_MAX / self.runners.len().max(1)).max(1),
+        };
         for candidate in self.candidates(wall_ms) {
-            let rejected = self.place_candidate(&candidate, &infeasible, &mut choices_left, now);
-            if let Some(rejected) = rejected {
-                infeasible.insert(rejected);
-            }
-            if choices_left == 0 {
+            self.place_candidate(&candidate, &mut pass, now);
+            if pass.choices_left == 0 {
                 return;
             }
         }
     }
 
-    /// Places the tasks of a candidate while they fit; returns their demand if one did not fit.
-    fn place_candidate(
-        &mut self,
-        candidate: &Candidate,
-        infeasible: &InfeasibleDemands,
-        choices_left: &mut usize,
-        now: Instant,
-    ) -> Option<Demand> {
+    /// Places the tasks of a candidate while they fit.
+    fn place_candidate(&mut self, candidate: &Candidate, pass: &mut Pass, now: Instant) {
         // All tasks of a step have the same demand.
         let first = candidate.first.task;
-        let claim = self.claim_of(first, now)?;
-        let demand = self.demand(first, &claim)?;
-        if infeasible.rules_out(&demand) {
-            return None;
+        let Some(claim) = self.claim_of(first, now) else {
+            return;
+        };
+        let Some(demand) = self.demand(first, &claim) else {
+            return;
+        };
+        let is_best_effort = demand.best_effort_cpu_millis > 0;
+        let mut is_rejected = pass.infeasible.rules_out(&demand);
+        if is_rejected && !is_best_effort {
+            return;
         }
-        let is_gang = self.step_of(first)?.gang;
+        let is_ruled_out = is_rejected;
         let ready = self.ready_tasks(candidate);
-        let (mut placed, mut is_rejected) = (0, false);
+        let mut placed = 0;
         for &id in &ready {
-            if *choices_left == 0 || is_rejected {
+            if pass.choices_left == 0 || is_rejected {
                 break;
             }
             if !self.may_place(id, now) {
                 continue;
             }
-            *choices_left -= 1;
-            let fits = if is_gang {
-                self.place_gang(id, claim, now)
-            } else {
-                self.place(id, claim, now)
-            };
+            pass.choices_left -= 1;
+            let fits = self.place(id, claim, Admission::Predicted, now);
             placed += usize::from(fits);
             is_rejected = !fits;
         }
+        if is_best_effort {
+            let was_held_since = self.hold_step(first, placed > 0, is_rejected, now);
+            if was_held_since.is_some_and(|at| now >= at + TRIAL_AFTER) {
+                placed += self.place_on_trial(&ready, claim, &demand, pass, now);
+            }
+        }
+        if is_rejected && !is_ruled_out {
+            pass.infeasible.insert(demand);
+        }
         if placed > 0 {
             log::info!(
                 "event=step.place job={} occurrence={} step={} priority={} urgency={:?} \
@@ -112,7 +141,57 @@
                 self.policy.version
             );
         }
-        is_rejected.then_some(demand)
+    }
+
+    /// Notes whether ready tasks of a best-effort step fit nowhere; returns since when that has been
+    /// so without a task placed.
+    fn hold_step(
+        &mut self,
+        id: TaskId,
+        has_placed: bool,
+        is_rejected: bool,
+        now: Instant,
+    ) -> Option<Instant> {
+        let step = self.step_mut(id)?;
+        if has_placed {
+            step.held_since = None;
+        }
+        if is_rejected {
+            step.held_since.get_or_insert(now);
+        }
+        step.held_since.filter(|_| is_rejected)
+    }
+
+    /// Places the first of the ready tasks of a step that was held back for long where its effect
+    /// can be measured; returns the number of tasks placed.
+    fn place_on_trial(
+        &mut self,
+        ready: &[TaskId],
+        claim: Claim,
+        demand: &Demand,
+        pass: &mut Pass,
+        now: Instant,
+    ) -> usize {
+        let Some(&id) = ready.iter().find(|&&id| self.may_place(id, now)) else {
+            return 0;
+        };
+        if pass.choices_left == 0 || pass.infeasible_trials.rules_out(demand) {
+            return 0;
+        }
+        pass.choices_left -= 1;
+        if !self.place(id, claim, Admission::Trial, now) {
+            pass.infeasible_trials.insert(demand.clone());
+            return 0;
+        }
+        self.hold_step(id, true, false, now);
+        if let Some(State::Placed { runner, .. }) = self.task(id).map(Task::state) {
+            self.runner_mut(runner).trial_at = Some(now);
+            log::info!(
+                "event=task.trial task={id} runner={}",
+                self.runner(runner).info.id
+            );
+        }
+        1
     }
 
     /// Lists the steps with ready tasks in placement order.
@@ -217,9 +296,12 @@
         }
     }
 
-    /// Places one task; `false` if it fits on no runner.
-    fn place(&mut self, id: TaskId, claim: Claim, now: Instant) -> bool {
-        let Some(key) = self.choose(id, &claim, now) else {
+    /// Places one task, or all tasks of a gang; `false` if it fits on no runner.
+    fn place(&mut self, id: TaskId, claim: Claim, admission: Admission, now: Instant) -> bool {
+        if self.step_of(id).is_some_and(|step| step.gang) {
+            return self.place_gang(id, claim, admission, now);
+        }
+        let Some(key) = self.choose(id, &claim, admission, now) else {
             return false;
         };
         self.assign(id, key, None, claim);
@@ -227,7 +309,7 @@
     }
 
     /// Places all tasks of a gang or none. They share the run number and the checkpoint.
-    fn place_gang(&mut self, id: TaskId, claim: Claim, now: Instant) -> bool {
+    fn place_gang(&mut self, id: TaskId, claim: Claim, admission: Admission, now: Instant) -> bool {
         let job = &self.jobs[&id.job];
         let tasks = &job.tasks[id.occurrence as usize][usize::from(id.step)].tasks;
         let waiting = |state| matches!(state, State::Waiting { .. });
@@ -243,7 +325,7 @@
                 ..id
             })
             .collect();
-        let Some(runners) = self.claim_for_gang(&members, run, claim, now) else {
+        let Some(runners) = self.claim_for_gang(&members, run, claim, admission, now) else {
             return false;
         };
         for (member, key) in members.into_iter().zip(runners) {
@@ -262,12 +344,14 @@
         members: &[TaskId],
         run: u32,
         claim: Claim,
+        admission: Admission,
         now: Instant,
     ) -> Option<Vec<RunnerKey>> {
         let mut siblings = HashMap::new();
         let mut runners = Vec::with_capacity(members.len());
         for &member in members {
-            let Some(key) = self.choose_beside(&siblings, member, &claim, now) else {
+            let chosen = self.choose_beside(&siblings, member, &claim, admission, now);
+            let Some(key) = chosen else {
                 break;
             };
             self.runner_mut(key).claim(member, run, claim);
@@ -303,7 +387,13 @@
     }
 
     /// Chooses the best runner for a task; `None` if it fits on none.
-    fn choose(&self, id: TaskId, claim: &Claim, now: Instant) -> Option<RunnerKey> {
+    fn choose(
+        &self,
+        id: TaskId,
+        claim: &Claim,
+        admission: Admission,
+        now: Instant,
+    ) -> Option<RunnerKey> {
         let step = self.step_of(id)?;
         let needs_siblings = step.rack_local || step.per_runner_max > 0;
         let siblings = if needs_siblings {
@@ -311,7 +401,7 @@
         } else {
             HashMap::new()
         };
-        self.choose_beside(&siblings, id, claim, now)
+        self.choose_beside(&siblings, id, claim, admission, now)
     }
 
     /// Chooses the best runner for a task while its step has this number of tasks on each.
@@ -320,6 +410,7 @@
         siblings: &HashMap<RunnerKey, u32>,
         id: TaskId,
         claim: &Claim,
+        admission: Admission,
         now: Instant,
     ) -> Option<RunnerKey> {
         let job = self.jobs.get(&id.job)?;
@@ -336,7 +427,8 @@
             {
                 continue;
             }
-            let Some(interference_penalty) = self.interference_penalty(runner, claim) else {
+            let interference_penalty = self.interference_penalty(runner, claim, admission, now);
+            let Some(interference_penalty) = interference_penalty else {
                 continue;
             };
             let score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
@@ -418,3 +510,16 @@
     let busy = others + latency_critical * LATENCY_CRITICAL_USE_PERCENT / 100;
     i64::from(runner.info.capacity.cpu_millis) - busy - i64::from(runner.best_effort_cpu_millis)
 }
+
+/// As [`idle_cpu_millis`], by what the runs used in the last report rather than by what they may use.
+pub(super) fn measured_idle_cpu_millis(runner: &Runner) -> i64 {
+    let busy = |claim: &Claim| {
+        if claim.latency_critical {
+            return i64::from(claim.size.cpu_millis) * LATENCY_CRITICAL_USE_PERCENT / 100;
+        }
+        let most = claim.size.cpu_millis + claim.best_effort_cpu_millis;
+        i64::from(claim.measured_cpu_millis.unwrap_or(most))
+    };
+    let busy: i64 = runner.claims.values().map(busy).sum();
+    i64::from(runner.info.capacity.cpu_millis) - busy
+}
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -1,7 +1,7 @@
 //! Tasks that have not run for long although nothing seems to prevent it.
 
 use super::{
-    place::{idle_cpu_millis, satisfies_constraints},
+    place::{idle_cpu_millis, satisfies_constraints, Admission},
     Engine, Job, Stage, State, Step,
 };
 use crate::{
@@ -218,7 +218,8 @@
         for (_, runner) in self.runners.iter().enumerate().filter(fits) {
             let admits = runner.backoff.admits(step.claim(), now);
             if self.is_schedulable(runner, now) && admits {
-                let penalty = |claim| self.interference_penalty(runner, &claim);
+                let penalty =
+                    |claim| self.interference_penalty(runner, &claim, Admission::Predicted, now);
                 if claim.is_some_and(|it| penalty(it).is_none()) {
                     interfering += 1;
                 } else {
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -102,6 +102,9 @@
     pub(crate) best_effort_cpu_millis: u32,
     pub(crate) latency_critical: bool,
     pub(crate) image: ImageKey,
+    /// Processor use in the last report, in thousandths of a core; `None` before the first one that
+    /// covers the run, and for a latency-critical run.
+    pub(crate) measured_cpu_millis: Option<u32>,
     /// CPU limit last ordered, in percent; 100 is unthrottled. `None` if an earlier owner may have
     /// ordered any.
     pub(crate) percent: Option<u8>,
@@ -123,6 +126,7 @@
             best_effort_cpu_millis,
             latency_critical: step.is_latency_critical(),
             image,
+            measured_cpu_millis: None,
             percent: Some(100),
             throttle_due_at: None,
             placed_at,
@@ -192,6 +196,8 @@
     pub(crate) tails: Vec<TailLatency>,
     /// Best-effort runs too recent to be reflected in measurements.
     pub(crate) unmeasured: Vec<UnmeasuredRun>,
+    /// When a best-effort run was last placed on trial.
+    pub(crate) trial_at: Option<Instant>,
     /// When runs were last throttled, evicted or unthrottled.
     pub(crate) throttled_at: Option<Instant>,
 }
@@ -277,6 +283,7 @@
             backoff: Backoff::default(),
             tails: Vec::new(),
             unmeasured: Vec::new(),
+            trial_at: None,
             throttled_at: None,
         }
     }
