test(sched): best-effort work stays shut out or paused beside a tail that it does not cause

With each tail at 1.3 of its target without best-effort work none is placed, and a run that was paused stays so for as long as the tail is at 0.9, 0.97 or 1.3. That work gives way once a tail would be under its target without it holds already, as nothing is placed, and guards the change to come.

--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -341,3 +341,57 @@
     fleet.rounds(PLACED_WITHIN_MS);
     assert!(fleet.is_running(task(1, 0, 0)) || fleet.phase(1) == Some(Phase::Completed));
 }
+
+#[test]
+fn tail_over_its_target_without_best_effort_work_does_not_shut_it_out() {
+    let mut fleet = Fleet::serving(3);
+    for worker in &mut fleet.workers {
+        worker.own_ratio = 1.3;
+    }
+    fleet.rounds(2_000);
+    fleet.harness.submit(job(1, vec![best_effort(1, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    let ran = fleet.is_running(task(1, 0, 0)) || fleet.phase(1) == Some(Phase::Completed);
+    assert!(ran);
+}
+
+#[test]
+fn run_beside_a_tail_over_its_target_without_it_is_not_paused_for_ever() {
+    for own_ratio in [0.9, 0.97, 1.3] {
+        let mut fleet = Fleet::serving(1);
+        fleet.restore_weight(0.0);
+        fleet.run_ms = 5_000;
+        fleet.harness.submit(job(1, vec![best_effort(1, 3_000)]));
+        fleet.rounds(1_000);
+        assert!(fleet.is_running(task(1, 0, 0)));
+        fleet.weight = 1.0;
+        fleet.workers[0].own_ratio = 1.3;
+        fleet.rounds(5_000);
+        fleet.workers[0].own_ratio = own_ratio;
+        fleet.rounds(120_000);
+        assert_eq!(fleet.phase(1), Some(Phase::Completed), "{own_ratio}");
+        assert!(fleet.harm_most_ms() < HARM_MAX_MS, "{own_ratio}");
+    }
+}
+
+/// The tail was over its target without best-effort work, then only with it.
+#[test]
+fn best_effort_work_gives_way_once_a_tail_would_be_under_its_target_without_it() {
+    for rounds_over in 0..40 {
+        let mut fleet = Fleet::serving(2);
+        fleet.run_ms = 600_000;
+        fleet.weight = 3.0;
+        for worker in &mut fleet.workers {
+            worker.own_ratio = 1.3;
+        }
+        fleet.rounds(2_000);
+        fleet.harness.submit(job(1, vec![best_effort(4, 3_000)]));
+        fleet.rounds(4_000 + rounds_over * ROUND_MS);
+        for worker in &mut fleet.workers {
+            worker.own_ratio = 0.8;
+        }
+        fleet.rounds(20_000);
+        let harm_ms = fleet.harm_most_ms();
+        assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms after {rounds_over}");
+    }
+}
