test(entry): an owner whose link carries no full page in time never serves

The in-memory store now bounds a page as the platform's does, and can limit how fast answers arrive. Fails: the owner asks for the same page for ever.

--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -34,6 +34,18 @@
 /// Value of the key of a runner that drains.
 pub(crate) const DRAINING: &[u8] = b"draining";
 
+/// Limits of a page.
+const PAGE_ITEMS_MAX: usize = 500;
+const PAGE_BYTES_MAX: usize = 1_000_000;
+/// How long a page, and an answer to a watch beyond its wait time, may take to arrive.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(2_000);
+const CHANGES_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Bytes of an item in an answer, with its value in text form.
+fn wire_bytes(item: &Item) -> usize {
+    60 + item.key.len() + item.value.len() * 4 / 3
+}
+
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
@@ -70,7 +82,7 @@
     /// Limits on the calls per second; more are rejected.
     pub(crate) call_limits: Cell<Option<CallLimits>>,
     calls_in_second: Cell<CallsInSecond>,
-    /// Items in a page of a list; 0 for all.
+    /// Items in a page of a list; 0 for as many as the store's limits allow.
     pub(crate) page_size: Cell<usize>,
     /// Every n-th read of a page is rejected; 0 for none.
     pub(crate) reject_every_nth_page: Cell<u64>,
@@ -86,6 +98,9 @@
     pub(crate) link_bytes_per_s: Cell<u64>,
     /// Bytes of all records that were written, in their text form.
     pub(crate) record_bytes: Cell<usize>,
+    /// Bandwidth at which pages and changes arrive from the store, in bytes per second; 0 for no
+    /// limit.
+    pub(crate) store_bytes_per_s: Cell<u64>,
     /// Added to the latency of each call to the store.
     pub(crate) extra_store_latency: Cell<Duration>,
     /// While set, reads that may be stale are older than all keys.
@@ -213,6 +228,25 @@
         tokio::time::sleep_until(done_at.into()).await;
     }
 
+    /// Waits until an answer has arrived. Fails if that takes longer than `timeout`.
+    async fn simulate_arrival(
+        &self,
+        operation: &'static str,
+        bytes: usize,
+        timeout: Duration,
+    ) -> Result<(), CallError> {
+        let bytes_per_s = match self.state.store_bytes_per_s.get() {
+            0 => return Ok(()),
+            bytes_per_s => bytes_per_s,
+        };
+        let duration = Duration::from_secs_f64(bytes as f64 / bytes_per_s as f64);
+        tokio::time::sleep(duration.min(timeout)).await;
+        if duration > timeout {
+            return Err(call_error(operation, Effect::Unknown));
+        }
+        Ok(())
+    }
+
     /// Counts a call. Fails if the limit of the current second is reached.
     fn throttle_call(&self, operation: &'static str) -> Result<(), CallError> {
         let Some(limits) = self.state.call_limits.get() else {
@@ -315,6 +349,30 @@
         changes.map(|(_, change)| change.clone()).collect()
     }
 
+    /// Returns the items of a page, and whether more follow.
+    fn page(&self, prefix: &str, after: &str) -> (Vec<Item>, bool) {
+        let items = self.state.items.borrow();
+        let mut matching = items
+            .values()
+            .map(|(item, _)| item)
+            .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after)
+            .peekable();
+        let page_size = match self.state.page_size.get() {
+            0 => PAGE_ITEMS_MAX,
+            size => size,
+        };
+        let mut bytes = 0;
+        let mut page = Vec::new();
+        while let Some(item) = matching.next_if(|_| page.len() < page_size) {
+            bytes += wire_bytes(item);
+            page.push(item.clone());
+            if bytes > PAGE_BYTES_MAX {
+                break;
+            }
+        }
+        (page, matching.peek().is_some())
+    }
+
     fn check_value_sizes(&self, txn: &Txn) -> Result<(), CallError> {
         let max = self.state.value_bytes_max.get();
         if max > 0 && txn.writes.iter().any(|write| write.value.len() > max) {
@@ -370,23 +428,15 @@
         if reject_every_nth > 0 && self.state.page_reads.get() % reject_every_nth == 0 {
             return Err(call_error("range", Effect::None));
         }
-        let items = self.state.items.borrow();
-        let matching = items
-            .values()
-            .map(|(item, _)| item)
-            .filter(|item| item.key.starts_with(prefix) && item.key.as_str() > after);
-        let mut items: Vec<_> = matching.cloned().collect();
-        let page_size = match self.state.page_size.get() {
-            0 => items.len(),
-            size => size,
-        };
-        let has_more = items.len() > page_size;
-        items.truncate(page_size);
-        Ok(Page {
+        let (items, has_more) = self.page(prefix, after);
+        let bytes = items.iter().map(wire_bytes).sum();
+        let page = Page {
             items,
             has_more,
             revision: self.state.revision.get(),
-        })
+        };
+        self.simulate_arrival("range", bytes, PAGE_TIMEOUT).await?;
+        Ok(page)
     }
 
     async fn watch(
@@ -419,6 +469,13 @@
                         Change::Removed { revision, .. } => *revision,
                     };
                 }
+                let puts = changes.iter().filter_map(|change| match change {
+                    Change::Put(item) => Some(item),
+                    Change::Removed { .. } => None,
+                });
+                let bytes = puts.map(wire_bytes).sum();
+                let timeout = CHANGES_TIMEOUT;
+                self.simulate_arrival("watch", bytes, timeout).await?;
                 return Ok(WatchOutcome::Changes { changes, revision });
             }
             // Leases expire without a change that wakes a watch.
