fix(entry): read a group's jobs in smaller parts when a page does not arrive

Callers saw jobs accepted and never run, on instances with links of 2 Mbit/s: a process took the group and never served it.

Cause: a taker reads all keys of its jobs before it serves. A page holds up to 500 items or 1 MB, a call may take 2 s, and the link carries 500 KB in that time. A page that failed was asked for again as it was, so no attempt could end, and the taker kept its session and thus the group.

An answer of which only a part arrived now makes a list divide its prefix: by the kind of key, then by the first digits of the job's id, for all that remains of the list. The number of divisions is bounded. Calls that are refused or get no answer divide nothing, so an outage of the store doesn't lead to many small calls.

--- a/crates/persimmon-entry/src/keys.rs
+++ b/crates/persimmon-entry/src/keys.rs
@@ -60,6 +60,33 @@
     format!("ps/sum/{}", group.0)
 }
 
+/// Most digits of a job's id that a prefix of [`narrower`] holds. 256 prefixes of each kind are
+/// enough for lists of 100,000 jobs on the slowest links.
+const ID_DIGITS_MAX: usize = 2;
+
+/// Returns prefixes that together cover all keys under a prefix; none if it can't be divided.
+pub(crate) fn narrower(prefix: &str) -> Vec<String> {
+    let below = |parts: &[&str]| {
+        let parts = parts.iter();
+        parts.map(|part| format!("{prefix}{part}")).collect()
+    };
+    let group_and_rest = prefix.strip_prefix("ps/job/");
+    let Some((_, rest)) = group_and_rest.and_then(|it| it.split_once('/')) else {
+        return Vec::new();
+    };
+    match rest {
+        "" => return below(&["in/c/", "in/q/", "st/"]),
+        "in/" => return below(&["c/", "q/"]),
+        _ => {}
+    }
+    let digits = rest.rsplit('/').next().unwrap_or_default();
+    if digits.len() >= ID_DIGITS_MAX {
+        return Vec::new();
+    }
+    let digits = (0..16).map(|digit| format!("{prefix}{digit:x}"));
+    digits.collect()
+}
+
 /// Kind of a key under [`jobs`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum JobKey {
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -27,6 +27,8 @@
     pub is_throttled: bool,
     /// The call was rejected for its contents, and would be again if it were repeated unchanged.
     pub is_invalid: bool,
+    /// The answer began to arrive, but not all of it arrived in time. A smaller one might.
+    pub is_incomplete: bool,
 }
 
 /// A key with its value.
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -75,8 +75,38 @@
     }
 }
 
+/// Part of a list that has not been read.
+struct Range {
+    prefix: String,
+    /// The last key that has been read; empty at first.
+    after: String,
+    /// How often the prefix of the list was divided to get this one.
+    depth: u32,
+}
+
+impl Range {
+    /// Divides the range into narrower ones, the last first; none if it can't be divided.
+    fn divide(&self) -> Vec<Self> {
+        let prefixes = keys::narrower(&self.prefix).into_iter().rev();
+        // What precedes the last key has been read.
+        let remaining =
+            prefixes.filter(|it| *it > self.after || self.after.starts_with(it.as_str()));
+        let ranges = remaining.map(|prefix| Self {
+            after: if self.after.starts_with(&prefix) {
+                self.after.clone()
+            } else {
+                String::new()
+            },
+            prefix,
+            depth: self.depth + 1,
+        });
+        ranges.collect()
+    }
+}
+
 /// Reads all items under `prefix`. Returns them with the revision to watch from. A page that can't
-/// be read is retried, so that a long list makes progress however often a call fails.
+/// be read is retried, so that a long list makes progress however often a call fails. One that does
+/// not arrive in time is read in smaller parts.
 pub(crate) async fn list<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
@@ -84,54 +114,60 @@
 ) -> (Vec<Item>, u64) {
     let started_at = shared.now();
     let mut items: Vec<Item> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = items.last().map_or("", |item| item.key.as_str());
-        let page = read_page(shared, prefix, after, progress).await;
-        // The pages are not one snapshot: changes made while they are read are covered by watching
-        // from the revision of the first page.
-        let first_revision = *revision.get_or_insert(page.revision);
-        let is_empty = page.items.is_empty();
-        items.extend(page.items);
-        if !page.has_more || is_empty {
-            let duration = shared.now().saturating_duration_since(started_at);
-            log::info!(
-                "event=store.list prefix={prefix} {} duration_ms={}",
-                progress.get(),
-                duration.as_millis()
-            );
-            return (items, first_revision);
-        }
-    }
-}
-
-/// Reads the page of items under `prefix` that begins after the key `after`.
-async fn read_page<P: Platform>(
-    shared: &Shared<P>,
-    prefix: &str,
-    after: &str,
-    progress: &Cell<ListProgress>,
-) -> Page {
-    let mut failures = 0;
+    let mut first_revision = None;
     let mut retry_delay = RetryDelay::new(RETRY_DELAY);
-    loop {
+    let mut failures = 0;
+    // Ranges of a lower depth are known to be too wide.
+    let mut depth_min = 0;
+    let mut ranges = vec![Range {
+        prefix: prefix.to_owned(),
+        after: String::new(),
+        depth: 0,
+    }];
+    while let Some(mut range) = ranges.pop() {
+        if range.depth < depth_min {
+            let narrower = range.divide();
+            if !narrower.is_empty() {
+                ranges.extend(narrower);
+                continue;
+            }
+        }
         let mut known = progress.get();
-        match shared.platform.range(prefix, after).await {
+        match shared.platform.range(&range.prefix, &range.after).await {
             Ok(page) => {
                 shared.record_store_answer();
+                failures = 0;
+                retry_delay.reset();
                 known.add_page(&page);
-                progress.set(known);
-                return page;
+                // The pages are not one snapshot: changes made while they are read are covered by
+                // watching from the revision of the first page.
+                first_revision.get_or_insert(page.revision);
+                if let Some(last) = page.items.last().filter(|_| page.has_more) {
+                    range.after.clone_from(&last.key);
+                    ranges.push(range);
+                }
+                items.extend(page.items);
             }
             Err(err) => {
                 failures += 1;
                 known.failures += 1;
-                progress.set(known);
-                log_failure("store.list", prefix, failures, &err);
+                log_failure("store.list", &range.prefix, failures, &err);
+                if err.is_incomplete {
+                    depth_min = depth_min.max(range.depth + 1);
+                }
+                ranges.push(range);
                 tokio::time::sleep(retry_delay.after(&err)).await;
             }
         }
+        progress.set(known);
     }
+    let duration = shared.now().saturating_duration_since(started_at);
+    log::info!(
+        "event=store.list prefix={prefix} {} duration_ms={}",
+        progress.get(),
+        duration.as_millis()
+    );
+    (items, first_revision.unwrap_or_default())
 }
 
 /// What a watch reports.
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -200,6 +200,7 @@
         effect,
         is_throttled: false,
         is_invalid: false,
+        is_incomplete: false,
     }
 }
 
@@ -242,7 +243,10 @@
         let duration = Duration::from_secs_f64(bytes as f64 / bytes_per_s as f64);
         tokio::time::sleep(duration.min(timeout)).await;
         if duration > timeout {
-            return Err(call_error(operation, Effect::Unknown));
+            return Err(CallError {
+                is_incomplete: true,
+                ..call_error(operation, Effect::Unknown)
+            });
         }
         Ok(())
     }
