--- a/crates/persimmon-entry/tests/all/slow_links.rs
+++ b/crates/persimmon-entry/tests/all/slow_links.rs
@@ -1,7 +1,8 @@
 //! Owners whose link carries less from the store than the time limit of a call allows for.
 
 use crate::platform::{request, spec, Cluster};
-use persimmon_entry::Handle;
+use persimmon_entry::{Handle, Request};
+use persimmon_sched::JobId;
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -54,3 +55,26 @@
     let waited = time_to_serve(&mut cluster, 30 * SECOND).await;
     assert!(waited < 12 * SECOND, "{waited:?}");
 }
+
+/// The changes of a configuration that is written often are together larger than what a watch
+/// carries in time.
+#[tokio::test(start_paused = true)]
+async fn backlog_of_configurations_keeps_the_latest_from_being_applied() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(4 * SECOND).await;
+    cluster.state.store_bytes_per_s.set(LINK_BYTES_PER_S);
+    let filler = "other".repeat(16_000);
+    for version in 2..=8 {
+        cluster.write_policy(version, &["quotes", &filler]);
+        cluster.advance(SECOND / 10).await;
+    }
+    cluster.write_policy(9, &["added", &filler]);
+    cluster.advance(3 * SECOND).await;
+    let added = Request {
+        path: format!("/added/{}", JobId(1)),
+        ..request(1)
+    };
+    let accepted = cluster.run_until(handle.submit(added, spec(100))).await;
+    assert!(accepted.is_ok(), "{accepted:?}");
+}
