fix(entry): read the items again when a backlog of changes does not arrive

Callers would be served by an old configuration for as long as a newer one is written every second: a watch answers with each version in full, and one that failed asked for all of them again, with those written meanwhile.

A watch of whose answer only a part arrived now ends as one whose history is compacted does: the items are read, which are the latest versions alone, and the watch goes on from there. That holds for the instance list, the members and the inbox too.

Ruled out as a remedy: a longer limit alone, as the backlog grows faster than a link of 2 Mbit/s carries it.

--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -230,7 +230,8 @@
     (known, revision)
 }
 
-/// Watches the prefix until the history after `revision` is compacted.
+/// Watches the prefix until the history after `revision` is compacted, or the changes since are too
+/// large to arrive in time. Unlike their history, the items themselves don't grow meanwhile.
 async fn watch<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
@@ -277,6 +278,12 @@
                 log::info!("event=store.compacted prefix={prefix} revision={revision}");
                 return;
             }
+            Err(err) if err.is_incomplete => {
+                log::info!(
+                    "event=store.backlog prefix={prefix} revision={revision} fault=\"{err}\""
+                );
+                return;
+            }
             Err(err) => {
                 failures += 1;
                 log_failure("store.watch", prefix, failures, &err);
