test(sched): a best-effort job is starved by more urgent ones

Nothing of a job runs for as long as more urgent jobs use all idle processors, though best-effort tasks share what is left unused and reserve none of it.

--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -218,6 +218,11 @@
         runs.any(|it| it.task == id)
     }
 
+    fn runs_of(&self, job: u64) -> usize {
+        let runs = self.workers.iter().flat_map(|it| &it.runs);
+        runs.filter(|it| it.task.job == JobId(job)).count()
+    }
+
     fn phase(&self, id: u64) -> Option<Phase> {
         self.harness.engine.phase(JobId(id))
     }
@@ -395,3 +400,16 @@
         assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms after {rounds_over}");
     }
 }
+
+#[test]
+fn job_is_not_starved_by_more_urgent_jobs_that_use_all_idle_processors() {
+    let mut fleet = Fleet::new(2);
+    for id in 1..=60 {
+        fleet.harness.submit(job(id, vec![best_effort(10, 3_000)]));
+    }
+    fleet.rounds(1_000);
+    fleet.harness.submit(job(900, vec![best_effort(2, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    assert!(fleet.runs_of(900) > 0 || fleet.phase(900) == Some(Phase::Completed));
+    assert!(fleet.runs_of(900) < 2, "the others go first");
+}
