fix(sched): a best-effort job of which nothing runs gets a share of busy processors

Callers saw a best-effort job wait for as long as more urgent ones arrived, though such tasks reserve no processors and share what is left unused: the order of placement gave each idle processor to a job that could still be on time, and a job past its budget is last. Trials asked for idle processors too.

A best-effort step that fits nowhere for 2 s, of whose job nothing is placed, now gets one task placed where the most processors are idle by the estimates, even if none are; tails must be under the threshold as for any trial. One task a waiting job bounds how much more is shared; all further tasks go by urgency as before.

Ruled out: placing jobs by age, which would make late all those that can still be on time.

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -357,7 +357,8 @@
         if claim.best_effort_cpu_millis > 0 {
             return match admission {
                 Admission::Predicted => self.best_effort_penalty(runner, claim),
-                Admission::Trial => self.trial_penalty(runner, claim, now),
+                Admission::Trial if !has_measured_idle_cpu(runner, claim) => None,
+                Admission::Trial | Admission::Share => self.trial_penalty(runner, claim, now),
             };
         }
         if !claim.latency_critical {
@@ -394,14 +395,8 @@
     }
 
     /// As [`Self::best_effort_penalty`] for a run on trial. Its effect is measured and acted upon
-    /// like that of any other run, so it is kept off only where the measurement would not tell, and
-    /// where measured use leaves it little to run on.
+    /// like that of any other run, so it is kept off only where the measurement would not tell.
     fn trial_penalty(&self, runner: &Runner, claim: &Claim, now: Instant) -> Option<i64> {
-        let capacity = i64::from(runner.info.capacity.cpu_millis);
-        let needed = i64::from(claim.best_effort_cpu_millis).min(capacity / 2);
-        if measured_idle_cpu_millis(runner) < needed {
-            return None;
-        }
         if runner.tails.iter().any(|tail| tail.ratio >= THROTTLE_RATIO) {
             return None;
         }
@@ -440,6 +435,12 @@
     }
 }
 
+/// Returns whether measured use leaves a best-effort run what it asks for, or half of the runner.
+fn has_measured_idle_cpu(runner: &Runner, claim: &Claim) -> bool {
+    let half = i64::from(runner.info.capacity.cpu_millis) / 2;
+    measured_idle_cpu_millis(runner) >= half.min(i64::from(claim.best_effort_cpu_millis))
+}
+
 /// Counts the other latency-critical images on a runner.
 fn count_other_images(runner: &Runner, image: ImageKey) -> i64 {
     let latency_critical = runner
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -30,15 +30,31 @@
     /// Those on which its effect can be measured. Estimates of an image of which nothing runs are
     /// never corrected otherwise.
     Trial,
+    /// As [`Self::Trial`], also where other best-effort tasks use all idle processors: nothing of the
+    /// job runs, and more urgent jobs could keep it waiting for ever.
+    Share,
 }
 
 /// What a placement pass has found so far.
+#[derive(Default)]
 struct Pass {
     infeasible: InfeasibleDemands,
     infeasible_trials: InfeasibleDemands,
+    infeasible_shares: InfeasibleDemands,
     choices_left: usize,
 }
 
+impl Pass {
+    /// Demands that fit on no runner which this admission allows.
+    fn infeasible(&mut self, admission: Admission) -> &mut InfeasibleDemands {
+        match admission {
+            Admission::Predicted => &mut self.infeasible,
+            Admission::Trial => &mut self.infeasible_trials,
+            Admission::Share => &mut self.infeasible_shares,
+        }
+    }
+}
+
 /// Placement order within a priority, first to last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -77,9 +93,8 @@
             return;
         }
         let mut pass = Pass {
-            infeasible: InfeasibleDemands::default(),
-            infeasible_trials: InfeasibleDemands::default(),
             choices_left: (RUNNER_CHECKS_MAX / self.runners.len().max(1)).max(1),
+            ..Pass::default()
         };
         for candidate in self.candidates(wall_ms) {
             self.place_candidate(&candidate, &mut pass, now);
@@ -163,7 +178,8 @@
     }
 
     /// Places the first of the ready tasks of a step that was held back for long where its effect
-    /// can be measured; returns the number of tasks placed.
+    /// can be measured, also on processors that are in use if nothing of its job runs; returns the
+    /// number of tasks placed.
     fn place_on_trial(
         &mut self,
         ready: &[TaskId],
@@ -175,12 +191,17 @@
         let Some(&id) = ready.iter().find(|&&id| self.may_place(id, now)) else {
             return 0;
         };
-        if pass.choices_left == 0 || pass.infeasible_trials.rules_out(demand) {
+        let admission = if self.has_placed_tasks(id) {
+            Admission::Trial
+        } else {
+            Admission::Share
+        };
+        if pass.choices_left == 0 || pass.infeasible(admission).rules_out(demand) {
             return 0;
         }
         pass.choices_left -= 1;
-        if !self.place(id, claim, Admission::Trial, now) {
-            pass.infeasible_trials.insert(demand.clone());
+        if !self.place(id, claim, admission, now) {
+            pass.infeasible(admission).insert(demand.clone());
             return 0;
         }
         self.hold_step(id, true, false, now);
@@ -194,6 +215,14 @@
         1
     }
 
+    /// Returns whether a task of the same job and occurrence is placed.
+    fn has_placed_tasks(&self, id: TaskId) -> bool {
+        let job = self.jobs.get(&id.job);
+        let steps = job.and_then(|job| job.tasks.get(id.occurrence as usize));
+        let mut tasks = steps.into_iter().flatten().flat_map(|step| &step.tasks);
+        tasks.any(|task| matches!(task.state(), State::Placed { .. }))
+    }
+
     /// Lists the steps with ready tasks in placement order.
     fn candidates(&self, wall_ms: u64) -> Vec<Candidate> {
         let mut candidates = Vec::new();
