fix(sched): best-effort work goes on, in bounds, beside a tail latency that it does not cause

A runner now knows since when no report has shown use by best-effort runs. From 0.7 s on its tail latencies are held against none of them, and after 5 s one paused run is resumed at half its use, or one task is placed on trial. If the tail is over the threshold then, the run is paused after 1.3 s at the latest, as before.

Ruled out by trials: resuming all runs at once while a tail is measured over its target without them, and pausing them to measure again after 1.5 s.

Open: a checkpointing run that is evicted before its first checkpoint beside such tails makes no progress.

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -33,6 +33,11 @@
 /// All best-effort runs on a runner are paused once a tail latency has been at [`THROTTLE_RATIO`]
 /// or above for this time.
 const PAUSE_ALL_AFTER: Duration = Duration::from_millis(1_300);
+/// Share of a runner's processors up to which best-effort work counts as absent in a measurement.
+const ABSENT_USE_MAX: f64 = 0.01;
+/// Time after which one of several paused runs is resumed although the tail latencies don't allow
+/// it, so that it makes progress.
+const PAUSE_MAX: Duration = Duration::from_secs(5);
 /// Interval after which an unacknowledged CPU limit is ordered again.
 const THROTTLE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// CPU limit at which a paused run resumes, in percent.
@@ -112,6 +117,7 @@
         running: &[RunStatus],
         now: Instant,
     ) {
+        self.record_use(key, running, now);
         let (tails, batch_runs) = self.measurements(key, running, now);
         let used: Vec<_> = batch_runs
             .iter()
@@ -121,7 +127,6 @@
             let service = ServiceKey(tail.image.0);
             self.interference.learn(service, tail.ratio, &used);
         }
-        self.record_use(key, running, now);
         let runner = self.runner_mut(key);
         runner.tails = tails;
         runner
@@ -137,14 +142,21 @@
     /// just before covers only part of its time.
     fn record_use(&mut self, key: RunnerKey, running: &[RunStatus], now: Instant) {
         let runner = self.runner_mut(key);
+        let mut best_effort_millis = 0;
         for status in running {
             if let Some(claim) = runner.claims.get_mut(&(status.task, status.run)) {
                 let is_measured =
                     !claim.latency_critical && claim.placed_at + MEASUREMENT_DELAY <= now;
                 let cpu_millis = u32::try_from(status.measurement).unwrap_or(u32::MAX);
                 claim.measured_cpu_millis = is_measured.then_some(cpu_millis);
+                if claim.best_effort_cpu_millis > 0 {
+                    best_effort_millis += status.measurement;
+                }
             }
         }
+        let capacity = f64::from(runner.info.capacity.cpu_millis.max(1));
+        let is_unused = best_effort_millis as f64 / capacity < ABSENT_USE_MAX;
+        runner.unused_since = runner.unused_since.or(Some(now)).filter(|_| is_unused);
     }
 
     fn measurements(
@@ -191,13 +203,17 @@
         });
         let ratio = status.measurement as f64 / target_ms.max(1) as f64;
         let known = runner.tails.iter().find(|tail| tail.run == run);
+        let is_without_best_effort = runner
+            .unused_since
+            .is_some_and(|at| now >= at + MEASUREMENT_DELAY);
         let violating_since = known.and_then(|tail| tail.violating_since).or(Some(now));
         TailLatency {
             run,
             image: claim.image,
             ratio,
             ln_ratio: ratio.ln(),
-            violating_since: violating_since.filter(|_| ratio >= THROTTLE_RATIO),
+            violating_since: violating_since
+                .filter(|_| ratio >= THROTTLE_RATIO && !is_without_best_effort),
         }
     }
 
@@ -273,22 +289,27 @@
     }
 
     /// Raises the CPU limits of all runs by one step once every tail latency is well below its
-    /// target.
+    /// target; that of one run if none has used the runner for long.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
-        let worst = worst_tail_ratio(self.runner(key));
-        if worst > RELAX_RATIO_MAX {
-            return;
-        }
-        let mut raised = false;
-        for batch_run in batch_runs {
-            if let Some(percent) = batch_run.raised_limit() {
-                raised = true;
-                self.set_cpu_limit(key, batch_run.run, percent, now);
+        let runner = self.runner(key);
+        let mut limits_max = batch_runs.len();
+        if worst_tail_ratio(runner) > RELAX_RATIO_MAX {
+            let is_long_ago = |at: Instant| now >= at + PAUSE_MAX;
+            if !is_unused(runner, now) || !runner.throttled_at.is_none_or(is_long_ago) {
+                return;
             }
+            limits_max = 1;
         }
-        if raised {
-            self.runner_mut(key).throttled_at = Some(now);
+        let limits = batch_runs.iter();
+        let limits = limits.filter_map(|it| Some((it.run, it.raised_limit()?)));
+        let limits: Vec<_> = limits.take(limits_max).collect();
+        if limits.is_empty() {
+            return;
         }
+        for (run, percent) in limits {
+            self.set_cpu_limit(key, run, percent, now);
+        }
+        self.runner_mut(key).throttled_at = Some(now);
     }
 
     fn throttle_all(
@@ -402,7 +423,7 @@
         if measured_idle_cpu_millis(runner) < needed {
             return None;
         }
-        if runner.tails.iter().any(|tail| tail.ratio >= THROTTLE_RATIO) {
+        if worst_tail_ratio(runner) >= THROTTLE_RATIO && !is_unused(runner, now) {
             return None;
         }
         let is_trial_recent = |at: Instant| now < at + TRIAL_INTERVAL_MIN;
@@ -453,6 +474,12 @@
     others.len() as i64
 }
 
+/// Returns whether no best-effort run has used a runner for so long that its tail latencies don't
+/// depend on any.
+fn is_unused(runner: &Runner, now: Instant) -> bool {
+    runner.unused_since.is_some_and(|at| now >= at + PAUSE_MAX)
+}
+
 fn worst_tail_ratio(runner: &Runner) -> f64 {
     runner
         .tails
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -147,7 +147,8 @@
     pub(crate) ratio: f64,
     /// Natural logarithm of `ratio`.
     pub(crate) ln_ratio: f64,
-    /// Since when the ratio has been at or above the throttling threshold.
+    /// Since when the ratio has been at or above the throttling threshold; `None` while no
+    /// best-effort run uses the runner.
     pub(crate) violating_since: Option<Instant>,
 }
 
@@ -196,6 +197,8 @@
     pub(crate) tails: Vec<TailLatency>,
     /// Best-effort runs too recent to be reflected in measurements.
     pub(crate) unmeasured: Vec<UnmeasuredRun>,
+    /// Since when reports have shown no processor use by best-effort runs.
+    pub(crate) unused_since: Option<Instant>,
     /// When a best-effort run was last placed on trial.
     pub(crate) trial_at: Option<Instant>,
     /// When runs were last throttled, evicted or unthrottled.
@@ -283,6 +286,7 @@
             backoff: Backoff::default(),
             tails: Vec::new(),
             unmeasured: Vec::new(),
+            unused_since: None,
             trial_at: None,
             throttled_at: None,
         }
