test(sched): a failed task goes back to the runner on which it failed

With two attempts a job fails beside one of 20 runners that fails all it starts: 30 ms later that runner is still the one with the most idle processors, or the one that fits best.

--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -395,3 +395,31 @@
         assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms after {rounds_over}");
     }
 }
+
+/// A runner that fails all it starts is the one with the most idle processors.
+#[test]
+fn failed_task_does_not_go_back_to_a_runner_that_fails_all_it_starts() {
+    let mut fleet = Fleet::new(20);
+    fleet.workers[7].fails_all = true;
+    for (at, worker) in fleet.workers.iter().enumerate().filter(|it| it.0 != 7) {
+        let label = worker.id.clone();
+        let mut info = runner(&label, RUNNER_CPU_MILLIS);
+        info.labels.push(label.clone());
+        fleet.harness.engine.update_runner(info, fleet.harness.now);
+        let busy = StepSpec {
+            long_running: true,
+            constraint: Some(label),
+            ..step(1)
+        };
+        fleet.harness.submit(job(100 + at as u64, vec![busy]));
+    }
+    fleet.rounds(1_000);
+    let mut failed = Vec::new();
+    for id in 1..=40 {
+        fleet.harness.submit(job(id, vec![best_effort(2, 1_000)]));
+        fleet.rounds(500);
+    }
+    fleet.rounds(10_000);
+    failed.extend((1..=40).filter(|&id| fleet.phase(id) != Some(Phase::Completed)));
+    assert!(failed.is_empty(), "jobs {failed:?} are not completed");
+}
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -357,3 +357,25 @@
     }
     assert_eq!(fleet.starts_on("a", 0), 0, "{:?}", fleet.starts);
 }
+
+/// It is the runner that fits best.
+#[test]
+fn task_that_failed_on_a_runner_is_tried_on_another_one() {
+    let mut fleet = Fleet::new(&[("a", 1_000), ("b", 4_000)]);
+    fleet.harness.submit(job(1, vec![step(1)]));
+    fleet.run_calmly(ROUND_MS);
+    assert_eq!(fleet.starts_on("a", 0), 1);
+    fleet.end(1, 0, EndKind::Failed);
+    fleet.run_calmly(START_ELSEWHERE_MAX_MS);
+    assert_eq!(fleet.starts_on("b", 0), 1, "{:?}", fleet.starts);
+}
+
+#[test]
+fn task_that_failed_on_the_only_runner_is_tried_there_again() {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    fleet.harness.submit(job(1, vec![step(1)]));
+    fleet.run_calmly(ROUND_MS);
+    fleet.end(1, 0, EndKind::Failed);
+    fleet.run_calmly(START_ELSEWHERE_MAX_MS);
+    assert_eq!(fleet.starts_on("a", 0), 2, "{:?}", fleet.starts);
+}
