fix(sched): place a failed task on another runner if one has room

Callers saw a job fail although 19 of 20 runners were sound: the first task that a bad runner failed was placed on it again 30 ms later, as it was still the one with the most idle processors (best-effort tasks) or the one that fits best (others). A runner is backed off from after its second failure only, since a single one may be the job's own fault; with two attempts that is one too late.

A task now knows the runner on which it failed last, and so do the other members of its gang; any other runner that has room is preferred, at whatever price in idle processors, rack or interference.

Open: an owner that takes over doesn't know where a task failed, as the record doesn't hold it. At the end of a backoff a bad runner is given as many tasks at once as fit, each of which loses an attempt.

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -416,6 +416,7 @@
         let job = self.jobs.get(&id.job)?;
         let step = &job.spec.steps[usize::from(id.step)];
         let rack = self.preferred_rack(step, siblings);
+        let failed_on = self.task(id)?.failed_on;
         let mut best: Option<(i64, RunnerKey)> = None;
         for (at, runner) in self.runners.iter().enumerate() {
             let key = RunnerKey(at as u32);
@@ -431,7 +432,10 @@
             let Some(interference_penalty) = interference_penalty else {
                 continue;
             };
-            let score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
+            let mut score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
+            if failed_on == Some(key) {
+                score -= FAILED_ON_PENALTY;
+            }
             if best.is_none_or(|(best_score, _)| score > best_score) {
                 best = Some((score, key));
             }
@@ -492,6 +496,10 @@
 /// Score of the preferred rack: work on another takes several times as long.
 const RACK_WEIGHT: i64 = 1_000_000;
 
+/// Penalty on the score of the runner on which the task failed last: a task fails its job after a few
+/// failures, so any other runner is better.
+const FAILED_ON_PENALTY: i64 = 1_000_000_000;
+
 /// Scores a runner; higher is better. A task that reserves CPU goes where the least would be left
 /// free; a best-effort task goes where the most CPU is idle.
 fn score(step: &StepSpec, claim: &Claim, runner: &Runner, rack: Option<&str>) -> i64 {
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -208,6 +208,7 @@
                     end.run,
                     self.runner(key).info.id
                 );
+                self.avoid_runner(id, end.run, key);
                 self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF), now);
                 self.count_failed_run(key, now);
                 if attempts_exhausted && !self.is_final(id) {
@@ -216,6 +217,7 @@
             }
             EndKind::Done | EndKind::Failed | EndKind::Cut | EndKind::Lapsed => {
                 if end.kind == EndKind::Failed {
+                    self.avoid_runner(id, end.run, key);
                     self.count_failed_run(key, now);
                 }
                 self.requeue(id, end.run, None, now);
@@ -223,6 +225,18 @@
         }
     }
 
+    /// Places a task whose run failed on another runner next, if one has room, and the other members
+    /// of its gang as well.
+    fn avoid_runner(&mut self, id: TaskId, run: u32, key: RunnerKey) {
+        let mut tasks = self.other_members(id, run);
+        tasks.push(id);
+        for id in tasks {
+            if let Some(task) = self.task_mut(id) {
+                task.failed_on = Some(key);
+            }
+        }
+    }
+
     pub(super) fn is_final(&self, id: TaskId) -> bool {
         self.jobs
             .get(&id.job)
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -13,6 +13,8 @@
     state: State,
     pub(crate) run: u32,
     pub(crate) failures: u32,
+    /// The runner on which its last failed run was.
+    pub(crate) failed_on: Option<RunnerKey>,
     pub(crate) checkpoint: String,
 }
 
@@ -27,6 +29,7 @@
             state,
             run,
             failures,
+            failed_on: None,
             checkpoint,
         }
     }
