test(relay): a restarted runner is granted what its earlier incarnation was

Fails: a relay goes on sending the lease deadline and the acknowledged end of the earlier incarnation to a runner that has restarted under its id.

--- a/crates/persimmon-relay/tests/all/main.rs
+++ b/crates/persimmon-relay/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod assign;
 mod exchange;
+mod restarts;
 mod simulation;
 mod support;
