fix(relay): a restarted runner is granted nothing of its earlier incarnation

A run that ended on a runner that had just restarted could be dropped before anyone had seen its end, so that work that was done ran again and a failure was not counted; and the lease of the new incarnation was extended by up to 10 s with each poll, without the owner, which then reckons with the end of its own term only.

Cause: lease deadlines are on the runner's clock and the numbers of ends count anew in each incarnation, but a relay kept the highest deadline and the last acknowledged end of a runner across a restart, and took those of batches that were made before the owner knew of the restart.

A relay now forgets both when an answer shows another incarnation, and accepts grants again from batches whose owner has handled the message that told of it; the owner's link repeats them at once. A runner that did not answer the last poll, or whose last poll was long ago because the relay was suspended, may have restarted: it is told to drop no ends until it answers.

--- a/crates/persimmon-relay/src/link.rs
+++ b/crates/persimmon-relay/src/link.rs
@@ -64,6 +64,8 @@
     is_added: bool,
     granted_end: u64,
     renewed_at: Option<Instant>,
+    /// The incarnation of the last report.
+    incarnation_ms: Option<u64>,
     rows: Rows,
 }
 
@@ -74,9 +76,18 @@
             is_added: false,
             granted_end: 0,
             renewed_at: None,
+            incarnation_ms: None,
             rows: Rows::new(),
         }
     }
+
+    /// Makes the next batch repeat what the relay forgets with an earlier incarnation.
+    fn note_incarnation(&mut self, incarnation_ms: u64) {
+        if self.incarnation_ms.replace(incarnation_ms) != Some(incarnation_ms) {
+            self.granted_end = 0;
+            self.renewed_at = None;
+        }
+    }
 }
 
 impl Link {
@@ -280,6 +291,7 @@
         let mut events = Vec::with_capacity(news.reports.len() + news.answers.len());
         for report in news.reports {
             if let Some(it) = self.runners.get_mut(&report.runner) {
+                it.note_incarnation(report.incarnation_ms);
                 events.push(Event::Report {
                     runner: it.address.id.clone(),
                     requested_us: report.requested_us,
--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -16,6 +16,9 @@
 const START_AGE_MAX: Duration = Duration::from_millis(700);
 /// A session without a batch for this long is dropped; an owner sends several a second.
 const SESSION_SILENCE_MAX: Duration = Duration::from_secs(3);
+/// Longest time between two polls of a runner, with what a poll may take. After a longer one this
+/// process was suspended, and the runner may have restarted meanwhile.
+const POLL_INTERVAL_MAX: Duration = Duration::from_millis(2_600);
 /// Messages of which the relay remembers when they were sent.
 const SENT_NEWS_MAX: usize = 64;
 /// A measurement that changed by less than this fraction is not sent again.
@@ -132,6 +135,7 @@
     deadline_ms: u64,
     acknowledged_end: u64,
     has_report: bool,
+    polled_at: Option<Instant>,
     has_orders: bool,
     /// The last report, unless it was sent: when it was requested, and the report.
     unsent: Option<(u64, Report)>,
@@ -139,6 +143,10 @@
     sent_rows: Rows,
     sent_end: u64,
     incarnation_ms: u64,
+    /// The incarnation that answered the last poll; `None` before the first answer.
+    polled_incarnation_ms: Option<u64>,
+    /// Number of the message that told the owner of that incarnation.
+    told_in_news: Option<u64>,
 }
 
 impl Relay {
@@ -192,11 +200,12 @@
             self.sessions.remove(&key.group);
         }
         let session = self.session_mut(key)?;
-        let it = session.runners.get(&runner)?;
+        let it = session.runners.get_mut(&runner)?;
+        let acknowledged_end = it.begin_poll(now);
         Some(PollCall {
             session: key,
             runner: it.address.clone(),
-            acknowledged_end: it.acknowledged_end,
+            acknowledged_end,
             deadline_ms: (it.deadline_ms > 0).then_some(it.deadline_ms),
             has_report: it.has_report,
             has_runs: it.has_runs(),
@@ -224,6 +233,7 @@
             session.missed.push(runner);
             return 0;
         };
+        it.note_incarnation(report.incarnation_ms);
         let last_end = report.ended.iter().map(|end| end.number).max();
         let last_end = last_end.unwrap_or(0);
         it.is_urgent |= report.incarnation_ms != it.incarnation_ms || last_end > it.sent_end;
@@ -270,16 +280,17 @@
     pub fn take_news(&mut self, key: SessionKey, now: Instant) -> Option<News> {
         let session = self.session_mut(key)?;
         session.last_news += 1;
-        session.sent_news.push_back((session.last_news, now));
+        let number = session.last_news;
+        session.sent_news.push_back((number, now));
         if session.sent_news.len() > SENT_NEWS_MAX {
             session.sent_news.pop_front();
         }
         let runners = session.runners.iter_mut();
         Some(News {
             session: key.number,
-            number: session.last_news,
+            number,
             reports: runners
-                .filter_map(|(&index, it)| it.take_report(index))
+                .filter_map(|(&index, it)| it.take_report(index, number))
                 .collect(),
             missed: std::mem::take(&mut session.missed),
             answers: std::mem::take(&mut session.answers),
@@ -325,7 +336,8 @@
             self.runners.remove(&index);
         }
         for grant in batch.grants {
-            if let Some(it) = self.runners.get_mut(&grant.runner) {
+            let runner = self.runners.get_mut(&grant.runner);
+            if let Some(it) = runner.filter(|it| it.is_known_to_owner(batch.handled_news)) {
                 it.deadline_ms = it.deadline_ms.max(grant.deadline_ms);
                 it.acknowledged_end = grant.acknowledged_end;
             }
@@ -396,15 +408,46 @@
             deadline_ms: 0,
             acknowledged_end: 0,
             has_report: false,
+            polled_at: None,
             has_orders: false,
             unsent: None,
             is_urgent: false,
             sent_rows: Rows::new(),
             sent_end: 0,
             incarnation_ms: 0,
+            polled_incarnation_ms: None,
+            told_in_news: None,
         }
     }
 
+    /// Begins a poll; returns the highest end that the runner may be told to drop: none if it may
+    /// have restarted, since its ends then count anew.
+    fn begin_poll(&mut self, now: Instant) -> u64 {
+        let last_polled_at = self.polled_at.replace(now);
+        let is_recent = last_polled_at.is_some_and(|at| now < at + POLL_INTERVAL_MAX);
+        if self.has_report && is_recent {
+            self.acknowledged_end
+        } else {
+            0
+        }
+    }
+
+    /// Forgets what was granted to another incarnation: its clock and the numbers of its ends mean
+    /// nothing to this one.
+    fn note_incarnation(&mut self, incarnation_ms: u64) {
+        if self.polled_incarnation_ms.replace(incarnation_ms) != Some(incarnation_ms) {
+            self.told_in_news = None;
+            self.deadline_ms = 0;
+            self.acknowledged_end = 0;
+        }
+    }
+
+    /// Returns whether an owner that has handled this message knows the incarnation that is polled.
+    fn is_known_to_owner(&self, handled_news: u64) -> bool {
+        let is_told = |number| handled_news >= number;
+        self.polled_incarnation_ms.is_none() || self.told_in_news.is_some_and(is_told)
+    }
+
     fn has_runs(&self) -> bool {
         let unsent = self.unsent.as_ref();
         self.has_orders
@@ -412,10 +455,11 @@
             || unsent.is_some_and(|(_, report)| !report.running.is_empty())
     }
 
-    /// Returns the difference of the last report to what was sent.
-    fn take_report(&mut self, runner: RunnerIndex) -> Option<ReportWire> {
+    /// Returns the difference of the last report to what was sent, for the message with this number.
+    fn take_report(&mut self, runner: RunnerIndex, number: u64) -> Option<ReportWire> {
         let (requested_us, report) = self.unsent.take()?;
         self.is_urgent = false;
+        self.told_in_news.get_or_insert(number);
         if report.incarnation_ms != self.incarnation_ms {
             self.incarnation_ms = report.incarnation_ms;
             self.sent_end = 0;
