test(relay): a dropped session is opened again without its runners

Both fail: a batch of a session that the relay has dropped opens it again, with none of its runners, and a replaced owner is served where the session of the newer one was dropped.

--- a/crates/persimmon-relay/tests/all/main.rs
+++ b/crates/persimmon-relay/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod assign;
 mod exchange;
 mod restarts;
+mod sessions;
 mod simulation;
 mod support;
--- a/crates/persimmon-relay/tests/all/support.rs
+++ b/crates/persimmon-relay/tests/all/support.rs
@@ -96,6 +96,13 @@
 impl Pair {
     /// Connects the two; the first news has been handled.
     pub(crate) fn connected() -> Self {
+        let mut pair = Self::unanswered();
+        pair.exchange_news();
+        pair
+    }
+
+    /// The relay has handled the first batch, and the owner has had no news.
+    pub(crate) fn unanswered() -> Self {
         let now = Instant::now();
         let mut pair = Self {
             link: new_link(1),
@@ -111,7 +118,6 @@
             Action::Call(_) => None,
         });
         pair.index = polls.next_back().expect("a runner to poll");
-        pair.exchange_news();
         pair
     }
 
