fix(relay): a dropped session is not opened again

A relay could keep the runners of an owner without calling them for as long as that owner lives: it was given none of their reports, placed nothing on them and gave their runs up, and no event was certain to come that gave them to another relay. And a relay that a newer owner had used and left served the replaced one again.

Cause: a relay knew a session only while it was open. A batch sent before the first news was handled opened it again after it was dropped for the owner's silence, without the runners that an earlier batch had added. The owner took them for added, and the relay answered as if all was well.

A relay now remembers the latest session of each group when it drops it. A later batch of that session is told that it is lost, and the owner gives the runners to other relays; one of an earlier token is told that it is superseded.

The way to it is by reading: the owner is suspended for more than 3 s within its first exchange with a relay, is not replaced, and sends orders before it handles the first news.

Ruled out: telling a session's first batch by a field of its own, as the first two may overtake each other.

--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct Relay {
     sessions: BTreeMap<u16, Session>,
+    /// The latest session of each group, also if it was dropped.
+    latest: BTreeMap<u16, SessionKey>,
 }
 
 /// Why a batch is refused.
@@ -152,8 +154,8 @@
 impl Relay {
     /// Handles a batch; returns what is to be done. A refused one has no effect.
     pub fn handle_batch(&mut self, batch: Batch, now: Instant) -> Result<Vec<Action>, Refusal> {
-        let known = self.sessions.get(&batch.group);
-        let known = known.map_or((0, 0), |it| (it.key.fencing_token, it.key.number));
+        let known = self.latest.get(&batch.group);
+        let known = known.map_or((0, 0), |it| (it.fencing_token, it.number));
         if known.0 > batch.fencing_token {
             return Err(Refusal::Superseded(known.0));
         }
@@ -169,11 +171,13 @@
                     batch.session
                 );
                 let session = Session::new(&batch, now);
+                self.latest.insert(batch.group, session.key);
                 self.sessions.insert(batch.group, session);
             }
         }
         let session = self.sessions.get_mut(&batch.group);
-        Ok(session.map_or_else(Vec::new, |session| session.handle(batch, now)))
+        let session = session.ok_or(Refusal::SessionLost)?;
+        Ok(session.handle(batch, now))
     }
 
     /// Drops the session of a group if it has this fencing token.
