fix(sched): an end that an expired job kept back is acknowledged

A runner repeats the end of a run that had succeeded after it was given up with each report, and all ends after it, until the job that keeps it back expires. Only the next commit of some other job acknowledged them then: in a group without changes nothing did.

The removal of expired jobs acknowledges what they alone kept back.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -330,6 +330,8 @@
         self.dirty.retain(|id| jobs.contains_key(&id));
         self.unsettled_runs
             .retain(|(task, _)| jobs.contains_key(&task.job));
+        // Ends that only their job kept back count no more.
+        self.acknowledge();
         ids
     }
 
