fix(sched): a late end does not keep all ends after it back

The end of a run that had succeeded after it was given up is not acknowledged while its job is kept, 130 s, as both runs would count then, and runners drop ends in order only: all later ends of that runner stayed in its reports as well. A report holds 500. A run that ended on such a runner after that was in no report, neither as running nor as ended: it was taken for lost and ran again, and on that runner again without an end.

Such an end gives way once more than 250 wait behind it.

Ruled out: taking no run for lost on a full report.

--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -1,5 +1,8 @@
 use super::{Commit, Engine, Job, Order, Stage, State, Task};
-use crate::{JobId, Record, TaskRecord, TaskState};
+use crate::{
+    fleet::{KEPT_BACK_ENDS_MAX, NEVER_COMMITTED},
+    JobId, Record, TaskRecord, TaskState,
+};
 use std::{collections::HashMap, sync::Arc};
 
 impl Engine {
@@ -112,12 +115,14 @@
     }
 
     /// Acknowledges the ended runs of each runner up to, but not including, the first one that is
-    /// not committed yet.
+    /// not committed yet. One that is kept back for good gives way once too many wait behind it.
     pub(super) fn acknowledge(&mut self) {
         let jobs = &self.jobs;
         for runner in &mut self.runners {
             while let Some(&end) = runner.pending_ends.front() {
-                let committed = |job: &Job| job.committed_version >= end.version;
+                let gives_way = end.version == NEVER_COMMITTED
+                    && runner.pending_ends.len() > KEPT_BACK_ENDS_MAX;
+                let committed = |job: &Job| gives_way || job.committed_version >= end.version;
                 if !jobs.get(&end.job).is_none_or(committed) {
                     break;
                 }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -1,6 +1,6 @@
 use super::{Engine, Stage, State};
 use crate::{
-    fleet::{PendingEnd, RunnerKey, NEVER_COMMITTED},
+    fleet::{PendingEnd, RunnerKey, KEPT_BACK_ENDS_MAX, NEVER_COMMITTED},
     Answer, End, EndKind, Phase, Report, RunStatus, TaskId,
 };
 use std::{
@@ -107,7 +107,8 @@
         for end in &report.ended {
             self.handle_end(key, end, last_lapse, now);
         }
-        if has_invalidated {
+        let waiting = self.runner(key).pending_ends.len();
+        if has_invalidated || waiting > KEPT_BACK_ENDS_MAX {
             self.acknowledge();
         }
         let mut listed = HashSet::with_capacity(report.running.len());
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -165,6 +165,10 @@
     pub(crate) version: u64,
 }
 
+/// Most ends of a runner that wait behind one that is kept back, half of those that fit in a report:
+/// a run whose end does not fit would be taken for lost.
+pub(crate) const KEPT_BACK_ENDS_MAX: usize = 250;
+
 /// Version of an end that is not acknowledged while its job is kept: a run that succeeded although
 /// it was given up, after another one was started. Acknowledged, both would count.
 pub(crate) const NEVER_COMMITTED: u64 = u64::MAX;
