--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod instance_list;
 mod interference;
 mod late_ends;
+mod paused_runs;
 mod policy;
 mod runner_backoff;
 mod simulation;
