fix(sched): a run that stays paused is resumed after 5 s

A best-effort run that was paused beside a tail between 0.8 and 0.95 of its target got no order for as long as the tail stayed there, and one that was paused by a call carried out late, after a newer limit was acknowledged, got none for as long as its runner lived. Either counts as running all the while, so nothing else moved its task on.

Cause: limits were raised only while all tails are at 0.8 or below, and a limit that was acknowledged was taken for the one in effect for good.

A run that has used no processor time for 5 s is given the next higher limit, or 100 again, unless a tail is at 0.95 or above. A tail that rises then pauses it as before.

Not mended: a run paused beside a tail that stays at 0.95 or above waits for as long as that tail does.

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -32,6 +32,10 @@
 const PAUSE_ALL_AFTER: Duration = Duration::from_millis(1_300);
 /// Interval after which an unacknowledged CPU limit is ordered again.
 const THROTTLE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
+/// A run that uses no processor time is resumed after this time, unless a tail latency is at
+/// [`THROTTLE_RATIO`] or above. A pause beside a tail that stays between the two thresholds, or one
+/// that was carried out late, would otherwise last for as long as the runner.
+const IDLE_MAX: Duration = Duration::from_secs(5);
 /// CPU limit at which a paused run resumes, in percent.
 const RESUME_PERCENT: u8 = 50;
 /// Share of a run's processor time that it only exceeds while unthrottled: above
@@ -55,9 +59,21 @@
     use_ratio: f64,
     /// CPU limit last ordered; `None` if an earlier owner may have ordered any.
     percent: Option<u8>,
+    /// See [`Claim::idle_since`].
+    idle_since: Option<Instant>,
 }
 
 impl BestEffortRun {
+    /// Returns whether the run has used no processor time for longer than it may be paused.
+    fn is_idle_for_long(&self, now: Instant) -> bool {
+        self.idle_since.is_some_and(|since| now >= since + IDLE_MAX)
+    }
+
+    /// The CPU limit to order for a run that is idle for long.
+    fn resumed_limit(&self) -> u8 {
+        self.raised_limit().unwrap_or(100)
+    }
+
     /// The next higher CPU limit to order; `None` if the run is unthrottled.
     fn raised_limit(&self) -> Option<u8> {
         match self.percent {
@@ -112,6 +128,11 @@
             self.interference.learn(service, tail.ratio, &used);
         }
         let runner = self.runner_mut(key);
+        for batch_run in &batch_runs {
+            if let Some(claim) = runner.claims.get_mut(&batch_run.run) {
+                claim.idle_since = batch_run.idle_since;
+            }
+        }
         runner.tails = tails;
         runner
             .unmeasured
@@ -143,6 +164,10 @@
                     used: status.measurement as f64 / capacity,
                     use_ratio: status.measurement as f64 / f64::from(claim.best_effort_cpu_millis),
                     percent: claim.percent,
+                    idle_since: claim
+                        .idle_since
+                        .or(Some(now))
+                        .filter(|_| status.measurement == 0),
                 });
             }
             // A latency-critical task that is still starting reports no tail latency.
@@ -248,15 +273,17 @@
     }
 
     /// Raises the CPU limits of all runs by one step once every tail latency is well below its
-    /// target.
+    /// target, and those of runs that have been idle for long in any case.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
-        let worst = worst_tail_ratio(self.runner(key));
-        if worst > RELAX_RATIO_MAX {
-            return;
-        }
+        let may_raise_all = worst_tail_ratio(self.runner(key)) <= RELAX_RATIO_MAX;
         let mut raised = false;
         for batch_run in batch_runs {
-            if let Some(percent) = batch_run.raised_limit() {
+            let percent = if batch_run.is_idle_for_long(now) {
+                Some(batch_run.resumed_limit())
+            } else {
+                batch_run.raised_limit().filter(|_| may_raise_all)
+            };
+            if let Some(percent) = percent {
                 raised = true;
                 self.set_cpu_limit(key, batch_run.run, percent, now);
             }
@@ -292,6 +319,7 @@
             return;
         };
         claim.percent = Some(percent);
+        claim.idle_since = claim.idle_since.map(|_| now);
         claim.throttle_due_at = Some(now + THROTTLE_RETRY_INTERVAL);
         let runner = runner.info.id.clone();
         let (task, run) = run;
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -107,6 +107,8 @@
     pub(crate) percent: Option<u8>,
     /// When the order of this limit is sent again; `None` once the runner has acknowledged it.
     pub(crate) throttle_due_at: Option<Instant>,
+    /// Since when a best-effort run has used no processor time, or was last resumed without effect.
+    pub(crate) idle_since: Option<Instant>,
     pub(crate) placed_at: Instant,
 }
 
@@ -125,6 +127,7 @@
             image,
             percent: Some(100),
             throttle_due_at: None,
+            idle_since: None,
             placed_at,
         }
     }
