--- a/crates/persimmon-relay/tests/all/main.rs
+++ b/crates/persimmon-relay/tests/all/main.rs
@@ -2,5 +2,7 @@
 
 mod assign;
 mod exchange;
+mod restarts;
+mod sessions;
 mod simulation;
 mod support;
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -35,8 +35,8 @@
 const PAUSE_ALL_AFTER: Duration = Duration::from_millis(1_300);
 /// Share of a runner's processors up to which best-effort work counts as absent in a measurement.
 const ABSENT_USE_MAX: f64 = 0.01;
-/// Time after which one of several paused runs is resumed although the tail latencies don't allow
-/// it, so that it makes progress.
+/// Time after which a run that uses no processor time is resumed: a pause beside a tail latency that
+/// stays as it is, or one that was carried out late, would otherwise last for as long as the runner.
 const PAUSE_MAX: Duration = Duration::from_secs(5);
 /// Interval after which an unacknowledged CPU limit is ordered again.
 const THROTTLE_RETRY_INTERVAL: Duration = Duration::from_millis(600);
@@ -70,9 +70,22 @@
     use_ratio: f64,
     /// CPU limit last ordered; `None` if an earlier owner may have ordered any.
     percent: Option<u8>,
+    /// See [`Claim::idle_since`].
+    idle_since: Option<Instant>,
 }
 
 impl BestEffortRun {
+    /// Returns whether the run has used no processor time for longer than it may be paused.
+    fn is_idle_for_long(&self, now: Instant) -> bool {
+        self.idle_since
+            .is_some_and(|since| now >= since + PAUSE_MAX)
+    }
+
+    /// The CPU limit to order for a run that is idle for long.
+    fn resumed_limit(&self) -> u8 {
+        self.raised_limit().unwrap_or(100)
+    }
+
     /// The next higher CPU limit to order; `None` if the run is unthrottled.
     fn raised_limit(&self) -> Option<u8> {
         match self.percent {
@@ -128,6 +141,11 @@
             self.interference.learn(service, tail.ratio, &used);
         }
         let runner = self.runner_mut(key);
+        for batch_run in &batch_runs {
+            if let Some(claim) = runner.claims.get_mut(&batch_run.run) {
+                claim.idle_since = batch_run.idle_since;
+            }
+        }
         runner.tails = tails;
         runner
             .unmeasured
@@ -180,6 +198,10 @@
                     used: status.measurement as f64 / capacity,
                     use_ratio: status.measurement as f64 / f64::from(claim.best_effort_cpu_millis),
                     percent: claim.percent,
+                    idle_since: claim
+                        .idle_since
+                        .or(Some(now))
+                        .filter(|_| status.measurement == 0),
                 });
             }
             // A latency-critical task that is still starting reports no tail latency.
@@ -289,19 +311,30 @@
     }
 
     /// Raises the CPU limits of all runs by one step once every tail latency is well below its
-    /// target; that of one run if none has used the runner for long.
+    /// target. Before, it raises those of runs that have been idle for long, one at a time where a
+    /// tail latency is over the threshold without any of them.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
         let runner = self.runner(key);
-        let mut limits_max = batch_runs.len();
-        if worst_tail_ratio(runner) > RELAX_RATIO_MAX {
-            let is_long_ago = |at: Instant| now >= at + PAUSE_MAX;
-            if !is_unused(runner, now) || !runner.throttled_at.is_none_or(is_long_ago) {
-                return;
+        let worst = worst_tail_ratio(runner);
+        let is_long_ago = |at: Instant| now >= at + PAUSE_MAX;
+        let limits_max = if worst < THROTTLE_RATIO {
+            batch_runs.len()
+        } else if is_unused(runner, now) && runner.throttled_at.is_none_or(is_long_ago) {
+            1
+        } else {
+            return;
+        };
+        let limit = |batch_run: &BestEffortRun| {
+            if batch_run.is_idle_for_long(now) {
+                return Some(batch_run.resumed_limit());
             }
-            limits_max = 1;
-        }
-        let limits = batch_runs.iter();
-        let limits = limits.filter_map(|it| Some((it.run, it.raised_limit()?)));
+            batch_run
+                .raised_limit()
+                .filter(|_| worst <= RELAX_RATIO_MAX)
+        };
+        let limits = batch_runs
+            .iter()
+            .filter_map(|it| Some((it.run, limit(it)?)));
         let limits: Vec<_> = limits.take(limits_max).collect();
         if limits.is_empty() {
             return;
@@ -338,6 +371,7 @@
             return;
         };
         claim.percent = Some(percent);
+        claim.idle_since = claim.idle_since.map(|_| now);
         claim.throttle_due_at = Some(now + THROTTLE_RETRY_INTERVAL);
         let runner = runner.info.id.clone();
         let (task, run) = run;
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -110,6 +110,8 @@
     pub(crate) percent: Option<u8>,
     /// When the order of this limit is sent again; `None` once the runner has acknowledged it.
     pub(crate) throttle_due_at: Option<Instant>,
+    /// Since when a best-effort run has used no processor time, or was last resumed without effect.
+    pub(crate) idle_since: Option<Instant>,
     pub(crate) placed_at: Instant,
 }
 
@@ -129,6 +131,7 @@
             measured_cpu_millis: None,
             percent: Some(100),
             throttle_due_at: None,
+            idle_since: None,
             placed_at,
         }
     }
@@ -170,6 +173,10 @@
     pub(crate) version: u64,
 }
 
+/// Most ends of a runner that wait behind one that is kept back, half of those that fit in a report:
+/// a run whose end does not fit would be taken for lost.
+pub(crate) const KEPT_BACK_ENDS_MAX: usize = 250;
+
 /// Version of an end that is not acknowledged while its job is kept: a run that succeeded although
 /// it was given up, after another one was started. Acknowledged, both would count.
 pub(crate) const NEVER_COMMITTED: u64 = u64::MAX;
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -3,10 +3,12 @@
 mod best_effort;
 mod commit_order;
 mod engine;
+mod full_reports;
 mod id;
 mod instance_list;
 mod interference;
 mod late_ends;
+mod paused_runs;
 mod policy;
 mod runner_backoff;
 mod simulation;
