fix(sched): a starved best-effort job has a run at all times once it has one

Callers of a job that is starved by more urgent ones saw one task of it run each 2 s, and nothing in between: a placement on trial began the wait anew.

The wait of a step now counts from when the predictions began to hold it back; trials of a step of whose job something is placed keep their interval of 2 s. The new test failed before (no run for a second, ten times) and passes.

--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -39,8 +39,11 @@
     pub(crate) tasks: Vec<Task>,
     pub(crate) done: u32,
     pub(crate) open: bool,
-    /// Since when ready tasks of a best-effort step fit nowhere, while none of them was placed.
+    /// Since when ready tasks of a best-effort step fit nowhere by prediction, while none of them
+    /// was placed by it.
     pub(crate) held_since: Option<Instant>,
+    /// When a task of the step was last placed on trial.
+    pub(crate) tried_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,6 +121,7 @@
             done: 0,
             open: false,
             held_since: None,
+            tried_at: None,
         }
     }
 
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -19,7 +19,8 @@
 const RUNNER_CHECKS_MAX: usize = 600_000;
 
 /// Time for which a best-effort step is held back by estimates before one of its tasks is placed on
-/// trial; a task counts as lost after 3 s, and its commit and start take part of them.
+/// trial, and between two trials of a step; a task counts as lost after 3 s, and its commit and start
+/// take part of them.
 const TRIAL_AFTER: Duration = Duration::from_secs(2);
 
 /// Which runners a best-effort task may be placed on.
@@ -159,7 +160,7 @@
     }
 
     /// Notes whether ready tasks of a best-effort step fit nowhere; returns since when that has been
-    /// so without a task placed.
+    /// so without a task placed by prediction.
     fn hold_step(
         &mut self,
         id: TaskId,
@@ -191,10 +192,14 @@
         let Some(&id) = ready.iter().find(|&&id| self.may_place(id, now)) else {
             return 0;
         };
-        let admission = if self.has_placed_tasks(id) {
-            Admission::Trial
-        } else {
+        let is_recent = |at: Instant| now < at + TRIAL_AFTER;
+        let tried_at = self.step(id).and_then(|step| step.tried_at);
+        let admission = if !self.has_placed_tasks(id) {
             Admission::Share
+        } else if tried_at.is_some_and(is_recent) {
+            return 0;
+        } else {
+            Admission::Trial
         };
         if pass.choices_left == 0 || pass.infeasible(admission).rules_out(demand) {
             return 0;
@@ -204,7 +209,9 @@
             pass.infeasible(admission).insert(demand.clone());
             return 0;
         }
-        self.hold_step(id, true, false, now);
+        if let Some(step) = self.step_mut(id) {
+            step.tried_at = Some(now);
+        }
         if let Some(State::Placed { runner, .. }) = self.task(id).map(Task::state) {
             self.runner_mut(runner).trial_at = Some(now);
             log::info!(
--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -441,3 +441,24 @@
     failed.extend((1..=40).filter(|&id| fleet.phase(id) != Some(Phase::Completed)));
     assert!(failed.is_empty(), "jobs {failed:?} are not completed");
 }
+
+#[test]
+fn starved_job_waits_again_after_each_of_its_runs() {
+    let mut fleet = Fleet::new(2);
+    for id in 1..=60 {
+        fleet.harness.submit(job(id, vec![best_effort(10, 3_000)]));
+    }
+    fleet.rounds(1_000);
+    fleet.harness.submit(job(900, vec![best_effort(20, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    let mut idle_ms = 0;
+    for _ in 0..100 {
+        fleet.round();
+        idle_ms = if fleet.runs_of(900) > 0 {
+            0
+        } else {
+            idle_ms + ROUND_MS
+        };
+        assert!(idle_ms < 1_000);
+    }
+}
