--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -563,3 +563,24 @@
     }
     assert_eq!(total, RUNNERS, "the others follow");
 }
+
+#[test]
+fn demands_that_never_fit_do_not_hold_up_those_behind_them() {
+    const RUNNERS: usize = 3_000;
+    let ids: Vec<_> = (0..RUNNERS).map(|at| format!("r{at}")).collect();
+    let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+    let mut harness = TestEngine::with_runners(&ids, 1_000);
+    for id in 1..=300 {
+        let nowhere = StepSpec {
+            constraint: Some("nowhere".to_owned()),
+            ..step(1)
+        };
+        harness.submit(job(id, vec![nowhere]));
+    }
+    harness.submit(job(1_000, vec![step(1)]));
+    let placed = (0..5).any(|_| !starts(&harness.round()).is_empty());
+    assert!(
+        placed,
+        "a task that fits everywhere is placed within 5 passes"
+    );
+}
