fix(sched): a pass over a large group goes on where the one before it ended

In a group of thousands of runners a placement pass ends after 600,000 looks at runners, and each began with the first task in order. Demands with constraints say nothing about others, so each of them costs a look at all runners in each pass: 200 that fit nowhere kept every task behind them waiting, by test, with 3,000 runners.

Half of the looks are now made from the front and half from where the last pass ended. Urgent tasks are still looked at first in each pass, and those at the end are reached after a bounded number of passes. Keeping failed demands beyond a pass was ruled out, as room comes back between two.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -56,6 +56,8 @@
     /// repetition of a scheduled job; other jobs have a single one.
     timers: BTreeSet<(u64, JobId, u32)>,
     dirty: DirtyJobs,
+    /// Where the placement pass that looked at its most runners goes on.
+    resume_at: Option<place::Candidate>,
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
     /// Runs with an unanswered or unconfirmed start, or an ordered stop.
@@ -89,6 +91,7 @@
             ready: BTreeSet::new(),
             timers: BTreeSet::new(),
             dirty: DirtyJobs::default(),
+            resume_at: None,
             orders: Vec::new(),
             idle_tasks: stalled::IdleTasks::new(),
             unsettled_runs: BTreeSet::new(),
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -14,7 +14,7 @@
 /// A result is worthless to its caller after this multiple of the time budget.
 const OVERDUE_FACTOR: u64 = 3;
 
-/// Most runners looked at in a pass. A pass of a group with thousands of runners and tasks would
+/// Most runners looked at in a pass, half of them from the first task in order. A pass of a group with thousands of runners and tasks would
 /// otherwise outlast the owner's session, and that of each owner after it.
 const RUNNER_CHECKS_MAX: usize = 600_000;
 
@@ -57,7 +57,7 @@
 /// A step with ready tasks; the derived order is the placement order. A long-running task to be
 /// restarted is a candidate of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Candidate {
+pub(super) struct Candidate {
     priority: u8,
     urgency: Urgency,
     first: Rank,
@@ -70,23 +70,44 @@
 impl Engine {
     /// Places ready tasks in placement order. Once a demand did not fit, the rest of the step and
     /// all steps that demand at least as much are skipped in this pass. A fenced engine no longer
-    /// owns its group and places nothing, nor does one that knows only an old instance list. What a
-    /// pass leaves is placed in the next one.
+    /// owns its group and places nothing, nor does one that knows only an old instance list. Half of
+    /// a pass begins with the first in order, and half where the one before it ended, so that demands
+    /// which fit nowhere don't keep it from those behind them.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
         if self.fenced || !self.is_listing_current(now) {
             return;
         }
+        let choices_max = (RUNNER_CHECKS_MAX / self.runners.len().max(1) / 2).max(1);
         let mut pass = Pass {
             infeasible: InfeasibleDemands::default(),
             infeasible_trials: InfeasibleDemands::default(),
-            choices_left: (RUNNER_CHECKS_MAX / self.runners.len().max(1)).max(1),
+            choices_left: choices_max,
         };
-        for candidate in self.candidates(wall_ms) {
-            self.place_candidate(&candidate, &mut pass, now);
-            if pass.choices_left == 0 {
-                return;
-            }
-        }
+        let candidates = self.candidates(wall_ms);
+        let Some(ended_at) = self.place_candidates(&candidates, &mut pass, now) else {
+            self.resume_at = None;
+            return;
+        };
+        let rest = &candidates[ended_at..];
+        let is_before = |at: Candidate| rest.partition_point(|it| *it < at);
+        let rest = &rest[self.resume_at.map_or(0, is_before)..];
+        pass.choices_left = choices_max;
+        let ended_at = self.place_candidates(rest, &mut pass, now);
+        self.resume_at = ended_at.map(|at| rest[at]);
+    }
+
+    /// Places the tasks of candidates while they fit; returns the index of the candidate at which
+    /// the pass had looked at its most runners.
+    fn place_candidates(
+        &mut self,
+        candidates: &[Candidate],
+        pass: &mut Pass,
+        now: Instant,
+    ) -> Option<usize> {
+        candidates.iter().position(|candidate| {
+            self.place_candidate(candidate, pass, now);
+            pass.choices_left == 0
+        })
     }
 
     /// Places the tasks of a candidate while they fit.
