--- a/crates/persimmon-entry/tests/all/slow_links.rs
+++ b/crates/persimmon-entry/tests/all/slow_links.rs
@@ -1,8 +1,8 @@
 //! Owners whose link carries less from the store than the time limit of a call allows for.
 
-use crate::platform::{request, spec, Cluster};
+use crate::platform::{phase, request, spec, Cluster};
 use persimmon_entry::{Handle, Request};
-use persimmon_sched::JobId;
+use persimmon_sched::{JobId, Phase};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -78,3 +78,19 @@
     let accepted = cluster.run_until(handle.submit(added, spec(100))).await;
     assert!(accepted.is_ok(), "{accepted:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn takeover_waits_for_the_specifications_of_ended_jobs() {
+    let (mut cluster, handle) = start_two();
+    cluster.advance(4 * SECOND).await;
+    assert_eq!(cluster.owner_of(0).as_deref(), Some("one"));
+    submit_jobs(&mut cluster, &handle, 1_500, 10).await;
+    cluster.advance(10 * SECOND).await;
+    assert_eq!(
+        phase(&mut cluster, &handle, job_id(1_500)).await,
+        Some(Phase::Completed)
+    );
+    // The session ends after 1.4 s. The specifications would take 12 s.
+    let waited = time_to_serve(&mut cluster, 30 * SECOND).await;
+    assert!(waited < 4 * SECOND, "{waited:?}");
+}
