fix(sched,entry): keep of a job that has ended and has no runs its phase only

Callers saw jobs wait after each change of a group's owner, longer the more jobs had ended in the last two minutes.

Cause: a taker reads the specification and the record of each job, also of those that ended up to 130 s ago, before it serves.

Once the final record is committed and no run is left, the owner replaces the value of the job's submission key by the phase that it ended in and removes its record and cancellation, ten jobs a transaction that holds only while it owns the group. The key stays, so the id is not accepted again, and a read of the state finds the phase there without the owner. A record that the delayed repetition of a write leaves behind is of no account beside it.

Ruled out: keys of their own for ended jobs, which accepting a job would have to look at in a second condition; and the change in the transaction of the final record, whose repetition after a lost answer could not be told from a lost ownership.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -1,15 +1,22 @@
 use super::OwnedGroup;
 use crate::{
+    handle::Rejection,
     keys,
     platform::{CallError, Item, Platform, Precondition, Txn, TxnOutcome, Write},
+    requests::Submission,
 };
-use persimmon_sched::{Commit, JobId};
+use persimmon_sched::{Commit, JobId, Phase};
 use serde::Serialize;
 use std::{collections::HashMap, rc::Rc, slice, time::Duration};
 
 /// Records per transaction. Each takes two entries, which with the owner's key stays within the
 /// limit of 32 entries.
 const RECORDS_PER_TXN_MAX: usize = 15;
+/// Settled jobs per transaction. Each takes three entries.
+const SETTLED_JOBS_PER_TXN_MAX: usize = 10;
+/// Interval between checks for settled jobs. The longer it is, the more of them share a
+/// transaction.
+const SETTLED_INTERVAL: Duration = Duration::from_millis(400);
 /// Keys removed per transaction.
 const REMOVALS_PER_TXN_MAX: usize = 30;
 /// Transactions that may be in flight at once.
@@ -23,6 +30,8 @@
 /// Estimated size of a record and of a task in it.
 const RECORD_BYTES: usize = 300;
 const RECORD_TASK_BYTES: usize = 24;
+/// Estimated size of the entries of a settled job in a transaction.
+const SETTLED_JOB_BYTES: usize = 200;
 /// First and longest delay before an unanswered write is retried.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(20);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(320);
@@ -181,6 +190,62 @@
         }
     }
 
+    /// Replaces the specifications and records of jobs that are settled by the phases that they
+    /// ended in, so that the next owner has less to read. Never returns.
+    pub(super) async fn shorten_settled_jobs(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SETTLED_INTERVAL).await;
+            loop {
+                let jobs = self.take_settled_jobs();
+                if jobs.is_empty() {
+                    break;
+                }
+                self.shorten(&jobs).await;
+                let bytes = jobs.len() * SETTLED_JOB_BYTES;
+                let sending_time = self.shared.sending_time(bytes, RECORDS_LINK_SHARE);
+                tokio::time::sleep(sending_time).await;
+            }
+        }
+    }
+
+    fn take_settled_jobs(&self) -> Vec<(JobId, Phase)> {
+        let mut engine = self.engine.borrow_mut();
+        engine.take_settled_jobs(SETTLED_JOBS_PER_TXN_MAX)
+    }
+
+    async fn shorten(&self, jobs: &[(JobId, Phase)]) {
+        let is_stored = match self.shortening_txn(jobs) {
+            Ok(txn) => match self.send_until_answered(&txn).await {
+                Written::Applied(_) => true,
+                Written::Rejected(err) => {
+                    log::error!("event=job.shorten group={} fault=\"{err}\"", self.id.0);
+                    false
+                }
+                Written::Stopped => return,
+            },
+            Err(err) => {
+                log::error!("event=job.shorten group={} fault=\"{err}\"", self.id.0);
+                false
+            }
+        };
+        let mut engine = self.engine.borrow_mut();
+        for &(job, _) in jobs {
+            engine.handle_settled(job, is_stored);
+        }
+    }
+
+    fn shortening_txn(&self, jobs: &[(JobId, Phase)]) -> Result<Txn, Rejection> {
+        let mut txn = self.owned_txn();
+        for &(job, phase) in jobs {
+            let value = Submission::Ended(phase).encode()?;
+            let key = keys::submission(self.id, job);
+            txn.writes.push(Write::unleased(key, value));
+            txn.remove.push(keys::record(self.id, job));
+            txn.remove.push(keys::cancellation(self.id, job));
+        }
+        Ok(txn)
+    }
+
     /// Writes the number of waiting jobs whenever it has changed. Never returns.
     pub(super) async fn write_summaries(self: Rc<Self>) {
         let mut last = None;
--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -5,7 +5,7 @@
     prefix_watch::{self, ListProgress, WatchEvent, WatchOptions},
     requests::{AcceptedJob, Submission},
 };
-use persimmon_sched::{JobId, Record, StoredRecord};
+use persimmon_sched::{JobId, Phase, Record, StoredRecord};
 use std::{
     cell::Cell,
     collections::{BTreeSet, HashMap},
@@ -28,6 +28,8 @@
 #[derive(Default)]
 struct StoredJob {
     job: Option<AcceptedJob>,
+    /// The phase that a settled job ended in.
+    ended_as: Option<Phase>,
     is_cancelled: bool,
     stored: Option<StoredRecord>,
 }
@@ -49,8 +51,10 @@
         for item in items {
             self.add_item(&item, &mut jobs);
         }
-        let has_ended =
-            |job: &&StoredJob| matches!(&job.stored, Some(it) if it.record.phase.is_final());
+        let has_ended = |job: &&StoredJob| {
+            let record = job.stored.as_ref().map(|it| &it.record);
+            job.ended_as.is_some() || record.is_some_and(|it| it.phase.is_final())
+        };
         log::info!(
             "event=group.read group={} jobs={} ended_jobs={} revision={revision} duration_ms={}",
             self.id.0,
@@ -60,6 +64,10 @@
         );
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
         for (id, stored) in jobs {
+            if let Some(phase) = stored.ended_as {
+                self.engine.borrow_mut().add_ended_job(id, phase, now);
+                continue;
+            }
             let Some(job) = stored.job else {
                 continue;
             };
@@ -93,7 +101,11 @@
     fn add_item(&self, item: &Item, jobs: &mut HashMap<JobId, StoredJob>) {
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                jobs.entry(id).or_default().job = self.read_submission(item);
+                let stored = jobs.entry(id).or_default();
+                match decode_submission(item) {
+                    Some(Submission::Ended(phase)) => stored.ended_as = Some(phase),
+                    submission => stored.job = submission.and_then(Submission::into_job),
+                }
             }
             Some(JobKey::Cancellation(id)) => jobs.entry(id).or_default().is_cancelled = true,
             Some(JobKey::Record(id)) => match Record::decode(&item.value) {
@@ -109,16 +121,6 @@
         }
     }
 
-    fn read_submission(&self, item: &Item) -> Option<AcceptedJob> {
-        match Submission::decode(&item.value) {
-            Ok(submission) => submission.into_job(),
-            Err(err) => {
-                log::error!("event=submission.invalid key={} fault=\"{err}\"", item.key);
-                None
-            }
-        }
-    }
-
     /// Adds a job to the engine.
     pub(crate) fn add_job(
         &self,
@@ -150,7 +152,8 @@
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                let Some(job) = self.read_submission(item) else {
+                let job = decode_submission(item).and_then(Submission::into_job);
+                let Some(job) = job else {
                     return;
                 };
                 let steps = job.spec.steps.len();
@@ -165,3 +168,13 @@
         self.wake.notify_one();
     }
 }
+
+fn decode_submission(item: &Item) -> Option<Submission> {
+    match Submission::decode(&item.value) {
+        Ok(submission) => Some(submission),
+        Err(err) => {
+            log::error!("event=submission.invalid key={} fault=\"{err}\"", item.key);
+            None
+        }
+    }
+}
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -127,6 +127,7 @@
         self.spawn(Rc::clone(&self).follow_inbox(revision));
         self.spawn(Rc::clone(&self).follow_runners());
         self.spawn(Rc::clone(&self).commit());
+        self.spawn(Rc::clone(&self).shorten_settled_jobs());
         self.spawn(Rc::clone(&self).write_summaries());
         self.spawn(Rc::clone(&self).maintain_lease_authority(taken_at));
         self.spawn(Rc::clone(&self).remove_expired_jobs());
--- a/crates/persimmon-entry/src/job_cache.rs
+++ b/crates/persimmon-entry/src/job_cache.rs
@@ -78,8 +78,7 @@
 fn decode(item: Option<&Item>) -> Result<Rc<JobSpec>, String> {
     let item = item.ok_or("the store does not have it")?;
     let submission = Submission::decode(&item.value).map_err(|err| err.to_string())?;
-    let job = submission
-        .into_job()
-        .ok_or("the job was cancelled before it was submitted")?;
+    let job = submission.into_job();
+    let job = job.ok_or("the job was cancelled before it was submitted, or has ended")?;
     Ok(Rc::new(job.spec))
 }
--- a/crates/persimmon-entry/src/requests.rs
+++ b/crates/persimmon-entry/src/requests.rs
@@ -4,7 +4,7 @@
     handle::{Accepted, Cancelled, Rejection, Request},
     keys,
     peers::{self, PeerReply, PeerRequest},
-    platform::{CallError, Effect, Item, Platform, Txn, TxnOutcome},
+    platform::{CallError, Effect, Platform, Txn, TxnOutcome},
     state::Shared,
 };
 use persimmon_sched::{JobId, JobSpec, Phase, Queue, Record};
@@ -56,6 +56,8 @@
     Tombstone,
     /// A submitted job.
     Accepted(AcceptedJob),
+    /// A submitted job that has ended and has no runs left. It has no record any more.
+    Ended(Phase),
 }
 
 impl Submission {
@@ -63,16 +65,16 @@
         postcard::from_bytes(bytes)
     }
 
-    /// The accepted job; `None` for a tombstone.
+    /// The accepted job; `None` for a tombstone and a job that has ended.
     pub(crate) fn into_job(self) -> Option<AcceptedJob> {
         match self {
             Self::Accepted(job) => Some(job),
             Self::Job(spec) => Some(AcceptedJob { spec, queue: None }),
-            Self::Tombstone => None,
+            Self::Tombstone | Self::Ended(_) => None,
         }
     }
 
-    fn encode(&self) -> Result<Vec<u8>, Rejection> {
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, Rejection> {
         postcard::to_stdvec(self).map_err(|err| Rejection::Invalid {
             reason: err.to_string(),
         })
@@ -222,8 +224,10 @@
         TxnOutcome::NoLease => return Err(Rejection::Unknown),
         TxnOutcome::Conflict { items } => items,
     };
-    if is_tombstone(&items) {
-        return Ok(Cancelled::Unknown);
+    match items.first().map(|item| Submission::decode(&item.value)) {
+        Some(Ok(Submission::Tombstone)) => return Ok(Cancelled::Unknown),
+        Some(Ok(Submission::Ended(_))) => return Ok(Cancelled::Known),
+        Some(Ok(Submission::Job(_) | Submission::Accepted(_)) | Err(_)) | None => {}
     }
     let txn = Txn::create(keys::cancellation(group, job), Vec::new());
     if send_until_settled(shared, &txn, deadline).await? == TxnOutcome::NoLease {
@@ -233,11 +237,6 @@
     Ok(Cancelled::Known)
 }
 
-fn is_tombstone(items: &[Item]) -> bool {
-    let first = items.first();
-    first.is_some_and(|item| Submission::decode(&item.value) == Ok(Submission::Tombstone))
-}
-
 /// Returns the phase of a job; `None` if the job is not known.
 pub(crate) async fn phase<P: Platform>(
     shared: &Shared<P>,
@@ -293,21 +292,27 @@
     let group = shared.home_group(job);
     let record = shared.platform.get(&keys::record(group, job)).await?;
     shared.record_store_answer();
-    if let Some(item) = record {
-        match Record::decode(&item.value) {
-            Ok(record) => return Ok(Some(record.phase)),
-            Err(err) => log::error!("event=record.invalid job={job} fault=\"{err}\""),
+    let recorded = record.and_then(|item| match Record::decode(&item.value) {
+        Ok(record) => Some(record.phase),
+        Err(err) => {
+            log::error!("event=record.invalid job={job} fault=\"{err}\"");
+            None
         }
+    });
+    if recorded.is_some_and(Phase::is_final) {
+        return Ok(recorded);
     }
+    // The delayed repetition of a write may have left a record of a job that has ended.
     let submission = shared.platform.get(&keys::submission(group, job)).await?;
     let Some(item) = submission else {
-        return Ok(None);
+        return Ok(recorded);
     };
-    let is_tombstone = is_tombstone(std::slice::from_ref(&item));
-    Ok(Some(if is_tombstone {
-        Phase::Cancelled
-    } else {
-        Phase::Queued
+    Ok(Some(match Submission::decode(&item.value) {
+        Ok(Submission::Tombstone) => Phase::Cancelled,
+        Ok(Submission::Ended(phase)) => phase,
+        Ok(Submission::Job(_) | Submission::Accepted(_)) | Err(_) => {
+            recorded.unwrap_or(Phase::Queued)
+        }
     }))
 }
 
--- a/crates/persimmon-entry/tests/all/accepted_jobs.rs
+++ b/crates/persimmon-entry/tests/all/accepted_jobs.rs
@@ -1,7 +1,7 @@
 //! An accepted job is run once and stays known, whatever happens around it.
 
-use crate::platform::{phase, request, spec, Cluster};
-use persimmon_entry::{Handle, Rejection};
+use crate::platform::{phase, request, spec, submit, Cluster};
+use persimmon_entry::{Accepted, Cancelled, Handle, Rejection};
 use persimmon_sched::Phase;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -246,3 +246,42 @@
         println!("seed {seed}: {} accepted jobs", soak.accepted.len());
     }
 }
+
+/// Once a job has ended, the store keeps its phase in place of its specification.
+#[tokio::test(start_paused = true)]
+async fn ended_job_is_forgotten_or_run_again_after_a_takeover() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handles = [cluster.start("one"), cluster.start("two")];
+    cluster.advance(4 * SECOND).await;
+    for job in 1..=3 {
+        submit(&mut cluster, &handles[0], job, 100).await;
+    }
+    submit(&mut cluster, &handles[0], 4, 60_000).await;
+    cluster.advance(SECOND / 50).await;
+    let cancelled = cluster.run_until(handles[1].cancel(request(4))).await;
+    assert_eq!(cancelled, Ok(Cancelled::Known));
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(cluster.keys("ps/job/0/st/"), Vec::<String>::new());
+    assert_eq!(cluster.keys("ps/job/0/in/c/"), Vec::<String>::new());
+    let owner = usize::from(cluster.owner_of(0).as_deref() == Some("two"));
+    let check = async |cluster: &mut Cluster, handle: &Handle| {
+        for job in 1..=3 {
+            assert_eq!(phase(cluster, handle, job).await, Some(Phase::Completed));
+            let again = cluster
+                .run_until(handle.submit(request(job), spec(100)))
+                .await;
+            assert_eq!(again, Ok(Accepted { is_new: false }));
+            let cancelled = cluster.run_until(handle.cancel(request(job))).await;
+            assert_eq!(cancelled, Ok(Cancelled::Known));
+        }
+        assert_eq!(phase(cluster, handle, 4).await, Some(Phase::Cancelled));
+    };
+    check(&mut cluster, &handles[1 - owner]).await;
+    cluster.kill(owner);
+    check(&mut cluster, &handles[1 - owner]).await;
+    cluster.advance(6 * SECOND).await;
+    check(&mut cluster, &handles[1 - owner]).await;
+    cluster.advance(2 * SECOND).await;
+    let starts: Vec<_> = (1..=3).map(|job| cluster.start_count(job)).collect();
+    assert_eq!(starts, [1, 1, 1]);
+}
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -926,6 +926,13 @@
         Some(text.split_once('#')?.0.to_owned())
     }
 
+    /// Returns the keys in the store that start with `prefix`.
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        let items = self.state.items.borrow();
+        let keys = items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
     /// Returns the number of starts of a job's tasks.
     pub(crate) fn start_count(&self, job: u64) -> usize {
         let starts = self.state.starts.borrow();
--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -60,6 +60,7 @@
             for task in self.task_ids(id) {
                 self.end_run(task, now);
             }
+            self.remember_settled(id);
         }
         self.stop_incomplete_gangs(id, now);
         if self.cancelled_before_submission.remove(&id) {
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -77,6 +77,7 @@
             self.order_start(task, version);
         }
         self.acknowledge();
+        self.remember_settled(id);
     }
 
     fn order_start(&mut self, id: crate::TaskId, version: u64) {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod place;
 mod report;
+mod settled;
 mod stalled;
 mod start;
 mod task;
@@ -35,7 +36,7 @@
 };
 use persimmon_interference::InterferenceModel;
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -56,6 +57,8 @@
     /// repetition of a scheduled job; other jobs have a single one.
     timers: BTreeSet<(u64, JobId, u32)>,
     dirty: DirtyJobs,
+    /// Jobs that had ended and had no runs left when they were committed.
+    settled: VecDeque<JobId>,
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
     /// Runs with an unanswered or unconfirmed start, or an ordered stop.
@@ -89,6 +92,7 @@
             ready: BTreeSet::new(),
             timers: BTreeSet::new(),
             dirty: DirtyJobs::default(),
+            settled: VecDeque::new(),
             orders: Vec::new(),
             idle_tasks: stalled::IdleTasks::new(),
             unsettled_runs: BTreeSet::new(),
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod late_ends;
 mod policy;
 mod runner_backoff;
+mod settled;
 mod simulation;
 mod spec;
 mod stalled;
