--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -101,6 +101,8 @@
     /// Bandwidth at which pages and changes arrive from the store, in bytes per second; 0 for no
     /// limit.
     pub(crate) store_bytes_per_s: Cell<u64>,
+    /// How long pages and changes may take to arrive, if not as long as usual.
+    pub(crate) arrival_timeout: Cell<Option<Duration>>,
     /// Added to the latency of each call to the store.
     pub(crate) extra_store_latency: Cell<Duration>,
     /// While set, reads that may be stale are older than all keys.
@@ -240,6 +242,7 @@
             0 => return Ok(()),
             bytes_per_s => bytes_per_s,
         };
+        let timeout = self.state.arrival_timeout.get().unwrap_or(timeout);
         let duration = Duration::from_secs_f64(bytes as f64 / bytes_per_s as f64);
         tokio::time::sleep(duration.min(timeout)).await;
         if duration > timeout {
--- a/crates/persimmon-entry/tests/all/slow_links.rs
+++ b/crates/persimmon-entry/tests/all/slow_links.rs
@@ -94,3 +94,35 @@
     let waited = time_to_serve(&mut cluster, 30 * SECOND).await;
     assert!(waited < 4 * SECOND, "{waited:?}");
 }
+
+/// Configurations are written faster than the link carries them, and a watch returns each of them.
+#[tokio::test(start_paused = true)]
+async fn versions_of_a_large_configuration_delay_the_latest() {
+    let mut cluster = Cluster::new(&["a"]);
+    cluster.state.link_bytes_per_s.set(LINK_BYTES_PER_S);
+    let handle = cluster.start("one");
+    cluster.advance(4 * SECOND).await;
+    cluster.state.store_bytes_per_s.set(LINK_BYTES_PER_S);
+    cluster.state.arrival_timeout.set(Some(8 * SECOND));
+    let filler = "other".repeat(16_000);
+    for version in 2..=31 {
+        cluster.write_policy(version, &["quotes", &filler]);
+        cluster.advance(SECOND / 5).await;
+    }
+    cluster.write_policy(32, &["added", &filler]);
+    let since = tokio::time::Instant::now();
+    let added = Request {
+        path: "/added/".to_owned(),
+        ..request(1)
+    };
+    while cluster
+        .run_until(handle.waiting(added.clone()))
+        .await
+        .is_err()
+    {
+        cluster.advance(SECOND / 20).await;
+    }
+    // The link carries a version in 0.43 s.
+    let waited = since.elapsed();
+    assert!(waited < SECOND * 3 / 2, "{waited:?}");
+}
