--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod place;
 mod report;
+mod settled;
 mod stalled;
 mod start;
 mod task;
@@ -35,7 +36,7 @@
 };
 use persimmon_interference::InterferenceModel;
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -58,6 +59,8 @@
     dirty: DirtyJobs,
     /// Where the placement pass that looked at its most runners goes on.
     resume_at: Option<place::Candidate>,
+    /// Jobs that had ended and had no runs left when they were committed.
+    settled: VecDeque<JobId>,
     orders: Vec<Order>,
     idle_tasks: stalled::IdleTasks,
     /// Runs with an unanswered or unconfirmed start, or an ordered stop.
@@ -92,6 +95,7 @@
             timers: BTreeSet::new(),
             dirty: DirtyJobs::default(),
             resume_at: None,
+            settled: VecDeque::new(),
             orders: Vec::new(),
             idle_tasks: stalled::IdleTasks::new(),
             unsettled_runs: BTreeSet::new(),
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod paused_runs;
 mod policy;
 mod runner_backoff;
+mod settled;
 mod simulation;
 mod spec;
 mod stalled;
