test(sched): a large best-effort task that smaller ones keep out for good

Whenever a small run ends, the next small task takes the processors that became idle, so a larger task never finds enough of them; its turn comes first and does not help it. Nothing is reserved on the runner, so callers see a job with nothing running and all reserved room free. A task of the size of the others is placed in its turn, which the third test holds.

--- /dev/null
+++ b/crates/persimmon-sched/tests/all/backlog.rs
@@ -0,0 +1,161 @@
+//! More best-effort work is submitted than the idle processors can do.
+
+use crate::support::{job, listed, report, runner, starts, step, task, TestEngine};
+use persimmon_sched::{Answer, End, EndKind, Report, RunStatus, StepSpec, TaskId};
+
+/// Nothing is reserved on the runner, so a job with nothing running counts as lost after this time.
+const RUNS_WITHIN_MS: u64 = 10_000;
+const ROUND_MS: u64 = 100;
+const RUNNER: &str = "a";
+const RUNNER_CPU_MILLIS: u32 = 10_000;
+const SMALL_CPU_MILLIS: u32 = 1_000;
+
+/// A runner whose processors are all used by small best-effort tasks. Whenever one of them ends,
+/// another has been submitted.
+struct Backlog {
+    harness: TestEngine,
+    running: Vec<(TaskId, u32)>,
+    ended: Vec<End>,
+    ends: u64,
+    last_job: u64,
+}
+
+fn best_effort(image: &str, cpu_millis: u32) -> StepSpec {
+    let mut step = StepSpec {
+        image: image.to_owned(),
+        best_effort: true,
+        ..step(1)
+    };
+    step.size.cpu_millis = cpu_millis;
+    step
+}
+
+impl Backlog {
+    fn new() -> Self {
+        let mut harness = TestEngine::new();
+        let now = harness.now;
+        harness
+            .engine
+            .update_runner(runner(RUNNER, RUNNER_CPU_MILLIS), now);
+        let mut backlog = Self {
+            harness,
+            running: Vec::new(),
+            ended: Vec::new(),
+            ends: 0,
+            last_job: 0,
+        };
+        for _ in 0..RUNNER_CPU_MILLIS / SMALL_CPU_MILLIS {
+            backlog.submit("small", SMALL_CPU_MILLIS);
+        }
+        backlog.round();
+        backlog
+    }
+
+    fn wall_ms(&self) -> u64 {
+        (self.harness.now - self.harness.started_at).as_millis() as u64
+    }
+
+    fn submit(&mut self, image: &str, cpu_millis: u32) -> TaskId {
+        self.last_job += 1;
+        let mut spec = job(self.last_job, vec![best_effort(image, cpu_millis)]);
+        spec.submitted_at_ms = self.wall_ms();
+        self.harness.submit(spec);
+        task(self.last_job, 0, 0)
+    }
+
+    /// Ends the run at this position with this outcome.
+    fn end(&mut self, at: usize, kind: EndKind) {
+        let (task, run) = self.running.remove(at);
+        self.ends += 1;
+        self.ended.push(End {
+            number: self.ends,
+            task,
+            run,
+            kind,
+            checkpoint: String::new(),
+        });
+    }
+
+    fn round(&mut self) {
+        let acknowledged = self.harness.engine.acknowledged(RUNNER);
+        self.ended.retain(|end| end.number > acknowledged);
+        let running = self.running.iter();
+        let running = running.map(|&(task, run)| RunStatus {
+            measurement: u64::from(SMALL_CPU_MILLIS),
+            percent: 100,
+            ..listed(task, run)
+        });
+        let report = Report {
+            ended: self.ended.clone(),
+            ..report(self.harness.clock_ms(), running.collect())
+        };
+        let (wall_ms, now) = (self.wall_ms(), self.harness.now);
+        let engine = &mut self.harness.engine;
+        engine.handle_report(RUNNER, &report, now, now);
+        engine.tick(wall_ms, now);
+        self.harness.commit();
+        for (_, task, run) in starts(&self.harness.engine.take_orders()) {
+            self.harness.answer_start(task, run, Answer::Started);
+            self.running.push((task, run));
+        }
+        self.harness.advance(ROUND_MS);
+    }
+
+    /// Returns after how long a task runs, if it does within [`RUNS_WITHIN_MS`], while a small task
+    /// ends and another is submitted in each round.
+    fn runs_after_ms(&mut self, id: TaskId) -> Option<u64> {
+        let since_ms = self.wall_ms();
+        while self.wall_ms() < since_ms + RUNS_WITHIN_MS {
+            self.end(0, EndKind::Done);
+            self.submit("small", SMALL_CPU_MILLIS);
+            self.round();
+            if self.running.iter().any(|&(task, _)| task == id) {
+                return Some(self.wall_ms() - since_ms);
+            }
+        }
+        None
+    }
+}
+
+#[test]
+fn large_best_effort_task_is_not_kept_out_by_smaller_ones() {
+    let mut backlog = Backlog::new();
+    let large = backlog.submit("large", 5 * SMALL_CPU_MILLIS);
+    assert!(
+        backlog.runs_after_ms(large).is_some(),
+        "nothing of its job runs for {RUNS_WITHIN_MS} ms"
+    );
+}
+
+#[test]
+fn failed_best_effort_task_is_not_kept_out_by_newer_ones() {
+    let mut backlog = Backlog::new();
+    let large = backlog.submit("large", 5 * SMALL_CPU_MILLIS);
+    for _ in 0..5 {
+        backlog.end(0, EndKind::Done);
+    }
+    backlog.round();
+    let last = backlog.running.len() - 1;
+    assert_eq!(backlog.running[last], (large, 1));
+    backlog.end(last, EndKind::Failed);
+    for _ in 0..5 {
+        backlog.submit("small", SMALL_CPU_MILLIS);
+    }
+    assert!(
+        backlog.runs_after_ms(large).is_some(),
+        "nothing of its job runs again for {RUNS_WITHIN_MS} ms"
+    );
+}
+
+#[test]
+fn best_effort_task_of_the_usual_size_is_not_kept_out_by_newer_ones() {
+    let mut backlog = Backlog::new();
+    for _ in 0..5 {
+        backlog.submit("small", SMALL_CPU_MILLIS);
+    }
+    let small = backlog.submit("small", SMALL_CPU_MILLIS);
+    assert!(
+        backlog.runs_after_ms(small).is_some(),
+        "nothing of its job runs for {RUNS_WITHIN_MS} ms"
+    );
+}
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler.
 
+mod backlog;
 mod commit_order;
 mod engine;
 mod id;
