test(sched): an overdue best-effort task that newer ones keep out for good

Jobs past three times their time budget are placed after all others of their priority, without a bound: as long as newer best-effort jobs arrive as fast as runs end, a job that is overdue has nothing running, while nothing is reserved on the runner.

--- a/crates/persimmon-sched/tests/all/backlog.rs
+++ b/crates/persimmon-sched/tests/all/backlog.rs
@@ -1,10 +1,12 @@
 //! More best-effort work is submitted than the idle processors can do.
 
 use crate::support::{job, listed, report, runner, starts, step, task, TestEngine};
-use persimmon_sched::{Answer, End, EndKind, Report, RunStatus, StepSpec, TaskId};
+use persimmon_sched::{Answer, End, EndKind, JobSpec, Report, RunStatus, StepSpec, TaskId};
 
 /// Nothing is reserved on the runner, so a job with nothing running counts as lost after this time.
 const RUNS_WITHIN_MS: u64 = 10_000;
+/// More than three times the time budget of a job.
+const OVERDUE_AFTER_MS: u64 = 12_000;
 const ROUND_MS: u64 = 100;
 const RUNNER: &str = "a";
 const RUNNER_CPU_MILLIS: u32 = 10_000;
@@ -56,10 +58,16 @@
     }
 
     fn submit(&mut self, image: &str, cpu_millis: u32) -> TaskId {
+        self.submit_at(self.wall_ms(), image, cpu_millis)
+    }
+
+    fn submit_at(&mut self, submitted_at_ms: u64, image: &str, cpu_millis: u32) -> TaskId {
         self.last_job += 1;
-        let mut spec = job(self.last_job, vec![best_effort(image, cpu_millis)]);
-        spec.submitted_at_ms = self.wall_ms();
-        self.harness.submit(spec);
+        let spec = job(self.last_job, vec![best_effort(image, cpu_millis)]);
+        self.harness.submit(JobSpec {
+            submitted_at_ms,
+            ..spec
+        });
         task(self.last_job, 0, 0)
     }
 
@@ -159,3 +167,16 @@
         "nothing of its job runs for {RUNS_WITHIN_MS} ms"
     );
 }
+
+#[test]
+fn overdue_best_effort_task_is_not_kept_out_by_newer_ones() {
+    let mut backlog = Backlog::new();
+    for _ in 0..OVERDUE_AFTER_MS / ROUND_MS {
+        backlog.round();
+    }
+    let overdue = backlog.submit_at(0, "small", SMALL_CPU_MILLIS);
+    assert!(
+        backlog.runs_after_ms(overdue).is_some(),
+        "nothing of its job runs for {RUNS_WITHIN_MS} ms"
+    );
+}
