test(relay): simulate owners that reach failing runners through relays

This one has engines, links, relays and runners that follow the contract: owners and relays are suspended for up to 8 s, relays restart, 40 % of runs fail, runners drain, leave and restart under their id, and batches, news, polls, starts and stops are lost, answered late or carried out seconds late. After the faults each job has a run within 14 s (a lease term, its margins and the longest backoff) and ends, no task runs twice, and each end is seen and in the end acknowledged.

--- a/crates/persimmon-relay/tests/all/main.rs
+++ b/crates/persimmon-relay/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod assign;
 mod exchange;
+mod owners;
 mod restarts;
 mod sessions;
 mod simulation;
