test(entry): a stop waits behind starts that can't be sent

Fails: while reads of a job's specification time out, the starts of its tasks hold the calls of their relay, and a stop on the same relay is not carried out.

--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod platform;
 mod runners;
 mod scale;
+mod specifications;
 mod takeovers;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -67,6 +67,8 @@
     pub(crate) denies_leases: Cell<bool>,
     /// While set, calls to the store time out.
     pub(crate) store_is_down: Cell<bool>,
+    /// While set, reads of single keys time out.
+    pub(crate) key_reads_time_out: Cell<bool>,
     /// Limits on the calls per second; more are rejected.
     pub(crate) call_limits: Cell<Option<CallLimits>>,
     calls_in_second: Cell<CallsInSecond>,
@@ -351,6 +353,10 @@
 
 impl Store for PlatformClient {
     async fn get(&self, key: &str) -> Result<Option<Item>, CallError> {
+        if self.state.key_reads_time_out.get() {
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            return Err(call_error("get", Effect::Unknown));
+        }
         self.simulate_call("get").await?;
         let items = self.state.items.borrow();
         Ok(items.get(key).map(|(item, _)| item.clone()))
