fix(entry): a stop does not wait for starts that can't be sent

While a relay could not read the specification of a job of many tasks, the stops and CPU limits that it was to send waited as well: with 20 tasks a cancelled run was still running 2 s later.

Cause: a start took one of the relay's calls, 4 to 128, before it read the specification, and starts of one job read it one after the other if reads failed, each until its own timed out. The owner orders those that were withheld again at once, so the line did not shorten.

Starts take a call once they have the specification. A read that fails fails for all that wait for it, and the reads of a relay have a limit of their own, as many as before.

Not mended: a start that is withheld for this reason says nothing about its runner, so its task may be placed there again until the member has lost its session and carries no runners.

--- a/crates/persimmon-entry/src/job_cache.rs
+++ b/crates/persimmon-entry/src/job_cache.rs
@@ -18,8 +18,11 @@
 /// A specification that was not used for this long is dropped.
 const UNUSED_MAX: Duration = Duration::from_secs(20);
 
+/// The outcome of a read: `None` if it failed.
+type Spec = Rc<OnceCell<Option<Rc<JobSpec>>>>;
+
 struct Entry {
-    spec: Rc<OnceCell<Rc<JobSpec>>>,
+    spec: Spec,
     used_at: Instant,
 }
 
@@ -30,7 +33,7 @@
 }
 
 impl JobCache {
-    fn entry(&self, group: GroupId, job: JobId, now: Instant) -> Rc<OnceCell<Rc<JobSpec>>> {
+    fn entry(&self, group: GroupId, job: JobId, now: Instant) -> Spec {
         let mut entries = self.entries.borrow_mut();
         if !entries.contains_key(&(group, job)) {
             entries.retain(|_, entry| now < entry.used_at + UNUSED_MAX);
@@ -42,23 +45,38 @@
         entry.used_at = now;
         Rc::clone(&entry.spec)
     }
+
+    /// Drops a failed read, so that the next call reads again.
+    fn forget(&self, group: GroupId, job: JobId, failed: &Spec) {
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.get(&(group, job));
+        if entry.is_some_and(|entry| Rc::ptr_eq(&entry.spec, failed)) {
+            entries.remove(&(group, job));
+        }
+    }
 }
 
-/// Returns the specification of an accepted job. Calls for the same job share one read.
+/// Returns the specification of an accepted job. Calls for the same job share one read, also one
+/// that fails: each would otherwise wait for those before it to time out.
 pub(crate) async fn specification<P: Platform>(
     shared: &Shared<P>,
     group: GroupId,
     job: JobId,
 ) -> Option<Rc<JobSpec>> {
     let cell = shared.job_cache.entry(group, job, shared.now());
-    let spec = cell.get_or_try_init(|| read(shared, group, job)).await;
-    match spec {
-        Ok(spec) => Some(Rc::clone(spec)),
-        Err(reason) => {
+    let spec = cell.get_or_init(|| async {
+        let _permit = shared.relay.specification_read().await;
+        let spec = read(shared, group, job).await;
+        let failed = |reason: &String| {
             log::warn!("event=job.specification job={job} fault=\"{reason}\"");
-            None
-        }
+        };
+        spec.inspect_err(failed).ok()
+    });
+    let spec = spec.await.clone();
+    if spec.is_none() {
+        shared.job_cache.forget(group, job, &cell);
     }
+    spec
 }
 
 async fn read<P: Platform>(
--- a/crates/persimmon-entry/src/relay.rs
+++ b/crates/persimmon-entry/src/relay.rs
@@ -13,7 +13,7 @@
 use persimmon_sched::Answer;
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, rc::Rc, time::Duration};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// How long a runner with runs may delay its report while no run ends. A tail latency in a report
 /// covers half a second.
@@ -22,7 +22,7 @@
 /// link: a start takes about 4 KB, and what waits for the link delays the calls that keep leases.
 const CALLS_PER_CAPACITY_MILLI: f64 = 0.25;
 /// Fewest and most starts, stops and CPU limits in flight, and polls of runners that have not
-/// reported yet; these take a new connection each.
+/// reported yet; these take a new connection each. Reads of specifications are as many.
 const CALLS_MIN: usize = 4;
 const CALLS_MAX: usize = 128;
 /// Pause between polls of a runner, so that runs that end together are handled together.
@@ -42,6 +42,9 @@
     acknowledged: Notify,
     first_polls: Semaphore,
     orders: Semaphore,
+    /// Reads of specifications. A start holds none of [`Self::orders`] while it waits for its own,
+    /// so that stops do not wait for the store.
+    specification_reads: Semaphore,
 }
 
 impl RelayService {
@@ -55,8 +58,14 @@
             acknowledged: Notify::new(),
             first_polls: Semaphore::new(calls),
             orders: Semaphore::new(calls),
+            specification_reads: Semaphore::new(calls),
         }
     }
+
+    /// Waits until another specification may be read from the store.
+    pub(crate) async fn specification_read(&self) -> Option<SemaphorePermit<'_>> {
+        self.specification_reads.acquire().await.ok()
+    }
 }
 
 /// The answer to a batch.
@@ -224,7 +233,6 @@
 }
 
 async fn make_call<P: Platform>(shared: &Shared<P>, call: &OrderCall) -> Outcome {
-    let _permit = shared.relay.orders.acquire().await.ok();
     let run = RunRef {
         task: call.task,
         number: call.run,
@@ -238,6 +246,7 @@
         } => {
             let group = GroupId(call.session.group);
             let job = job_cache::specification(shared, group, call.task.job).await;
+            let _permit = shared.relay.orders.acquire().await.ok();
             let Some(job) = job.filter(|_| shared.now() < *expires_at) else {
                 log::info!(
                     "event=start.withheld task={} run={} runner={} reason=\"the order is old\"",
@@ -251,8 +260,12 @@
             let started = platform.start(&call.runner, run, &job, checkpoint, *deadline_ms);
             return Outcome::Start(started.await);
         }
-        OrderKind::Stop => shared.platform.stop(&call.runner, run).await,
+        OrderKind::Stop => {
+            let _permit = shared.relay.orders.acquire().await.ok();
+            shared.platform.stop(&call.runner, run).await
+        }
         OrderKind::Throttle(percent) => {
+            let _permit = shared.relay.orders.acquire().await.ok();
             let throttled = shared.platform.throttle(&call.runner, run, *percent);
             throttled.await
         }
