--- a/crates/persimmon-relay/tests/all/owners.rs
+++ b/crates/persimmon-relay/tests/all/owners.rs
@@ -332,7 +332,9 @@
             owner.suspended_until_ms = 0;
         }
         for worker in &mut self.workers {
-            worker.unreachable_until_ms = 0;
+            // One that restarts right now is away for its time.
+            let back_ms = worker.incarnation_ms + RESTART_MS;
+            worker.unreachable_until_ms = worker.unreachable_until_ms.min(back_ms);
         }
     }
 
