--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod runners;
 mod scale;
 mod slow_links;
+mod specifications;
 mod takeovers;
