--- a/crates/persimmon-sched/tests/all/late_ends.rs
+++ b/crates/persimmon-sched/tests/all/late_ends.rs
@@ -165,3 +165,41 @@
     assert_eq!(harness.engine.phase(id), Some(Phase::Completed));
     assert_eq!(harness.engine.acknowledged("a"), 1);
 }
+
+/// The newer run has started after the end of the earlier one.
+#[test]
+fn late_success_is_not_acknowledged_after_a_newer_run_has_failed() {
+    let mut harness = ordered_again();
+    harness.answer_start(task(1, 0, 0), 2, Answer::Started);
+    let failed = End {
+        run: 2,
+        ..end(1, EndKind::Failed)
+    };
+    report_ends(&mut harness, "b", vec![failed]);
+    harness.commit();
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    harness.commit();
+    assert_eq!(harness.engine.acknowledged("a"), 0);
+}
+
+/// Nothing tells that the start was carried out but the end of its run.
+#[test]
+fn late_success_is_not_acknowledged_after_the_end_of_a_run_whose_start_was_not_answered() {
+    let mut harness = ordered_again();
+    harness.answer_start(task(1, 0, 0), 2, Answer::Unknown);
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    let failed = End {
+        run: 2,
+        ..end(1, EndKind::Failed)
+    };
+    report_ends(&mut harness, "b", vec![failed.clone()]);
+    for run in 3..6 {
+        harness.advance(1_000);
+        harness.report("a", vec![]);
+        report_ends(&mut harness, "b", vec![failed.clone()]);
+        harness.round();
+        harness.answer_start(task(1, 0, 0), run, Answer::Refused);
+        harness.commit();
+    }
+    assert_eq!(harness.engine.acknowledged("a"), 0);
+}
