fix(entry): read a large configuration while it is written often, with pauses

Callers got an old configuration, and their tasks waited, for as long as large configurations followed each other, on instances with slow links.

Cause: a watch returns each version in full. While one crosses the link the next ones are written, so the answers grow and the link carries nothing but versions that are out of date already.

After a large item the policy's watch now pauses for as long as the item takes the link, reads the key, which is the latest version alone, and goes on so until a read finds nothing new. Items of less than 250 ms of the link are watched as before, which is all of them at 10 Mbit/s and 277 KB.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -19,6 +19,7 @@
     wait: Duration::from_millis(1_500),
     pause: Duration::from_millis(15),
     by_all_members: false,
+    skips_large_versions: false,
     confirms_backlog: false,
 };
 
--- a/crates/persimmon-entry/src/group/runner_list.rs
+++ b/crates/persimmon-entry/src/group/runner_list.rs
@@ -15,6 +15,7 @@
     wait: Duration::from_millis(400),
     pause: Duration::from_millis(300),
     by_all_members: false,
+    skips_large_versions: false,
     confirms_backlog: true,
 };
 
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -34,6 +34,7 @@
     // A group without an owner must be seen at once.
     pause: Duration::ZERO,
     by_all_members: true,
+    skips_large_versions: false,
     confirms_backlog: false,
 };
 
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -21,6 +21,9 @@
     /// Whether all members watch the prefix. One change then causes a call of each of them, so
     /// their calls are kept within a fraction of the store's read limit.
     pub(crate) by_all_members: bool,
+    /// Whether to read the items in place of their changes while large ones change: a watch returns
+    /// each version of an item, a read the latest alone.
+    pub(crate) skips_large_versions: bool,
     /// Whether to find out how old the known items are while answers come with a backlog.
     pub(crate) confirms_backlog: bool,
 }
@@ -28,6 +31,8 @@
 /// The store limits the number of changes in an answer. One with this many or more may leave some
 /// out, so the next call is made without a pause.
 const BACKLOG_CHANGES: usize = 250;
+/// An item is large if it takes the link longer than this.
+const LARGE_ITEM_TIME: Duration = Duration::from_millis(250);
 /// Delay before a failed read or watch is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -189,35 +194,49 @@
     start: Option<(BTreeSet<String>, u64)>,
     mut on_event: impl FnMut(WatchEvent),
 ) {
-    let (mut known, mut revision) = match start {
-        Some(start) => start,
-        None => relist(shared, prefix, &BTreeSet::new(), &mut on_event).await,
-    };
+    let mut state = WatchState::default();
+    match start {
+        Some((known, revision)) => state = WatchState { known, revision },
+        None => {
+            read_all(shared, prefix, &mut state, &mut on_event).await;
+        }
+    }
     loop {
-        watch(
-            shared,
-            prefix,
-            options,
-            &mut known,
-            &mut revision,
-            &mut on_event,
-        )
-        .await;
-        (known, revision) = relist(shared, prefix, &known, &mut on_event).await;
+        let mut large = watch(shared, prefix, options, &mut state, &mut on_event).await;
+        loop {
+            // As long a pause leaves half of the link to other calls.
+            tokio::time::sleep(large.unwrap_or_default()).await;
+            large = read_all(shared, prefix, &mut state, &mut on_event).await;
+            if large.is_none() || !options.skips_large_versions {
+                break;
+            }
+        }
     }
 }
 
-/// Reads all items. Reports each of them and the keys of `known_before` that are gone.
-async fn relist<P: Platform>(
+/// What is known of the watched items.
+#[derive(Debug, Default)]
+struct WatchState {
+    known: BTreeSet<String>,
+    /// The revision to watch from.
+    revision: u64,
+}
+
+/// Reads and reports all items, and the keys that are gone. If an item is large and has changed since
+/// it was known, so that it may have changed again meanwhile, returns the time that it takes the
+/// link.
+async fn read_all<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
-    known_before: &BTreeSet<String>,
+    state: &mut WatchState,
     on_event: &mut impl FnMut(WatchEvent),
-) -> (BTreeSet<String>, u64) {
+) -> Option<Duration> {
     let called_at = shared.now();
     let (items, revision) = list(shared, prefix, &Cell::default()).await;
+    let changed = items.iter().filter(|item| item.revision > state.revision);
+    let large = large_item_time(shared, changed);
     let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
-    for key in known_before.difference(&known) {
+    for key in state.known.difference(&known) {
         on_event(WatchEvent::Changed(Change::Removed {
             key: key.clone(),
             revision,
@@ -227,19 +246,31 @@
         .into_iter()
         .for_each(|item| on_event(WatchEvent::Changed(Change::Put(item))));
     on_event(WatchEvent::UpToDate { as_of: called_at });
-    (known, revision)
+    *state = WatchState { known, revision };
+    large
 }
 
-/// Watches the prefix until the history after `revision` is compacted, or the changes since are too
-/// large to arrive in time. Unlike their history, the items themselves don't grow meanwhile.
+/// Returns the time that the largest item takes the link; `None` if it is not large.
+fn large_item_time<'a, P>(
+    shared: &Shared<P>,
+    items: impl Iterator<Item = &'a Item>,
+) -> Option<Duration> {
+    let bytes = items.map(|item| item.value.len()).max()?;
+    Some(shared.sending_time(bytes, 1.0)).filter(|&time| time > LARGE_ITEM_TIME)
+}
+
+/// Watches the prefix until the history after the known revision is compacted, the changes since are
+/// too large to arrive in time, or the options say to read the items instead. Unlike their history,
+/// the items themselves don't grow meanwhile. Returns the time that a large item takes the link, if
+/// that is why.
 async fn watch<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
     options: WatchOptions,
-    known: &mut BTreeSet<String>,
-    revision: &mut u64,
+    state: &mut WatchState,
     on_event: &mut impl FnMut(WatchEvent),
-) {
+) -> Option<Duration> {
+    let WatchState { known, revision } = state;
     let mut failures = 0;
     let mut retry_delay = RetryDelay::new(RETRY_DELAY);
     let mut marker = None;
@@ -255,6 +286,11 @@
                 retry_delay.reset();
                 *revision = new_revision.max(*revision);
                 let has_backlog = changes.len() >= BACKLOG_CHANGES;
+                let puts = changes.iter().filter_map(|change| match change {
+                    Change::Put(item) => Some(item),
+                    Change::Removed { .. } => None,
+                });
+                let large = large_item_time(shared, puts);
                 for change in changes {
                     match &change {
                         Change::Put(item) => known.insert(item.key.clone()),
@@ -269,6 +305,9 @@
                 if has_backlog && marker.is_none() && options.confirms_backlog {
                     marker = read_marker(shared).await;
                 }
+                if options.skips_large_versions && large.is_some() {
+                    return large;
+                }
                 if !has_backlog {
                     on_event(WatchEvent::UpToDate { as_of: called_at });
                     tokio::time::sleep(pause(shared, options, called_at)).await;
@@ -276,13 +315,13 @@
             }
             Ok(WatchOutcome::Compacted) => {
                 log::info!("event=store.compacted prefix={prefix} revision={revision}");
-                return;
+                return None;
             }
             Err(err) if err.is_incomplete => {
                 log::info!(
                     "event=store.backlog prefix={prefix} revision={revision} fault=\"{err}\""
                 );
-                return;
+                return None;
             }
             Err(err) => {
                 failures += 1;
--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -30,6 +30,7 @@
     wait: Duration::from_millis(800),
     pause: Duration::ZERO,
     by_all_members: true,
+    skips_large_versions: true,
     confirms_backlog: false,
 };
 
