fix(sched): never acknowledge a late success after a newer run has started

Callers' work ran twice: a run that succeeded on a runner which was not heard in time was given up, a newer run started elsewhere and failed, and then the success was accepted, as the task waited and a waiting task was taken for one whose newer run was never carried out. Acknowledged, the success stands before the start of the newer run. The same happened when the newer run's start was not answered and only its end showed that it had started.

A task now knows the highest run that may have started, from answers, reports and ends. A success of an earlier run is not accepted after it and stays unacknowledged, like one that is heard while the newer run works. An owner that takes over assumes that the latest run in the record has started.

Ruled out: clearing the remembered late end alone, which mends the second case only.

--- a/crates/persimmon-sched/src/engine/late_end.rs
+++ b/crates/persimmon-sched/src/engine/late_end.rs
@@ -24,22 +24,25 @@
     }
 
     /// Takes a task for done whose run was given up, because its runner was not heard in time, and
-    /// had succeeded. Returns `false` if another run was ordered since, which decides for itself.
+    /// had succeeded. Returns `false` if another run was ordered or has started since, which decides
+    /// for itself.
     pub(super) fn accept_late_end(&mut self, key: RunnerKey, end: &End, now: Instant) -> bool {
         let id = end.task;
         let is_single = |step: &StepSpec| !step.long_running && !step.gang;
         if end.kind != EndKind::Done || !self.step_of(id).is_some_and(is_single) {
             return true;
         }
-        let Some((run, state)) = self.task(id).map(|task| (task.run, task.state())) else {
+        let Some(task) = self.task(id) else {
             return false;
         };
+        let (run, state) = (task.run, task.state());
+        let has_newer_started = task.started_run > end.run;
         let is_unordered = match state {
             State::Waiting { .. } => true,
             State::Placed { stage, .. } => matches!(stage, Stage::Committing(_)),
             State::Done => return run == end.run,
         };
-        if !is_unordered || end.run > run {
+        if !is_unordered || end.run > run || has_newer_started {
             return false;
         }
         if !self.is_final(id) {
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -136,6 +136,7 @@
             self.runner(key).info.id,
             end.kind
         );
+        self.note_started(end.task, end.run);
         if current {
             self.apply_end(key, end, now);
         }
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Task {
     state: State,
     pub(crate) run: u32,
+    /// Highest number of a run that may have started, as far as answers and reports tell.
+    pub(crate) started_run: u32,
     pub(crate) failures: u32,
     /// The runner on which its last failed run was.
     pub(crate) failed_on: Option<RunnerKey>,
@@ -28,6 +30,7 @@
         Self {
             state,
             run,
+            started_run: run,
             failures,
             failed_on: None,
             checkpoint,
@@ -60,6 +63,21 @@
         }
     }
 
+    /// Returns whether the run is known to have started.
+    fn has_started(self) -> bool {
+        match self {
+            Self::Placed { stage, .. } => match stage {
+                Stage::Running(_) => true,
+                Stage::Stopping { start_answered, .. } => start_answered,
+                Stage::Committing(_)
+                | Stage::Ordered { .. }
+                | Stage::Restored
+                | Stage::Unconfirmed { .. } => false,
+            },
+            Self::Waiting { .. } | Self::Done => false,
+        }
+    }
+
     /// Returns whether the run must be settled by time if neither an answer nor a report does.
     fn is_unsettled(self) -> bool {
         match self {
@@ -81,6 +99,9 @@
             return;
         };
         let (run, old) = (task.run, std::mem::replace(&mut task.state, state));
+        if state.has_started() {
+            self.note_started(id, run);
+        }
         if let Some(runner) = old.runner().filter(|&it| state.runner() != Some(it)) {
             self.runner_mut(runner).release(id, run);
         }
@@ -102,6 +123,18 @@
         );
     }
 
+    /// Notes that a run has started. A success of an earlier one that is heard of later counts no
+    /// more.
+    pub(super) fn note_started(&mut self, id: TaskId, run: u32) {
+        let Some(task) = self.task_mut(id) else {
+            return;
+        };
+        task.started_run = run.max(task.started_run);
+        if run == task.run {
+            self.late_ends.remove(&id);
+        }
+    }
+
     /// Sets the stage of a placed task.
     pub(super) fn set_stage(&mut self, id: TaskId, stage: Stage) {
         if let Some(State::Placed { runner, .. }) = self.task(id).map(Task::state) {
