test(sched): simulate best-effort jobs beside tasks whose tail latencies they raise

The simulation drew neither. A best-effort job comes every 3 s, of one of three images that raise tail latencies not at all, slightly or above the target; a fifth of its runs fail, also after the faults have ended; CPU limits slow runs down and their calls may be lost. The invariant on tasks that wait with room for them (3 s of calm) covers these as well, and all jobs must end. No assertion was removed; the one on a runner's capacity leaves out best-effort runs, which reserve no processors.

--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -1,8 +1,9 @@
 //! Simulation of owners and runners under faults that checks the invariants on the running tasks.
 
+mod best_effort;
 mod gangs;
 
-use crate::support::{job, policy, runner, step, task};
+use crate::support::{job, runner, step, task};
 use persimmon_sched::{
     Answer, Commit, End, EndKind, Engine, JobId, JobSpec, Options, Order, Record, Report,
     RunStatus, RunnerInfo, RunnerState, StallCause, Stalled, StepSpec, StoredRecord, TaskId,
@@ -82,6 +83,8 @@
     started_ms: u64,
     until_ms: u64,
     fails: bool,
+    /// CPU limit.
+    percent: u8,
 }
 
 /// A start in transit, to be delivered at a given time.
@@ -170,7 +173,7 @@
         self.revision += 1;
         let fence = self.revision;
         let mut engine = Engine::new(Options::default(), self.now());
-        engine.configure(policy());
+        engine.configure(best_effort::policy_with_best_effort_queue());
         for (id, spec) in &self.specs {
             let stored = self.records.get(id).map(|(revision, record)| StoredRecord {
                 revision: *revision,
@@ -214,6 +217,7 @@
             ..step(2)
         };
         self.submit_job(job(CHECKPOINTING_JOB, vec![checkpointing]));
+        self.submit_serving_job();
     }
 
     fn submit_job(&mut self, spec: JobSpec) {
@@ -251,6 +255,7 @@
         self.remove_leaving_workers();
         self.deliver_list_changes();
         self.submit_gangs();
+        self.submit_best_effort_jobs();
         self.settle_gangs();
         self.end_due_runs();
         self.deliver_delayed_starts();
@@ -433,6 +438,7 @@
             let clock_ms = self.clock_ms(at);
             let now_ms = self.now_ms;
             let worker = &mut self.workers[at];
+            worker.slow_down_limited_runs();
             let lapsed = clock_ms > worker.deadline_ms;
             // A lease that expires while nothing runs leaves earlier ends as they are.
             if lapsed && !worker.running.is_empty() {
@@ -578,7 +584,23 @@
                     self.owners[at].engine.handle_stop_answer(task, run, now);
                 }
             }
-            Order::Throttle { .. } => {}
+            Order::Throttle {
+                runner,
+                task,
+                run,
+                percent,
+            } => {
+                let worker = self.worker(&runner);
+                if self.chance(10) || self.is_unreachable(worker) {
+                    return;
+                }
+                let running = self.workers[worker].running.get_mut(&task);
+                if let Some(it) = running.filter(|it| it.run == run) {
+                    it.percent = percent;
+                }
+                let engine = &mut self.owners[at].engine;
+                engine.handle_throttle_answer(task, run, percent, now);
+            }
         }
     }
 
@@ -610,8 +632,8 @@
     fn start(&mut self, start: &StartCall) -> Answer {
         let clock_ms = self.clock_ms(start.worker);
         let run_time_ms = self.rng.random_range(100..3_000);
-        let fails = self.chance(5);
-        let is_lasting = start.task.job == JobId(LONG_RUNNING_JOB);
+        let fails = self.chance(5) || self.best_effort_run_fails(start.task);
+        let is_lasting = is_lasting(start.task.job);
         let never_ends = is_lasting && !self.chance(30);
         // A gang ends a while after it is complete.
         let until_ms = if never_ends || gangs::is_member(start.task) {
@@ -652,6 +674,7 @@
                 started_ms: self.now_ms,
                 until_ms,
                 fails,
+                percent: 100,
             },
         );
         let task = start.task;
@@ -660,7 +683,11 @@
         let copies = copies.filter(|it| it.running.contains_key(&task)).count();
         assert_eq!(copies, 1, "{task} runs twice at {} ms", self.now_ms);
         assert!(!self.done.contains(&task), "{task} starts after its end");
-        let load = self.workers[start.worker].running.len();
+        // Best-effort tasks reserve no processors.
+        let running = self.workers[start.worker].running.keys();
+        let load = running
+            .filter(|&&id| !best_effort::is_best_effort(id))
+            .count();
         assert!(load <= 4, "{} is over its capacity", start.worker);
         Answer::Started
     }
@@ -689,12 +716,13 @@
         let (new, seen): (Vec<_>, Vec<_>) = it.ended.drain(..).partition(is_new);
         it.ended = new;
         let first_valid_end = it.first_valid_end;
+        let measured = &*it;
         let running = it.running.iter().map(|(&task, it)| RunStatus {
             task,
             run: it.run,
             checkpoint: String::new(),
-            measurement: 0,
-            percent: 0,
+            measurement: measured.measurement(task),
+            percent: it.percent,
         });
         let report = Report {
             incarnation_ms: it.incarnation_ms,
@@ -703,8 +731,10 @@
             ended: it.ended.clone(),
         };
         for end in seen {
-            let is_lasting = end.task.job == JobId(LONG_RUNNING_JOB);
-            if end.kind == EndKind::Done && !is_lasting && end.number >= first_valid_end {
+            if end.kind == EndKind::Done
+                && !is_lasting(end.task.job)
+                && end.number >= first_valid_end
+            {
                 let done_ms = self.workers[worker].done_ms.get(&end.number);
                 let started_ms = self.started_ms.get(&end.task);
                 assert!(
@@ -790,6 +820,10 @@
     }
 }
 
+fn is_lasting(job: JobId) -> bool {
+    [LONG_RUNNING_JOB, best_effort::SERVING_JOB].contains(&job.0)
+}
+
 /// Returns whether a lease may have to expire first: that of a runner which left with a run, its own
 /// or that of another member of its gang.
 fn waits_for_lease(stalled: &Stalled) -> bool {
@@ -815,11 +849,7 @@
     while simulation.now_ms < FAULTS_MS + RECOVERY_MS {
         simulation.tick();
     }
-    for id in simulation
-        .specs
-        .keys()
-        .filter(|id| id.0 != LONG_RUNNING_JOB)
-    {
+    for id in simulation.specs.keys().filter(|&&id| !is_lasting(id)) {
         let phase = simulation.records.get(id).map(|(_, record)| record.phase);
         let ended = phase.is_some_and(persimmon_sched::Phase::is_final);
         assert!(ended, "{id} is {phase:?} after a minute without faults");
