--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -423,3 +423,28 @@
     failed.extend((1..=40).filter(|&id| fleet.phase(id) != Some(Phase::Completed)));
     assert!(failed.is_empty(), "jobs {failed:?} are not completed");
 }
+
+/// Each runner is the only place to learn about one image at a time.
+#[test]
+fn waiting_images_are_tried_as_soon_as_those_before_them_are_measured() {
+    const MEASURED_WITHIN_MS: u64 = 1_500;
+    let mut fleet = Fleet::serving(3);
+    for id in 1..=9 {
+        let image = format!("batch-{id}");
+        let weight = ("serving".to_owned(), image.clone(), WEIGHT_MAX);
+        fleet.harness.engine.restore_learned(Learned {
+            interference_weights: vec![weight],
+            ..Learned::default()
+        });
+        let batch = StepSpec {
+            image,
+            ..best_effort(1, 3_000)
+        };
+        fleet.harness.submit(job(id, vec![batch]));
+    }
+    fleet.rounds(PLACED_WITHIN_MS + 2 * MEASURED_WITHIN_MS);
+    let has_run =
+        |id: &u64| fleet.is_running(task(*id, 0, 0)) || fleet.phase(*id) == Some(Phase::Completed);
+    let waiting: Vec<_> = (1..=9).filter(|id| !has_run(id)).collect();
+    assert!(waiting.is_empty(), "jobs {waiting:?} have not run");
+}
