fix(sched): a start whose lease expired without an answer may have run

A run succeeds on a runner that is not heard and is given up; the start of the next run gets no answer, and its runner is not heard either until its lease expires. The success of the first run was then accepted and acknowledged when it was heard of, although the second may have started after it (rule TWICE).

Cause: of a run that is given up at the end of a lease only the answer or a report told whether it had started; without either it counted as never started.

Evidence: the test failed before, end 1 acknowledged in place of 0.

Runs that are given up with an expired lease now count as started, as they may have been. A run that is known never to have started goes on to be refused or missed in a report, and the late success counts then as before.

--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -38,7 +38,11 @@
         for (id, run) in claims {
             match self.stage_on(key, id, run) {
                 Some(Stage::Committing(_)) => {}
-                Some(stage) if is_lost((id, run), stage) => self.requeue(id, run, None, now),
+                Some(stage) if is_lost((id, run), stage) => {
+                    // A start without an answer may have been carried out before the runs were lost.
+                    self.note_started(id, run);
+                    self.requeue(id, run, None, now);
+                }
                 Some(_) => {}
                 None => self.runner_mut(key).release(id, run),
             }
--- a/crates/persimmon-sched/tests/all/late_ends.rs
+++ b/crates/persimmon-sched/tests/all/late_ends.rs
@@ -224,6 +224,19 @@
     assert_eq!(harness.engine.acknowledged("a"), 0);
 }
 
+/// The runner of the newer run is not heard either, so nothing tells whether it has started.
+#[test]
+fn late_success_is_acknowledged_after_a_start_that_was_not_answered_until_its_lease_expired() {
+    let mut harness = ordered_again();
+    harness.answer_start(task(1, 0, 0), 2, Answer::Unknown);
+    harness.advance(LEASE_EXPIRY_MS);
+    harness.miss_report("b");
+    harness.round();
+    report_ends(&mut harness, "a", vec![end(1, EndKind::Done)]);
+    harness.round();
+    assert_eq!(harness.engine.acknowledged("a"), 0);
+}
+
 fn gang_end(number: u64, index: u16, kind: EndKind) -> End {
     End {
         task: task(1, 0, index),
