fix(sched): a predecessor's end does not shorten the wait for a restarted runner

Cause: a restart extends unknown_leases_until, and predecessor_ended() cut all of it to one lease term, also what a restart had added. Earlier owners renewing no more leases says nothing of this owner's own calls.

Evidence: the test failed before with "its lease may hold", 10 s after the restart.

What a restart adds is kept apart and bounds the shortening.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -149,7 +149,7 @@
         let until = ended_at + self.options.lease_term + LEASE_CLOCK_SLACK;
         self.orphan_runs_until = self.orphan_runs_until.min(until);
         for runner in &mut self.runners {
-            runner.lease.unknown_leases_until = runner.lease.unknown_leases_until.min(until);
+            runner.lease.limit_earlier_owners(until);
         }
     }
 
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -223,6 +223,8 @@
     pub(crate) clock_sample: Option<(u64, Instant)>,
     /// When leases granted by earlier owners have expired, whatever the runner's clock.
     pub(crate) unknown_leases_until: Instant,
+    /// When leases that calls meant for an earlier incarnation gave this one have expired.
+    misdirected_leases_until: Option<Instant>,
 }
 
 /// Maximum drift of a runner's clock, in thousandths.
@@ -236,6 +238,25 @@
 const LEASE_EXPIRY_MARGIN: Duration = Duration::from_millis(300);
 
 impl Lease {
+    /// The lease of a runner of which nothing has been heard.
+    fn new(unknown_leases_until: Instant) -> Self {
+        Self {
+            deadline_ms: 0,
+            earlier_deadline_ms: 0,
+            clock_sample: None,
+            unknown_leases_until,
+            misdirected_leases_until: None,
+        }
+    }
+
+    /// Records that the leases granted by earlier owners have expired by `until`.
+    pub(crate) fn limit_earlier_owners(&mut self, until: Instant) {
+        let until = self
+            .misdirected_leases_until
+            .map_or(until, |misdirected| misdirected.max(until));
+        self.unknown_leases_until = self.unknown_leases_until.min(until);
+    }
+
     /// Records a reading of the runner's clock. Before the first one, earlier owners may have sent
     /// deadlines up to `lease_term_max` after it.
     pub(crate) fn update_clock(&mut self, clock_ms: u64, lease_term_max: Duration, now: Instant) {
@@ -252,6 +273,7 @@
         self.clock_sample = None;
         let until = now + lease_term_max + LEASE_CLOCK_SLACK;
         self.unknown_leases_until = self.unknown_leases_until.max(until);
+        self.misdirected_leases_until = Some(until);
     }
 
     /// Returns when all runs on the runner have ended, unless the lease is renewed.
@@ -277,12 +299,7 @@
             incarnation_ms: None,
             last_report_at: None,
             has_missed_report: false,
-            lease: Lease {
-                deadline_ms: 0,
-                earlier_deadline_ms: 0,
-                clock_sample: None,
-                unknown_leases_until,
-            },
+            lease: Lease::new(unknown_leases_until),
             claims: BTreeMap::new(),
             used: Size::ZERO,
             best_effort_cpu_millis: 0,
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -358,6 +358,30 @@
     assert_eq!(restarts, [("b".to_owned(), task(1, 0, 0), 2)]);
 }
 
+/// A start that was meant for the earlier incarnation may give the new one a lease of the longest
+/// term.
+#[test]
+fn predecessor_that_ended_shortens_the_wait_for_a_restarted_runner() {
+    let mut harness = TestEngine::with_runners(&["a"], 4_000);
+    harness.submit(job(1, vec![step(1)]));
+    assert_eq!(starts(&harness.round()).len(), 1);
+    harness.answer_start(task(1, 0, 0), 1, Answer::Unknown);
+    let mut restarted = report(5, vec![]);
+    restarted.incarnation_ms = 2;
+    let now = harness.now;
+    harness.engine.handle_report("a", &restarted, now, now);
+    harness.engine.predecessor_ended(now);
+    harness.miss_report("a");
+    harness.add_runner("b", 4_000);
+    harness.advance(10_000);
+    harness.report("b", vec![]);
+    assert!(starts(&harness.round()).is_empty(), "its lease may hold");
+    harness.advance(1_000);
+    harness.report("b", vec![]);
+    let restarts = starts(&harness.round());
+    assert_eq!(restarts, [("b".to_owned(), task(1, 0, 0), 2)]);
+}
+
 /// An unanswered call may renew the lease: if each carried a deadline, the lease would never
 /// expire.
 #[test]
