fix(shard): a failure reported again does not lengthen a quarantine

A worker repeats the report of a failed attempt until the owner may drop it, that is until the entry is committed. Each repeat was taken for another failure of the worker and doubled its quarantine. With all workers of a shard in quarantine its jobs waited up to 30 min in place of 30 s.

Cause: the report of an attempt counted as current until its job ended, also while the job was queued again. Only a job that is held, or whose outcome is unknown, can learn anything from a report of its latest attempt.

The test failed before: quarantine_not_lengthened_by_repeated_reports_of_a_failure assertion `left == right` failed: left: Queued, right: Done

Not a lost or slow worker: it answers all calls in the test.

--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -239,7 +239,9 @@
                 .worker
                 .as_ref()
                 .map(|(id, incarnation)| (id.as_str(), *incarnation));
-            job.attempt == task.attempt && placed == Some(this_worker) && !job.is_ended()
+            // The report of an attempt that has ended is repeated until it may be dropped.
+            let open = job.is_held() || job.state == JobState::Unknown;
+            open && job.attempt == task.attempt && placed == Some(this_worker)
         });
         if current {
             self.handle_current_attempt(index, task, now, now_unix_ms);
--- a/crates/persimmon-shard/tests/all/main.rs
+++ b/crates/persimmon-shard/tests/all/main.rs
@@ -2,5 +2,7 @@
 
 mod charts;
 mod core;
+mod quarantine;
 mod record;
 mod simulation;
+mod support;
--- /dev/null
+++ b/crates/persimmon-shard/tests/all/quarantine.rs
@@ -0,0 +1,42 @@
+//! How long failures keep work off a worker.
+
+use crate::support::{class, Shard};
+use persimmon_shard::JobState;
+use persimmon_ticket::BatchClass;
+use std::time::Duration;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+const RUN_TIME: Duration = Duration::from_secs(1);
+/// The length of the first quarantine.
+const QUARANTINE: Duration = Duration::from_secs(30);
+/// Enough for a worker to be called and for its tasks to end.
+const SETTLE: Duration = Duration::from_secs(5);
+
+fn failing() -> BatchClass {
+    BatchClass {
+        attempts_max: 1,
+        ..class("failing", 1_000, RUN_TIME)
+    }
+}
+
+/// Returns a shard of one worker on which three jobs run that will fail, and the last job.
+fn shard_with_failing_tasks() -> (Shard, u64) {
+    let mut shard = Shard::new(1);
+    shard.failing_classes = vec!["failing".to_owned()];
+    let jobs: Vec<u64> = (0..3).map(|_| shard.submit(failing(), HOUR)).collect();
+    shard.run_for(RUN_TIME / 2);
+    assert_eq!(shard.running(), 3);
+    (shard, jobs[2])
+}
+
+#[test]
+fn quarantine_not_lengthened_by_repeated_reports_of_a_failure() {
+    let (mut shard, last) = shard_with_failing_tasks();
+    shard.commits_held = true;
+    shard.run_for(SETTLE);
+    assert_eq!(shard.state(last), JobState::Queued);
+    shard.commits_held = false;
+    shard.failing_classes.clear();
+    shard.run_for(QUARANTINE + SETTLE);
+    assert_eq!(shard.state(last), JobState::Done);
+}
