fix(place): tasks that fail during a quarantine do not lengthen it

Each failure doubled the quarantine of a worker, also those of tasks that were running when it began. A worker on which eight tasks failed at once, for example as its disk was full for a second, got no task for 16 min (30 s * 2^5), and one with ten tasks for 30 min. With few workers jobs waited as long.

Cause: record_failure() took each failure for a failed probation. A task that fails during a quarantine was started before it, so it says nothing new about the worker. It still does not count against the job.

The test failed before: health_failures_during_a_quarantine_do_not_lengthen_it assertion `left == right` failed: left: Quarantined, right: Probation

--- a/crates/persimmon-place/src/health.rs
+++ b/crates/persimmon-place/src/health.rs
@@ -80,13 +80,19 @@
 
     /// Records that a task of `job` failed on `worker`; quarantines the worker if the failure is
     /// attributed to it.
+    ///
+    /// A task that fails during a quarantine was started before it, so the quarantine stays as long
+    /// as it is.
     pub fn record_failure(&mut self, worker: WorkerKey, job: JobId, now: Instant) -> FailureCause {
         let options = self.options;
-        let on_probation = self.state(worker, now) == HealthState::Probation;
+        let state = self.state(worker, now);
+        if state == HealthState::Quarantined {
+            return FailureCause::Worker;
+        }
         let record = self.records.entry(worker).or_default();
         record.failed_jobs.insert(job);
         let is_suspect = record.failed_jobs.len() >= options.failed_jobs_max;
-        if !is_suspect && !on_probation {
+        if !is_suspect && state != HealthState::Probation {
             return FailureCause::Job;
         }
         let backoff =
--- a/crates/persimmon-place/tests/all/health.rs
+++ b/crates/persimmon-place/tests/all/health.rs
@@ -83,3 +83,30 @@
     let probation_at = now + options.quarantine_max + Duration::from_millis(1);
     assert_eq!(health.state(key, probation_at), HealthState::Probation);
 }
+
+#[test]
+fn health_failures_during_a_quarantine_do_not_lengthen_it() {
+    let options = HealthOptions::default();
+    let (mut health, now, key) = (Health::new(options), Instant::now(), worker());
+    for number in 0..8 {
+        health.record_failure(key, job(number), now);
+    }
+    let started_before = now + options.quarantine_initial / 2;
+    let cause = health.record_failure(key, job(8), started_before);
+    assert_eq!(cause, FailureCause::Worker);
+    assert_eq!(
+        health.state(key, now + options.quarantine_initial),
+        HealthState::Probation
+    );
+}
+
+#[test]
+fn health_quarantine_length_is_bounded_after_many_probations() {
+    let options = HealthOptions::default();
+    let (mut health, mut now, key) = (Health::new(options), Instant::now(), worker());
+    for number in 0..100 {
+        health.record_failure(key, job(number), now);
+        now += options.quarantine_max;
+    }
+    assert_eq!(health.state(key, now), HealthState::Probation);
+}
