fix(shard): a worker on probation gets one task, also from a backlog

The workers that must not be given a task were worked out once for all jobs that are queued, so a worker whose quarantine had ended got as many tasks as fit. On a worker that still fails everything all of them failed: each lost a run.

The worker is now left out as soon as it has been given one.

The test failed before: quarantine_is_followed_by_one_task_at_a_time 4 tasks run

--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -1,31 +1,37 @@
 use super::{Core, Demand, WaitReason};
 use crate::{Entry, Job, JobEvent, JobState, Step, WorkerState};
 use persimmon_peak::Work;
-use persimmon_place::{place, WorkKind, WorkerKey};
+use persimmon_place::{place, HealthState, WorkKind, WorkerKey};
 use persimmon_types::Size;
 use std::{collections::HashSet, time::Instant};
 
+/// The state of one call of [`Core::place_queued()`].
+struct Pass {
+    now: Instant,
+    now_unix_ms: u64,
+    claimed_cpu_millis: u64,
+    /// The workers that must not be given another task.
+    excluded: HashSet<WorkerKey>,
+    sizes_without_room: HashSet<Size>,
+    over_budget: bool,
+}
+
 impl Core {
     /// Places queued jobs on workers in queue order and returns the number of jobs placed.
     pub fn place_queued(&mut self, now: Instant, now_unix_ms: u64) -> usize {
-        let excluded = self.excluded_workers(now);
-        let mut claimed_cpu_millis = self.batch_claimed_cpu_millis();
-        let mut sizes_without_room: HashSet<Size> = HashSet::new();
+        let mut pass = Pass {
+            now,
+            now_unix_ms,
+            claimed_cpu_millis: self.batch_claimed_cpu_millis(),
+            excluded: self.excluded_workers(now),
+            sizes_without_room: HashSet::new(),
+            over_budget: false,
+        };
         let candidates: Vec<u64> = self.queue.iter().map(|key| key.number).collect();
-        let (mut placed, mut over_budget) = (0, false);
+        let mut placed = 0;
         for number in candidates {
-            match self.try_place(
-                number,
-                now_unix_ms,
-                claimed_cpu_millis,
-                &excluded,
-                &mut sizes_without_room,
-                &mut over_budget,
-            ) {
-                Ok(size) => {
-                    claimed_cpu_millis += u64::from(size.cpu_millis);
-                    placed += 1;
-                }
+            match self.try_place(number, &mut pass) {
+                Ok(()) => placed += 1,
                 Err(reason) => drop(self.wait_reasons.insert(number, reason)),
             }
         }
@@ -89,44 +95,40 @@
             .observe(now_unix_ms, job.deadline_unix_ms, work);
     }
 
-    fn try_place(
-        &mut self,
-        number: u64,
-        now_unix_ms: u64,
-        claimed_cpu_millis: u64,
-        excluded: &HashSet<WorkerKey>,
-        sizes_without_room: &mut HashSet<Size>,
-        over_budget: &mut bool,
-    ) -> Result<Size, WaitReason> {
+    fn try_place(&mut self, number: u64, pass: &mut Pass) -> Result<(), WaitReason> {
         let Some(job) = self.jobs.try_find(number) else {
             return Err(WaitReason::NoRoom);
         };
         let size = job.size;
-        if sizes_without_room.contains(&size) {
+        if pass.sizes_without_room.contains(&size) {
             return Err(WaitReason::NoRoom);
         }
         if !self.quota_admits(job) {
             return Err(WaitReason::Quota);
         }
-        let level_cpu_millis = claimed_cpu_millis + u64::from(size.cpu_millis);
+        let level_cpu_millis = pass.claimed_cpu_millis + u64::from(size.cpu_millis);
         // Once a job exceeds the budget, later jobs wait too, so that narrow tasks can't starve a
         // wide one ahead of them in the queue.
-        *over_budget |= level_cpu_millis > self.batch_budget_cpu_millis;
-        if *over_budget && !self.must_start(job, now_unix_ms) {
+        pass.over_budget |= level_cpu_millis > self.batch_budget_cpu_millis;
+        if pass.over_budget && !self.must_start(job, pass.now_unix_ms) {
             return Err(WaitReason::BatchBudget);
         }
         let team = job.team.clone();
-        let Some(key) = self.choose_worker(number, size, excluded) else {
-            sizes_without_room.insert(size);
+        let Some(key) = self.choose_worker(number, size, &pass.excluded) else {
+            pass.sizes_without_room.insert(size);
             return Err(WaitReason::NoRoom);
         };
         let Ok(claim) = self.ledger.claim(key, WorkKind::Batch, size) else {
             return Err(WaitReason::NoRoom);
         };
-        self.append_placement(number, key.index(), now_unix_ms);
+        self.append_placement(number, key.index(), pass.now_unix_ms);
         self.claims.insert(number, claim);
         self.quotas.add(&team, size);
-        Ok(size)
+        pass.claimed_cpu_millis += u64::from(size.cpu_millis);
+        if self.health.state(key, pass.now) == HealthState::Probation {
+            pass.excluded.insert(key);
+        }
+        Ok(())
     }
 
     fn append_placement(&mut self, number: u64, index: usize, now_unix_ms: u64) {
--- a/crates/persimmon-shard/tests/all/quarantine.rs
+++ b/crates/persimmon-shard/tests/all/quarantine.rs
@@ -40,3 +40,20 @@
     shard.run_for(QUARANTINE + SETTLE);
     assert_eq!(shard.state(last), JobState::Done);
 }
+
+#[test]
+fn quarantine_is_followed_by_one_task_at_a_time() {
+    let (mut shard, last) = shard_with_failing_tasks();
+    shard.run_for(SETTLE);
+    let mut waiting = vec![last];
+    waiting.extend((0..3).map(|_| shard.submit(class("good", 1_000, RUN_TIME), HOUR)));
+    shard.failing_classes.clear();
+    shard.run_for(QUARANTINE - SETTLE);
+    while !waiting
+        .iter()
+        .any(|job| shard.state(*job) == JobState::Done)
+    {
+        assert!(shard.running() <= 1, "{} tasks run", shard.running());
+        shard.run_for(RUN_TIME / 10);
+    }
+}
