fix(shard): a job is not kept out of all workers by others without a bound

Nothing that was certain to come ended the wait of a queued job for room: a wide job waited for as long as narrow ones came, since each took the first room that was too small for the wide one, and a job past its latest start waited for as long as urgent ones came. Both also past their deadlines.

A job that has had to start for 10 s and finds no room now gets a reservation: one worker of the shard, the one whose tasks should end first, takes no other task until the job is placed. The job that has had to start longest goes first, one at a time, so the others keep all workers but one. The reservation moves on if the worker fails, leaves, or takes twice as long as expected to drain.

Both tests failed before, in waits.rs: placement_wide_job_not_starved_by_narrow_ones assertion `left == right` failed: left: Queued, right: Done placement_late_job_not_starved_by_urgent_ones assertion `left == right` failed: left: Queued, right: Done

Their deadline is 60 s and their run time 10 s.

Ruled out as the cause: the batch budget (not set in the tests), quotas (none) and quarantines (no task fails). The budget's order already kept narrow jobs behind wide ones, but only where the budget is what is missing.

A job for which no worker is large enough any more still waits: nothing but a larger worker or a cancellation ends that.

--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -1,5 +1,6 @@
 mod job;
 mod placement;
+mod reservation;
 mod sync;
 mod types;
 mod worker;
@@ -14,6 +15,7 @@
 use persimmon_peak::{Planner, Profile, RunTimeEstimator};
 use persimmon_place::{ClaimKey, Health, Ledger, QuotaUsage, Shares, WorkKind};
 use persimmon_types::Size;
+use reservation::Reservation;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -54,6 +56,7 @@
     uncommitted: HashMap<u64, Seq>,
     queue: BTreeSet<QueueKey>,
     wait_reasons: HashMap<u64, WaitReason>,
+    reservation: Option<Reservation>,
     ledger: Ledger,
     quotas: QuotaUsage,
     health: Health,
@@ -96,6 +99,7 @@
             uncommitted: HashMap::new(),
             queue,
             wait_reasons: HashMap::new(),
+            reservation: None,
             ledger: Ledger::new(shares),
             quotas: QuotaUsage::default(),
             claims: HashMap::new(),
--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -6,14 +6,16 @@
 use std::{collections::HashSet, time::Instant};
 
 /// The state of one call of [`Core::place_queued()`].
-struct Pass {
+pub(super) struct Pass {
     now: Instant,
-    now_unix_ms: u64,
+    pub(super) now_unix_ms: u64,
     claimed_cpu_millis: u64,
     /// The workers that must not be given another task.
-    excluded: HashSet<WorkerKey>,
+    pub(super) excluded: HashSet<WorkerKey>,
     sizes_without_room: HashSet<Size>,
     over_budget: bool,
+    /// The job that has waited too long for room, and since when it had to start.
+    pub(super) starved: Option<(u64, u64)>,
 }
 
 impl Core {
@@ -26,15 +28,25 @@
             excluded: self.excluded_workers(now),
             sizes_without_room: HashSet::new(),
             over_budget: false,
+            starved: None,
         };
+        self.check_reservation(&pass);
+        let reserved = self.reservation.map(|reservation| reservation.worker);
+        pass.excluded.extend(reserved);
         let candidates: Vec<u64> = self.queue.iter().map(|key| key.number).collect();
         let mut placed = 0;
         for number in candidates {
             match self.try_place(number, &mut pass) {
                 Ok(()) => placed += 1,
-                Err(reason) => drop(self.wait_reasons.insert(number, reason)),
+                Err(reason) => {
+                    if reason == WaitReason::NoRoom {
+                        self.consider_for_reservation(number, &mut pass);
+                    }
+                    self.wait_reasons.insert(number, reason);
+                }
             }
         }
+        self.reserve_worker(&pass);
         placed
     }
 
@@ -100,7 +112,11 @@
             return Err(WaitReason::NoRoom);
         };
         let size = job.size;
-        if pass.sizes_without_room.contains(&size) {
+        let reserved = self
+            .reservation
+            .filter(|reservation| reservation.number == number)
+            .map(|reservation| reservation.worker);
+        if reserved.is_none() && pass.sizes_without_room.contains(&size) {
             return Err(WaitReason::NoRoom);
         }
         if !self.quota_admits(job) {
@@ -114,7 +130,11 @@
             return Err(WaitReason::BatchBudget);
         }
         let team = job.team.clone();
+        if let Some(worker) = reserved {
+            pass.excluded.remove(&worker);
+        }
         let Some(key) = self.choose_worker(number, size, &pass.excluded) else {
+            pass.excluded.extend(reserved);
             pass.sizes_without_room.insert(size);
             return Err(WaitReason::NoRoom);
         };
@@ -125,6 +145,9 @@
         self.claims.insert(number, claim);
         self.quotas.add(&team, size);
         pass.claimed_cpu_millis += u64::from(size.cpu_millis);
+        if reserved.is_some() {
+            self.reservation = None;
+        }
         if self.health.state(key, pass.now) == HealthState::Probation {
             pass.excluded.insert(key);
         }
@@ -204,7 +227,7 @@
 
     /// Returns whether the team's quota admits the job. The quota applies across all shards, as far
     /// as their owners have reported their usage.
-    fn quota_admits(&self, job: &Job) -> bool {
+    pub(super) fn quota_admits(&self, job: &Job) -> bool {
         let Some(quota) = self.team_quotas.get(&job.team).copied() else {
             return true;
         };
@@ -227,7 +250,16 @@
     }
 
     fn must_start(&self, job: &Job, now_unix_ms: u64) -> bool {
-        job.urgent || now_unix_ms + self.run_time_upper_bound_ms(job) >= job.deadline_unix_ms
+        job.urgent || now_unix_ms >= self.must_start_since_unix_ms(job)
+    }
+
+    /// Returns the time from which the job must be started as soon as there is room.
+    pub(super) fn must_start_since_unix_ms(&self, job: &Job) -> u64 {
+        if job.urgent {
+            return job.submitted_unix_ms;
+        }
+        job.deadline_unix_ms
+            .saturating_sub(self.run_time_upper_bound_ms(job))
     }
 
     /// Returns the expected run time of a task of the job's class.
--- /dev/null
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -0,0 +1,99 @@
+//! A worker is kept free for a job that has waited for room too long, since others that fit sooner
+//! would take any room that it needs.
+
+use super::{placement::Pass, Core};
+use crate::{Job, JobState, WorkerState};
+use persimmon_place::{WorkKind, WorkerKey};
+
+/// How long a job that must start waits for room before a worker is kept free for it.
+const RESERVATION_DELAY_MS: u64 = 10_000;
+/// How much longer than expected a reserved worker may take to have room before another one is
+/// chosen.
+const OVERDUE_FACTOR: u64 = 2;
+
+/// The worker that is kept free for a job; only the job is placed there.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Reservation {
+    pub(super) number: u64,
+    pub(super) worker: WorkerKey,
+    until_unix_ms: u64,
+}
+
+impl Core {
+    /// Drops the reservation if its job no longer waits, or its worker can't serve it.
+    pub(super) fn check_reservation(&mut self, pass: &Pass) {
+        let Some(reservation) = self.reservation else {
+            return;
+        };
+        let job = self.jobs.try_find(reservation.number);
+        let waits = job.is_some_and(|job| {
+            job.state == JobState::Queued
+                && self.quota_admits(job)
+                && self.can_hold(reservation.worker, job, pass)
+        });
+        if !waits || reservation.until_unix_ms <= pass.now_unix_ms {
+            self.reservation = None;
+        }
+    }
+
+    /// Makes the job a candidate for the next reservation if it has waited for room too long.
+    pub(super) fn consider_for_reservation(&self, number: u64, pass: &mut Pass) {
+        let Some(job) = self.jobs.try_find(number) else {
+            return;
+        };
+        let since_unix_ms = self.must_start_since_unix_ms(job);
+        let starved = since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms;
+        if starved && self.quota_admits(job) {
+            let candidate = (since_unix_ms, number);
+            let first = pass.starved.map_or(candidate, |first| first.min(candidate));
+            pass.starved = Some(first);
+        }
+    }
+
+    /// Reserves a worker for the job of the pass that has waited longest, unless one is reserved.
+    pub(super) fn reserve_worker(&mut self, pass: &Pass) {
+        let Some((_, number)) = pass.starved.filter(|_| self.reservation.is_none()) else {
+            return;
+        };
+        let Some(job) = self.jobs.try_find(number) else {
+            return;
+        };
+        let suitable = (0..self.workers.len())
+            .filter(|index| self.can_hold(self.workers[*index].key, job, pass))
+            .map(|index| (self.drained_in_ms(index, pass.now_unix_ms), index));
+        if let Some((drained_in_ms, index)) = suitable.min() {
+            let longest_ms = OVERDUE_FACTOR * drained_in_ms + RESERVATION_DELAY_MS;
+            self.reservation = Some(Reservation {
+                number,
+                worker: self.workers[index].key,
+                until_unix_ms: pass.now_unix_ms + longest_ms,
+            });
+        }
+    }
+
+    /// Returns whether the worker may be given the job once its batch tasks have ended.
+    fn can_hold(&self, key: WorkerKey, job: &Job, pass: &Pass) -> bool {
+        let worker = &self.workers[key.index()];
+        let beside_runners = worker.spec.capacity.saturating_sub(worker.spec.runners);
+        let limit = self.ledger.share_limit(key, WorkKind::Batch);
+        worker.state == WorkerState::Live
+            && !pass.excluded.contains(&key)
+            && job.size.fits(limit.min(beside_runners))
+    }
+
+    /// Returns the time in which all tasks of a worker should have ended. An overdue task is
+    /// expected to run as long again as it has run.
+    fn drained_in_ms(&self, index: usize, now_unix_ms: u64) -> u64 {
+        let held = self.workers[index].held_jobs.iter();
+        let remaining_ms = held
+            .filter_map(|number| self.jobs.try_find(*number))
+            .map(|job| {
+                let ran_ms = now_unix_ms.saturating_sub(job.placed_unix_ms);
+                match self.expected_run_time_ms(job).saturating_sub(ran_ms) {
+                    0 => ran_ms,
+                    left_ms => left_ms,
+                }
+            });
+        remaining_ms.max().unwrap_or(0)
+    }
+}
--- a/crates/persimmon-shard/tests/all/main.rs
+++ b/crates/persimmon-shard/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod record;
 mod simulation;
 mod support;
+mod waits;
--- /dev/null
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -0,0 +1,45 @@
+//! How long a job can be kept waiting by others.
+
+use crate::support::{class, Shard};
+use persimmon_shard::JobState;
+use persimmon_ticket::BatchClass;
+use std::time::Duration;
+
+const RUN_TIME: Duration = Duration::from_secs(10);
+const DEADLINE: Duration = Duration::from_secs(60);
+const LATER_DEADLINE: Duration = Duration::from_secs(3_600);
+/// The latest start after 47.5 s, the others that were due by then, 10 s until a worker is kept free,
+/// a run there, and the job itself.
+const DONE_WITHIN: Duration = Duration::from_secs(100);
+
+/// Lets time pass while a job of `others` is submitted each second, which is a quarter more than two
+/// workers can run.
+fn run_beside(shard: &mut Shard, others: &BatchClass, duration: Duration) {
+    for _ in 0..duration.as_secs() {
+        shard.submit(others.clone(), LATER_DEADLINE);
+        shard.run_for(Duration::from_secs(1));
+    }
+}
+
+#[test]
+fn placement_wide_job_not_starved_by_narrow_ones() {
+    let mut shard = Shard::new(2);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
+
+#[test]
+fn placement_late_job_not_starved_by_urgent_ones() {
+    let mut shard = Shard::new(2);
+    let urgent = BatchClass {
+        urgent: true,
+        ..class("urgent", 1_000, RUN_TIME)
+    };
+    run_beside(&mut shard, &urgent, RUN_TIME * 3);
+    let late = shard.submit(class("late", 1_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &urgent, DONE_WITHIN);
+    assert_eq!(shard.state(late), JobState::Done);
+}
