fix(route): an endpoint that answered once that it is leaving is probed again

Such an answer kept an endpoint out until the instance list had dropped it or shown it as leaving. One whose process was restarted under the same id, or whose drain was called off, got no request again from that daemon; if it was the only one of the service, callers got "no endpoint" for good.

Cause: the list that says the endpoint is live could not be told from one that is late, so the answer was kept without an age. It now counts for 30 s, after which the endpoint is probed by one request at a time unless the list shows it as leaving. One that still leaves says so again.

The test failed before: router_probes_an_endpoint_that_announced_its_leave_and_stayed assertion `left == right` failed: the endpoint is never used again left: Refuse(NoEndpoint), right: Send(EndpointKey(0))

router_keeps_away_from_an_endpoint_that_is_listed_as_leaving passes before and after; router_list_does_not_override_an_announced_leave is unchanged.

--- a/crates/persimmon-route/src/endpoint.rs
+++ b/crates/persimmon-route/src/endpoint.rs
@@ -81,8 +81,9 @@
     pub(crate) presumed_crashed: bool,
     /// Whether the latest list of endpoints contains it.
     pub(crate) in_latest_list: bool,
-    /// Whether the endpoint itself answered that it is leaving, which the list shows only later.
-    pub(crate) announced_leaving: bool,
+    /// Until when the endpoint's own answer that it is leaving counts, which the list shows only
+    /// later.
+    pub(crate) announced_leaving_until: Option<Instant>,
 }
 
 impl Endpoint {
@@ -101,7 +102,7 @@
             ejected_until: None,
             presumed_crashed: false,
             in_latest_list: true,
-            announced_leaving: false,
+            announced_leaving_until: None,
         }
     }
 
--- a/crates/persimmon-route/src/router.rs
+++ b/crates/persimmon-route/src/router.rs
@@ -55,6 +55,10 @@
 
 const EJECTION_MAX: Duration = Duration::from_secs(30);
 
+/// How long an endpoint's answer that it is leaving counts while the list does not show it. After
+/// that it is probed, since its process may have been restarted.
+const ANNOUNCED_LEAVE_MAX: Duration = Duration::from_secs(30);
+
 /// An endpoint's cost is multiplied by 1 plus this factor if every attempt on it fails, and by
 /// proportionally less if only some do.
 const FAILURE_COST_FACTOR: u32 = 100;
@@ -127,7 +131,7 @@
         if !self.attempts.contains_key(&request.id) {
             self.budget.deposit();
         }
-        self.expire_ejections(now);
+        self.expire_exclusions(now);
         if self.usable_count() == 0 {
             return self.refuse(&request, Refusal::NoEndpoint);
         }
@@ -149,7 +153,7 @@
 
     /// Decides on queued requests; those without a decision remain queued.
     pub fn poll(&mut self, now: Instant) -> Vec<(RequestId, Decision)> {
-        self.expire_ejections(now);
+        self.expire_exclusions(now);
         let mut decisions = Vec::new();
         while let Some((_, request)) = self.queue.first_key_value() {
             let request = *request;
@@ -241,7 +245,7 @@
         };
         endpoint.in_latest_list = true;
         endpoint.spec = spec;
-        let leaving = endpoint.spec.leaving || endpoint.announced_leaving;
+        let leaving = endpoint.spec.leaving || endpoint.announced_leaving_until.is_some();
         let event = if leaving {
             EndpointEvent::Leave
         } else {
@@ -378,7 +382,7 @@
             }
             Outcome::Refused { leaving: true } => {
                 if let Some(endpoint) = self.endpoints.get_mut(&key) {
-                    endpoint.announced_leaving = true;
+                    endpoint.announced_leaving_until = Some(now + ANNOUNCED_LEAVE_MAX);
                 }
                 self.apply_event(key, EndpointEvent::Leave);
             }
@@ -439,6 +443,30 @@
         ejected.count() < limit
     }
 
+    fn expire_exclusions(&mut self, now: Instant) {
+        self.expire_ejections(now);
+        self.expire_announced_leaves(now);
+    }
+
+    fn expire_announced_leaves(&mut self, now: Instant) {
+        let mut returned = Vec::new();
+        for (key, endpoint) in &mut self.endpoints {
+            if endpoint
+                .announced_leaving_until
+                .is_none_or(|until| now < until)
+            {
+                continue;
+            }
+            endpoint.announced_leaving_until = None;
+            if endpoint.in_latest_list && !endpoint.spec.leaving {
+                returned.push(*key);
+            }
+        }
+        for key in returned {
+            self.apply_event(key, EndpointEvent::Return);
+        }
+    }
+
     fn expire_ejections(&mut self, now: Instant) {
         let has_expired = |endpoint: &Endpoint| {
             endpoint.state == EndpointState::Ejected
--- a/crates/persimmon-route/tests/all/router.rs
+++ b/crates/persimmon-route/tests/all/router.rs
@@ -101,6 +101,42 @@
     assert_eq!(state(&router, &id), EndpointState::Leaving);
 }
 
+#[test]
+fn router_probes_an_endpoint_that_announced_its_leave_and_stayed() {
+    let (mut router, now) = (router(&["a"]), Instant::now());
+    let Decision::Send(key) = router.route(request(1, now), now) else {
+        panic!("not sent")
+    };
+    let leaving = Outcome::Refused { leaving: true };
+    router.finish(&request(1, now), key, leaving, MS, now);
+    let later = now + Duration::from_secs(30);
+    router.set_endpoints(vec![spec("a", 4)]);
+    assert_eq!(
+        router.route(request(2, later), later),
+        Decision::Send(key),
+        "the endpoint is never used again"
+    );
+    router.finish(&request(2, later), key, leaving, MS, later);
+    assert_eq!(state(&router, "a"), EndpointState::Leaving);
+}
+
+#[test]
+fn router_keeps_away_from_an_endpoint_that_is_listed_as_leaving() {
+    let (mut router, now) = (router(&["a"]), Instant::now());
+    let Decision::Send(key) = router.route(request(1, now), now) else {
+        panic!("not sent")
+    };
+    let refused = Outcome::Refused { leaving: true };
+    router.finish(&request(1, now), key, refused, MS, now);
+    router.set_endpoints(vec![EndpointSpec {
+        leaving: true,
+        ..spec("a", 4)
+    }]);
+    let later = now + Duration::from_secs(3_600);
+    let decision = router.route(request(2, later), later);
+    assert_eq!(decision, Decision::Refuse(Refusal::NoEndpoint));
+}
+
 #[test]
 fn router_probes_after_an_ejection() {
     let (mut router, now) = (router(&["a"]), Instant::now());
