fix(route): queued requests are refused at once when no endpoint is left

A request that came while the service had no endpoint was refused at once, one that was queued when the last endpoint left was held until its deadline and told then that the deadline could not be met. It is now refused at the next poll as "no endpoint", and as unknown if an earlier attempt may have run.

The test failed before: router_refuses_queued_requests_at_once_when_no_endpoint_is_left assertion `left == right` failed left: [], right: [(RequestId(2), Refuse(NoEndpoint))]

--- a/crates/persimmon-route/src/router.rs
+++ b/crates/persimmon-route/src/router.rs
@@ -155,8 +155,14 @@
     pub fn poll(&mut self, now: Instant) -> Vec<(RequestId, Decision)> {
         self.expire_exclusions(now);
         let mut decisions = Vec::new();
+        let usable = self.usable_count() > 0;
         while let Some((_, request)) = self.queue.first_key_value() {
             let request = *request;
+            if !usable {
+                self.queue.pop_first();
+                decisions.push((request.id, self.refuse(&request, Refusal::NoEndpoint)));
+                continue;
+            }
             if now + self.latency > request.deadline {
                 self.queue.pop_first();
                 let refusal = Refusal::Deadline {
--- a/crates/persimmon-route/tests/all/router.rs
+++ b/crates/persimmon-route/tests/all/router.rs
@@ -137,6 +137,21 @@
     assert_eq!(decision, Decision::Refuse(Refusal::NoEndpoint));
 }
 
+#[test]
+fn router_refuses_queued_requests_at_once_when_no_endpoint_is_left() {
+    let (mut router, now) = (router(&["a"]), Instant::now());
+    assert!(matches!(
+        router.route(request(1, now), now),
+        Decision::Send(_)
+    ));
+    assert_eq!(router.route(request(2, now), now), Decision::Wait);
+    router.set_endpoints(Vec::new());
+    assert_eq!(
+        router.poll(now),
+        [(RequestId(2), Decision::Refuse(Refusal::NoEndpoint))]
+    );
+}
+
 #[test]
 fn router_probes_after_an_ejection() {
     let (mut router, now) = (router(&["a"]), Instant::now());
