--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -166,12 +166,12 @@
         self.batch_budget_cpu_millis = cpu_millis;
     }
 
-    /// Removes jobs that ended, and assignments that were made, before `unix_ms`; does nothing while
-    /// any entry of a job is uncommitted.
+    /// Removes jobs that ended, and assignments that were made, before `unix_ms`, but no job with an
+    /// uncommitted entry.
     pub fn prune(&mut self, unix_ms: u64) {
-        if self.uncommitted.is_empty() {
-            self.jobs.prune(unix_ms);
-        }
+        let uncommitted = &self.uncommitted;
+        self.jobs
+            .prune_unless(unix_ms, |number| uncommitted.contains_key(&number));
     }
 
     /// Returns the resources that the tasks of each team claim in this shard.
--- a/crates/persimmon-shard/src/job_table.rs
+++ b/crates/persimmon-shard/src/job_table.rs
@@ -159,12 +159,17 @@
     /// Removes jobs that ended, and assignments that were made, before `unix_ms`; their keys may be
     /// used again.
     pub fn prune(&mut self, unix_ms: u64) {
+        self.prune_unless(unix_ms, |_| false);
+    }
+
+    /// Like [`JobTable::prune()`], but keeps the jobs for whose number `is_kept` returns `true`.
+    pub(crate) fn prune_unless(&mut self, unix_ms: u64, is_kept: impl Fn(u64) -> bool) {
         let ended_before = |job: &Job| job.ended_unix_ms.is_some_and(|ended| ended < unix_ms);
         self.assigned
             .retain(|_, (_, at_unix_ms)| *at_unix_ms >= unix_ms);
         let by_key = &mut self.by_key;
         self.jobs.retain(|_, job| {
-            let keep = !ended_before(job);
+            let keep = !ended_before(job) || is_kept(job.number);
             if !keep {
                 by_key.remove(&job.key);
             }
--- a/crates/persimmon-shard/tests/all/core.rs
+++ b/crates/persimmon-shard/tests/all/core.rs
@@ -293,6 +293,29 @@
     assert_eq!(core.jobs().try_find_assigned("a"), None);
 }
 
+/// A snapshot is written while its batch is uncommitted, so jobs must be pruned then.
+#[test]
+fn core_prunes_ended_jobs_while_other_entries_are_uncommitted() {
+    let now = Instant::now();
+    let mut core = core(now);
+    let ended = core.submit(submission("ended", 1_000), NOW_UNIX_MS);
+    let ended = ended.expect("accepted").number;
+    core.cancel(ended, NOW_UNIX_MS).expect("cancelled");
+    let (seq, _) = core.take_batch().expect("entries");
+    core.prune(NOW_UNIX_MS + 1);
+    assert!(
+        core.jobs().try_find(ended).is_some(),
+        "a job with uncommitted entries was pruned"
+    );
+    core.commit(seq);
+    let open = core.submit(submission("open", 1_000), NOW_UNIX_MS);
+    let open = open.expect("accepted").number;
+    core.take_batch().expect("entries");
+    core.prune(NOW_UNIX_MS + 1);
+    assert_eq!(core.jobs().try_find(ended), None);
+    assert!(core.jobs().try_find(open).is_some());
+}
+
 #[test]
 fn core_polls_worker_at_expected_completion() {
     let now = Instant::now();
