fix(shard): a new owner evicts the tasks of workers that are leaving

Tasks of a worker that is leaving are stopped with a checkpoint and go on elsewhere, but only when the list of instances changed while the shard was owned. After a takeover the tasks of a worker that was leaving already ran on until the list changed next, or until the worker was gone and the work since the last checkpoint was lost.

The first list that an owner sees now requests the evictions as well.

The test failed before: takeover_evicts_tasks_of_a_worker_that_is_leaving assertion `left != right` failed: left: 1, right: 1

--- a/crates/persimmon-shard/src/core/worker.rs
+++ b/crates/persimmon-shard/src/core/worker.rs
@@ -98,6 +98,7 @@
         }
         if leaving {
             self.apply_worker_event(index, WorkerEvent::Leave);
+            self.request_eviction_of_all(index);
         }
     }
 
--- a/crates/persimmon-shard/tests/all/support.rs
+++ b/crates/persimmon-shard/tests/all/support.rs
@@ -31,6 +31,7 @@
 
 pub(crate) struct Shard {
     pub(crate) core: Core,
+    charts: Arc<Charts>,
     pub(crate) commits_held: bool,
     /// The classes of which every task fails.
     pub(crate) failing_classes: Vec<String>,
@@ -67,19 +68,25 @@
     }
 }
 
+fn core(charts: &Arc<Charts>, jobs: JobTable, owned_since: Instant) -> Core {
+    let shares = Shares {
+        latency_critical_percent: 0,
+        batch_percent: 100,
+    };
+    let charts = Arc::clone(charts);
+    Core::new(Options::default(), charts, shares, jobs, owned_since)
+}
+
 impl Shard {
     pub(crate) fn new(workers: usize) -> Self {
         let charts = Arc::new(Charts::load().expect("valid charts"));
-        let shares = Shares {
-            latency_critical_percent: 0,
-            batch_percent: 100,
-        };
-        let (jobs, started_at) = (JobTable::default(), Instant::now());
-        let mut core = Core::new(Options::default(), charts, shares, jobs, started_at);
+        let started_at = Instant::now();
+        let mut core = core(&charts, JobTable::default(), started_at);
         let specs: Vec<WorkerSpec> = (0..workers).map(worker_spec).collect();
         core.set_workers(&specs, started_at);
         let mut shard = Self {
             core,
+            charts,
             commits_held: false,
             failing_classes: Vec::new(),
             started_at,
@@ -114,6 +121,23 @@
         self.core.jobs().try_find(number).expect("the job").state
     }
 
+    /// The index of the worker on which a job was last placed.
+    pub(crate) fn worker_of(&self, number: u64) -> usize {
+        let job = self.core.jobs().try_find(number).expect("the job");
+        let (id, _) = job.worker.as_ref().expect("a placement");
+        let is_same = |index: &usize| worker_spec(*index).id == *id;
+        (0..self.workers.len())
+            .find(is_same)
+            .expect("a known worker")
+    }
+
+    /// Lets another owner take the shard over, for which `specs` are listed.
+    pub(crate) fn take_over(&mut self, specs: &[WorkerSpec]) {
+        let jobs = self.core.jobs().clone();
+        self.core = core(&self.charts, jobs, self.now());
+        self.core.set_workers(specs, self.now());
+    }
+
     /// The number of tasks that run on all workers.
     pub(crate) fn running(&self) -> usize {
         let tasks = self.workers.iter().flat_map(BTreeMap::values);
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -1,7 +1,7 @@
 //! How long a job can be kept waiting by others.
 
-use crate::support::{class, Shard};
-use persimmon_shard::JobState;
+use crate::support::{class, worker_spec, Shard};
+use persimmon_shard::{JobState, WorkerSpec};
 use persimmon_ticket::BatchClass;
 use std::time::Duration;
 
@@ -43,3 +43,18 @@
     run_beside(&mut shard, &urgent, DONE_WITHIN);
     assert_eq!(shard.state(late), JobState::Done);
 }
+
+#[test]
+fn takeover_evicts_tasks_of_a_worker_that_is_leaving() {
+    let mut shard = Shard::new(2);
+    let job = shard.submit(class("long", 1_000, DEADLINE), LATER_DEADLINE);
+    shard.run_for(RUN_TIME);
+    let worker = shard.worker_of(job);
+    let leaving = |index| WorkerSpec {
+        leaving: index == worker,
+        ..worker_spec(index)
+    };
+    shard.take_over(&[leaving(0), leaving(1)]);
+    shard.run_for(RUN_TIME);
+    assert_ne!(shard.worker_of(job), worker);
+}
