--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -1,5 +1,6 @@
 mod job;
 mod placement;
+mod reservation;
 mod sync;
 mod types;
 mod worker;
@@ -14,6 +15,7 @@
 use persimmon_peak::{Planner, Profile, RunTimeEstimator};
 use persimmon_place::{ClaimKey, Health, Ledger, QuotaUsage, Shares, WorkKind};
 use persimmon_types::Size;
+use reservation::Reservation;
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
@@ -54,6 +56,7 @@
     uncommitted: HashMap<u64, Seq>,
     queue: BTreeSet<QueueKey>,
     wait_reasons: HashMap<u64, WaitReason>,
+    reservation: Option<Reservation>,
     ledger: Ledger,
     quotas: QuotaUsage,
     health: Health,
@@ -96,6 +99,7 @@
             uncommitted: HashMap::new(),
             queue,
             wait_reasons: HashMap::new(),
+            reservation: None,
             ledger: Ledger::new(shares),
             quotas: QuotaUsage::default(),
             claims: HashMap::new(),
@@ -162,12 +166,12 @@
         self.batch_budget_cpu_millis = cpu_millis;
     }
 
-    /// Removes jobs that ended, and assignments that were made, before `unix_ms`; does nothing while
-    /// any entry of a job is uncommitted.
+    /// Removes jobs that ended, and assignments that were made, before `unix_ms`, but no job with an
+    /// uncommitted entry.
     pub fn prune(&mut self, unix_ms: u64) {
-        if self.uncommitted.is_empty() {
-            self.jobs.prune(unix_ms);
-        }
+        let uncommitted = &self.uncommitted;
+        self.jobs
+            .prune_unless(unix_ms, |number| uncommitted.contains_key(&number));
     }
 
     /// Returns the resources that the tasks of each team claim in this shard.
--- a/crates/persimmon-shard/tests/all/main.rs
+++ b/crates/persimmon-shard/tests/all/main.rs
@@ -2,5 +2,8 @@
 
 mod charts;
 mod core;
+mod quarantine;
 mod record;
 mod simulation;
+mod support;
+mod waits;
