fix(sched): every other trial is of the best-effort step that has waited for longest

A best-effort job held back by estimates waited for as long as more urgent jobs that are held back too kept coming: a runner has one trial at a time, one in 4 s after harm, and trials were given in placement order. A job past its time budget is last in that order, so nothing that is certain to come ended its wait.

Trials are now placed after the pass, from the steps that it held back: in turn the first in placement order and the one that has waited for longest, counted from its last trial, those first of whose job nothing runs. A job thus waits for at most twice the trials of those that waited before it. Looks at runners for trials have a budget of their own, 100,000 in a pass, so a pass that spends its own on placement still places trials.

Ruled out: all trials by wait, which would make late the jobs that can still be on time.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -59,6 +59,8 @@
     dirty: DirtyJobs,
     /// Where the placement pass that looked at its most runners goes on.
     resume_at: Option<place::Candidate>,
+    /// Whether the next trial is of the step that has waited for longest.
+    is_next_trial_by_wait: bool,
     /// Jobs that had ended and had no runs left when they were committed.
     settled: VecDeque<JobId>,
     orders: Vec<Order>,
@@ -95,6 +97,7 @@
             timers: BTreeSet::new(),
             dirty: DirtyJobs::default(),
             resume_at: None,
+            is_next_trial_by_wait: true,
             settled: VecDeque::new(),
             orders: Vec::new(),
             idle_tasks: stalled::IdleTasks::new(),
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -17,6 +17,8 @@
 /// Most runners looked at in a pass, half of them from the first task in order. A pass of a group with thousands of runners and tasks would
 /// otherwise outlast the owner's session, and that of each owner after it.
 const RUNNER_CHECKS_MAX: usize = 600_000;
+/// Most runners looked at besides in a pass to place tasks on trial.
+const TRIAL_RUNNER_CHECKS_MAX: usize = 100_000;
 
 /// Time for which a best-effort step is held back by estimates before one of its tasks is placed on
 /// trial, and between two trials of a step; a task counts as lost after 3 s, and its commit and start
@@ -42,9 +44,22 @@
     infeasible: InfeasibleDemands,
     infeasible_trials: InfeasibleDemands,
     infeasible_shares: InfeasibleDemands,
+    /// Steps to place a task of on trial, in placement order.
+    held: Vec<HeldStep>,
     choices_left: usize,
 }
 
+/// A best-effort step that estimates have held back for [`TRIAL_AFTER`].
+struct HeldStep {
+    /// Whether a task of its job is placed.
+    has_placed_tasks: bool,
+    /// When it was first held back, or last placed on trial.
+    waits_since: Instant,
+    ready: Vec<TaskId>,
+    claim: Claim,
+    demand: Demand,
+}
+
 impl Pass {
     /// Demands that fit on no runner which this admission allows.
     fn infeasible(&mut self, admission: Admission) -> &mut InfeasibleDemands {
@@ -94,13 +109,23 @@
         if self.fenced || !self.is_listing_current(now) {
             return;
         }
-        let choices_max = (RUNNER_CHECKS_MAX / self.runners.len().max(1) / 2).max(1);
-        let mut pass = Pass {
-            choices_left: choices_max,
-            ..Pass::default()
-        };
+        let mut pass = Pass::default();
+        self.place_in_order(&mut pass, wall_ms, now);
+        pass.choices_left = self.choices_max(TRIAL_RUNNER_CHECKS_MAX);
+        self.place_trials(&mut pass, now);
+    }
+
+    /// Number of tasks for which a runner may be chosen by this number of looks at runners.
+    fn choices_max(&self, runner_checks_max: usize) -> usize {
+        (runner_checks_max / self.runners.len().max(1)).max(1)
+    }
+
+    /// Places ready tasks in placement order, as far as predictions admit them.
+    fn place_in_order(&mut self, pass: &mut Pass, wall_ms: u64, now: Instant) {
+        let choices_max = self.choices_max(RUNNER_CHECKS_MAX / 2);
+        pass.choices_left = choices_max;
         let candidates = self.candidates(wall_ms);
-        let Some(ended_at) = self.place_candidates(&candidates, &mut pass, now) else {
+        let Some(ended_at) = self.place_candidates(&candidates, pass, now) else {
             self.resume_at = None;
             return;
         };
@@ -108,7 +133,7 @@
         let is_before = |at: Candidate| rest.partition_point(|it| *it < at);
         let rest = &rest[self.resume_at.map_or(0, is_before)..];
         pass.choices_left = choices_max;
-        let ended_at = self.place_candidates(rest, &mut pass, now);
+        let ended_at = self.place_candidates(rest, pass, now);
         self.resume_at = ended_at.map(|at| rest[at]);
     }
 
@@ -143,6 +168,7 @@
         }
         let is_ruled_out = is_rejected;
         let ready = self.ready_tasks(candidate);
+        let ready_count = ready.len();
         let mut placed = 0;
         for &id in &ready {
             if pass.choices_left == 0 || is_rejected {
@@ -158,8 +184,15 @@
         }
         if is_best_effort {
             let was_held_since = self.hold_step(first, placed > 0, is_rejected, now);
-            if was_held_since.is_some_and(|at| now >= at + TRIAL_AFTER) {
-                placed += self.place_on_trial(&ready, claim, &demand, pass, now);
+            if let Some(since) = was_held_since.filter(|&at| now >= at + TRIAL_AFTER) {
+                let tried_at = self.step(first).and_then(|step| step.tried_at);
+                pass.held.push(HeldStep {
+                    has_placed_tasks: self.has_placed_tasks(first),
+                    waits_since: tried_at.map_or(since, |at| at.max(since)),
+                    ready,
+                    claim,
+                    demand: demand.clone(),
+                });
             }
         }
         if is_rejected && !is_ruled_out {
@@ -168,13 +201,12 @@
         if placed > 0 {
             log::info!(
                 "event=step.place job={} occurrence={} step={} priority={} urgency={:?} \
-                 placed={placed} ready={} policy={}",
+                 placed={placed} ready={ready_count} policy={}",
                 first.job,
                 first.occurrence,
                 first.step,
                 candidate.priority,
                 candidate.urgency,
-                ready.len(),
                 self.policy.version
             );
         }
@@ -199,42 +231,62 @@
         step.held_since.filter(|_| is_rejected)
     }
 
+    /// Places tasks of held steps on trial. Every other trial is of the step that has waited for
+    /// longest, first those of whose job nothing runs: more urgent steps may ask for more trials
+    /// than there are.
+    fn place_trials(&mut self, pass: &mut Pass, now: Instant) {
+        let held = std::mem::take(&mut pass.held);
+        let mut by_wait: Vec<_> = (0..held.len()).collect();
+        by_wait.sort_by_key(|&at| (held[at].has_placed_tasks, held[at].waits_since));
+        let (mut in_order, mut by_wait) = (0..held.len(), by_wait.into_iter());
+        let mut is_tried = vec![false; held.len()];
+        while pass.choices_left > 0 {
+            let next = if self.is_next_trial_by_wait {
+                by_wait.find(|&at| !is_tried[at])
+            } else {
+                in_order.find(|&at| !is_tried[at])
+            };
+            let Some(at) = next else {
+                return;
+            };
+            is_tried[at] = true;
+            if self.place_on_trial(&held[at], pass, now) {
+                self.is_next_trial_by_wait = !self.is_next_trial_by_wait;
+            }
+        }
+    }
+
     /// Places the first of the ready tasks of a step that was held back for long where its effect
-    /// can be measured, also on processors that are in use if nothing of its job runs; returns the
-    /// number of tasks placed.
-    fn place_on_trial(
-        &mut self,
-        ready: &[TaskId],
-        claim: Claim,
-        demand: &Demand,
-        pass: &mut Pass,
-        now: Instant,
-    ) -> usize {
-        let Some(&id) = ready.iter().find(|&&id| self.may_place(id, now)) else {
-            return 0;
+    /// can be measured, also on processors that are in use if nothing of its job runs; returns
+    /// whether it did.
+    fn place_on_trial(&mut self, step: &HeldStep, pass: &mut Pass, now: Instant) -> bool {
+        let (claim, demand) = (step.claim, &step.demand);
+        let mut ready = step.ready.iter();
+        let Some(&id) = ready.find(|&&id| self.may_place(id, now)) else {
+            return false;
         };
         let is_recent = |at: Instant| now < at + TRIAL_AFTER;
         let tried_at = self.step(id).and_then(|step| step.tried_at);
         let admission = if !self.has_placed_tasks(id) {
             Admission::Share
         } else if tried_at.is_some_and(is_recent) {
-            return 0;
+            return false;
         } else {
             Admission::Trial
         };
-        if pass.choices_left == 0 || pass.infeasible(admission).rules_out(demand) {
-            return 0;
+        if pass.infeasible(admission).rules_out(demand) {
+            return false;
         }
         pass.choices_left -= 1;
         if !self.place(id, claim, admission, now) {
             pass.infeasible(admission).insert(demand.clone());
-            return 0;
+            return false;
         }
         if let Some(step) = self.step_mut(id) {
             step.tried_at = Some(now);
         }
         self.note_trial(id, now);
-        1
+        true
     }
 
     /// Records that the run of a task has been placed on trial.
--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -511,3 +511,25 @@
     assert!(harm_ms > 0, "the images do interfere");
     assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms");
 }
+
+/// A runner has one trial at a time, and more urgent jobs than that ask for one.
+#[test]
+fn trial_of_a_job_is_not_put_off_for_good_by_more_urgent_jobs() {
+    const QUEUED_TRIALS_MS: u64 = 12_000;
+    let mut fleet = Fleet::serving(3);
+    fleet.run_ms = 3_000;
+    fleet.weight = 4.0;
+    fleet.restore_weight(4.0);
+    fleet.harness.submit(job(900, vec![best_effort(1, 3_000)]));
+    for id in 1..=3 {
+        fleet.harness.submit(job(id, vec![best_effort(1, 3_000)]));
+    }
+    for id in 4..200 {
+        fleet.harness.submit(job(id, vec![best_effort(1, 3_000)]));
+        fleet.rounds(300);
+        if fleet.is_running(task(900, 0, 0)) {
+            break;
+        }
+        assert!(fleet.rounds < QUEUED_TRIALS_MS / ROUND_MS);
+    }
+}
