fix(sched): a run whose end does not fit in a report is not taken for lost

With 500 or more ended runs that are not acknowledged, as after the store or an owner was away, a runner lists the first 500 only.

Cause: a report said nothing of the ends that it leaves out, so the absence of a run was always taken for its loss: in ordinary reports, in the first one after a takeover, and in the first one of a new incarnation.

Evidence: three tests of full_reports.rs failed before, each as a run 2 was ordered; a fourth shows that the first complete report decides. The tests of platform and relay cover the new field only.

A report now says whether it may leave out ends; relays pass that on, since they send the owner differences. Such a report makes no run lost.

Ruled out: telling it from the number of ends in the engine, as relays pass each end on once.

--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -612,6 +612,7 @@
                 clock_ms: self.clock_ms(),
                 running: running.collect(),
                 ended: fake_runner.ended.clone(),
+                has_more_ends: false,
             });
         }
     }
--- a/crates/persimmon-relay/src/message.rs
+++ b/crates/persimmon-relay/src/message.rs
@@ -102,6 +102,7 @@
     pub(crate) gone: Vec<(TaskId, u32)>,
     pub(crate) changed: Vec<RowWire>,
     pub(crate) ended: Vec<EndWire>,
+    pub(crate) has_more_ends: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -261,6 +262,7 @@
             clock_ms: self.clock_ms,
             running: rows.values().cloned().collect(),
             ended: self.ended.into_iter().map(End::from).collect(),
+            has_more_ends: self.has_more_ends,
         }
     }
 }
--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -498,6 +498,7 @@
             gone,
             changed,
             ended,
+            has_more_ends: report.has_more_ends,
         })
     }
 }
--- a/crates/persimmon-relay/tests/all/exchange.rs
+++ b/crates/persimmon-relay/tests/all/exchange.rs
@@ -55,6 +55,18 @@
     assert_eq!(pair.begin_poll().expect("a poll").acknowledged_end, 1);
 }
 
+#[test]
+fn full_report_is_passed_on_as_a_complete_one() {
+    let mut pair = Pair::connected();
+    let mut full = report(vec![], vec![end(1, 0)]);
+    full.has_more_ends = true;
+    pair.poll(Some(full));
+    let Some(Event::Report { report, .. }) = pair.exchange_news().pop() else {
+        panic!("a report");
+    };
+    assert!(report.has_more_ends);
+}
+
 /// A report counts as requested when the owner is known to have spoken before, not when it arrives.
 #[test]
 fn report_counts_as_requested_later_than_it_was() {
--- a/crates/persimmon-relay/tests/all/owners/worker.rs
+++ b/crates/persimmon-relay/tests/all/owners/worker.rs
@@ -167,6 +167,7 @@
             incarnation_ms: self.incarnation_ms,
             clock_ms,
             running: running.collect(),
+            has_more_ends: ended.len() == ENDS_MAX,
             ended,
         })
     }
--- a/crates/persimmon-relay/tests/all/support.rs
+++ b/crates/persimmon-relay/tests/all/support.rs
@@ -74,6 +74,7 @@
         clock_ms: 5_000,
         running,
         ended,
+        has_more_ends: false,
     }
 }
 
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -73,6 +73,7 @@
         runner.backoff.room_freed();
         let known_runs = runs_of(report);
         let is_lost = |run, stage| match stage {
+            _ if report.has_more_ends => false,
             Stage::Running(since) if since >= requested_at => false,
             _ => !stage.is_start_unanswered() && !known_runs.contains(&run),
         };
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -111,12 +111,10 @@
         if has_invalidated || waiting > KEPT_BACK_ENDS_MAX {
             self.acknowledge();
         }
-        let mut listed = HashSet::with_capacity(report.running.len());
         for run in &report.running {
-            listed.insert((run.task, run.run));
             self.handle_listed_run(key, run, now);
         }
-        self.requeue_unlisted(key, &listed, requested_at, now);
+        self.requeue_unlisted(key, report, requested_at, now);
         self.credit_stable_runs(key, now);
         self.process_measurements(key, &report.running, now);
     }
@@ -300,14 +298,16 @@
         self.order_stop(key, run.task, run.run);
     }
 
-    /// Requeues the runs that a report should list but does not.
+    /// Requeues the runs that a report should list but does not. One that does not list all ends
+    /// tells nothing about them: they may have ended.
     fn requeue_unlisted(
         &mut self,
         key: RunnerKey,
-        listed: &HashSet<(TaskId, u32)>,
+        report: &Report,
         requested_at: Instant,
         now: Instant,
     ) {
+        let listed: HashSet<_> = report.running.iter().map(|it| (it.task, it.run)).collect();
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             if listed.contains(&(id, run)) {
@@ -315,6 +315,7 @@
             }
             let stage = self.stage_on(key, id, run);
             let is_lost = match stage {
+                Some(_) if report.has_more_ends => false,
                 Some(Stage::Restored) => true,
                 Some(Stage::Running(since)) => requested_at > since,
                 Some(
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -44,6 +44,8 @@
     pub running: Vec<RunStatus>,
     /// Ended runs that have not been acknowledged yet.
     pub ended: Vec<End>,
+    /// Whether there may be ended runs that did not fit in the report.
+    pub has_more_ends: bool,
 }
 
 /// Status of a run in progress.
--- a/crates/persimmon-sched/tests/all/full_reports.rs
+++ b/crates/persimmon-sched/tests/all/full_reports.rs
@@ -1,7 +1,7 @@
 //! Runners with about as many ended runs as fit in a report.
 
-use crate::support::{job, listed, report, starts, step, task, TestEngine};
-use persimmon_sched::{Answer, End, EndKind};
+use crate::support::{job, listed, placed_record, report, starts, step, task, TestEngine};
+use persimmon_sched::{Answer, End, EndKind, JobId, Phase};
 
 /// Most ends in a report.
 const ENDS_MAX: u64 = 500;
@@ -43,6 +43,59 @@
     harness
 }
 
+/// A report of `a` with the ends that fit, which come before that of the run.
+fn report_without_the_last_end(harness: &mut TestEngine, incarnation_ms: u64) {
+    let mut report = report(harness.clock_ms(), vec![]);
+    report.incarnation_ms = incarnation_ms;
+    report.ended = other_ends(1..=ENDS_MAX);
+    report.has_more_ends = true;
+    let now = harness.now;
+    harness.engine.handle_report("a", &report, now, now);
+}
+
+#[test]
+fn run_whose_end_does_not_fit_in_a_report_runs_again() {
+    let mut harness = running();
+    harness.advance(1_000);
+    report_without_the_last_end(&mut harness, 1);
+    assert!(starts(&harness.round()).is_empty());
+    assert_eq!(harness.engine.acknowledged("a"), ENDS_MAX);
+    report_ends(&mut harness, "a", vec![end(ENDS_MAX + 1, 1, 1)]);
+    assert!(starts(&harness.round()).is_empty());
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Completed));
+}
+
+#[test]
+fn run_whose_end_does_not_fit_in_the_first_report_runs_again_after_a_takeover() {
+    let mut harness = TestEngine::new();
+    harness.add_runner("a", 8_000);
+    harness.restore_job(job(1, vec![step(1)]), placed_record("a"));
+    report_without_the_last_end(&mut harness, 1);
+    assert!(starts(&harness.round()).is_empty());
+    report_ends(&mut harness, "a", vec![end(ENDS_MAX + 1, 1, 1)]);
+    assert!(starts(&harness.round()).is_empty());
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Completed));
+}
+
+/// The run is one of the new incarnation, whose start was answered before the report was requested.
+#[test]
+fn run_whose_end_does_not_fit_in_the_first_report_of_an_incarnation_runs_again() {
+    let mut harness = running();
+    harness.advance(1_000);
+    report_without_the_last_end(&mut harness, 2);
+    assert!(starts(&harness.round()).is_empty());
+}
+
+#[test]
+fn run_that_no_complete_report_lists_is_not_requeued_after_a_full_one() {
+    let mut harness = running();
+    harness.advance(1_000);
+    report_without_the_last_end(&mut harness, 1);
+    harness.round();
+    harness.report("a", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1);
+}
+
 /// A success of a run that was given up is kept back while the newer run is: the ends after it must
 /// not fill the report meanwhile.
 #[test]
--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -729,6 +729,7 @@
             clock_ms,
             running: running.collect(),
             ended: it.ended.clone(),
+            has_more_ends: false,
         };
         for end in seen {
             if end.kind == EndKind::Done
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -83,6 +83,7 @@
         clock_ms,
         running,
         ended: Vec::new(),
+        has_more_ends: false,
     }
 }
 
--- a/crates/persimmonshift-load/src/experiment/engine.rs
+++ b/crates/persimmonshift-load/src/experiment/engine.rs
@@ -237,6 +237,7 @@
                 clock_ms: at_ms,
                 running: running.collect(),
                 ended: simulated.ended.clone(),
+                has_more_ends: false,
             };
             let engine = &mut self.engine;
             measure_time(&mut self.cost.reports, || {
