fix(shard): a job that fits no worker does not hold up the reservations

The reservation goes to the job that had to start longest ago. If no worker was large enough for that job any more, none was made for the jobs behind it, which waited without a bound again. It now goes to the first of them that some worker can hold.

The test failed before: placement_wide_job_not_starved_behind_one_that_fits_no_worker assertion `left == right` failed: left: Queued, right: Done

--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -14,8 +14,6 @@
     pub(super) excluded: HashSet<WorkerKey>,
     sizes_without_room: HashSet<Size>,
     over_budget: bool,
-    /// The job that has waited too long for room, and since when it had to start.
-    pub(super) starved: Option<(u64, u64)>,
 }
 
 impl Core {
@@ -28,25 +26,25 @@
             excluded: self.excluded_workers(now),
             sizes_without_room: HashSet::new(),
             over_budget: false,
-            starved: None,
         };
         self.check_reservation(&pass);
         let reserved = self.reservation.map(|reservation| reservation.worker);
         pass.excluded.extend(reserved);
         let candidates: Vec<u64> = self.queue.iter().map(|key| key.number).collect();
+        let mut without_room = Vec::new();
         let mut placed = 0;
         for number in candidates {
             match self.try_place(number, &mut pass) {
                 Ok(()) => placed += 1,
                 Err(reason) => {
                     if reason == WaitReason::NoRoom {
-                        self.consider_for_reservation(number, &mut pass);
+                        without_room.push(number);
                     }
                     self.wait_reasons.insert(number, reason);
                 }
             }
         }
-        self.reserve_worker(&pass);
+        self.reserve_worker(&without_room, &pass);
         placed
     }
 
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -4,6 +4,8 @@
 use super::{placement::Pass, Core};
 use crate::{Job, JobState, WorkerState};
 use persimmon_place::{WorkKind, WorkerKey};
+use persimmon_types::Size;
+use std::collections::HashSet;
 
 /// How long a job that must start waits for room before a worker is kept free for it.
 const RESERVATION_DELAY_MS: u64 = 10_000;
@@ -36,39 +38,39 @@
         }
     }
 
-    /// Makes the job a candidate for the next reservation if it has waited for room too long.
-    pub(super) fn consider_for_reservation(&self, number: u64, pass: &mut Pass) {
-        let Some(job) = self.jobs.try_find(number) else {
+    /// Reserves a worker for the job that had to start longest ago among those `without_room` that
+    /// some worker can hold, unless one is reserved.
+    pub(super) fn reserve_worker(&mut self, without_room: &[u64], pass: &Pass) {
+        if self.reservation.is_some() {
             return;
-        };
-        let since_unix_ms = self.must_start_since_unix_ms(job);
-        let starved = since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms;
-        if starved && self.quota_admits(job) {
-            let candidate = (since_unix_ms, number);
-            let first = pass.starved.map_or(candidate, |first| first.min(candidate));
-            pass.starved = Some(first);
         }
+        let waiting = without_room
+            .iter()
+            .filter_map(|number| self.jobs.try_find(*number));
+        let mut starved: Vec<(u64, &Job)> = waiting
+            .filter(|job| job.state == JobState::Queued && self.quota_admits(job))
+            .map(|job| (self.must_start_since_unix_ms(job), job))
+            .filter(|(since_unix_ms, _)| since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms)
+            .collect();
+        starved.sort_unstable_by_key(|(since_unix_ms, job)| (*since_unix_ms, job.number));
+        let mut tried_sizes: HashSet<Size> = HashSet::new();
+        self.reservation = starved
+            .into_iter()
+            .filter(|(_, job)| tried_sizes.insert(job.size))
+            .find_map(|(_, job)| self.reservation_for(job, pass));
     }
 
-    /// Reserves a worker for the job of the pass that has waited longest, unless one is reserved.
-    pub(super) fn reserve_worker(&mut self, pass: &Pass) {
-        let Some((_, number)) = pass.starved.filter(|_| self.reservation.is_none()) else {
-            return;
-        };
-        let Some(job) = self.jobs.try_find(number) else {
-            return;
-        };
+    fn reservation_for(&self, job: &Job, pass: &Pass) -> Option<Reservation> {
         let suitable = (0..self.workers.len())
             .filter(|index| self.can_hold(self.workers[*index].key, job, pass))
             .map(|index| (self.drained_in_ms(index, pass.now_unix_ms), index));
-        if let Some((drained_in_ms, index)) = suitable.min() {
-            let longest_ms = OVERDUE_FACTOR * drained_in_ms + RESERVATION_DELAY_MS;
-            self.reservation = Some(Reservation {
-                number,
-                worker: self.workers[index].key,
-                until_unix_ms: pass.now_unix_ms + longest_ms,
-            });
-        }
+        let (drained_in_ms, index) = suitable.min()?;
+        let longest_ms = OVERDUE_FACTOR * drained_in_ms + RESERVATION_DELAY_MS;
+        Some(Reservation {
+            number: job.number,
+            worker: self.workers[index].key,
+            until_unix_ms: pass.now_unix_ms + longest_ms,
+        })
     }
 
     /// Returns whether the worker may be given the job once its batch tasks have ended.
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -1,8 +1,9 @@
 //! How long a job can be kept waiting by others.
 
-use crate::support::{class, worker_spec, Shard};
+use crate::support::{class, worker_spec, Shard, CAPACITY};
 use persimmon_shard::{JobState, WorkerSpec};
 use persimmon_ticket::BatchClass;
+use persimmon_types::Size;
 use std::time::Duration;
 
 const RUN_TIME: Duration = Duration::from_secs(10);
@@ -31,6 +32,27 @@
     assert_eq!(shard.state(wide), JobState::Done);
 }
 
+#[test]
+fn placement_wide_job_not_starved_behind_one_that_fits_no_worker() {
+    let mut shard = Shard::new(2);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    shard.submit(class("widest", 4_000, RUN_TIME), DEADLINE / 2);
+    let capacity = Size {
+        cpu_millis: 3_000,
+        ..CAPACITY
+    };
+    let smaller = |index| WorkerSpec {
+        capacity,
+        ..worker_spec(index)
+    };
+    let now = shard.now();
+    shard.core.set_workers(&[smaller(0), smaller(1)], now);
+    let wide = shard.submit(class("wide", 3_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
+
 #[test]
 fn placement_late_job_not_starved_by_urgent_ones() {
     let mut shard = Shard::new(2);
