fix(shard): jobs that fail everywhere do not take each probation of the workers

A class whose tasks all fail, for example after a broken release, puts all workers of a shard in quarantine. Failures on a worker on probation do not count against the job, and workers on probation were given the first job of the queue. So the same failing jobs got each probation, each doubled the quarantine, they never ended, and all other jobs of the shard waited, without a bound.

Workers on probation are now given a task only if there is no other room for it, and in an order in which each failure moves a class, and a job in its class, to the end. Others get their turn at the next probation, and the first task that completes ends it.

Both tests failed before, in quarantine.rs: probation_not_taken_by_a_class_that_fails assertion `left == right` failed: left: Queued, right: Done probation_not_taken_by_jobs_that_failed_before assertion `left == right` failed: left: Queued, right: Done

Ways weighed: never excluding more than a part of the workers, as the router does (in an outage of something that all tasks need, all jobs would use up their attempts within minutes), and counting failures against a job that failed on several workers (the same).

A shard in which nothing but failing jobs is queued still tries them without an end, as their failures count against the workers.

--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -1,3 +1,4 @@
+mod failures;
 mod job;
 mod placement;
 mod reservation;
@@ -12,6 +13,7 @@
 };
 
 use crate::{Charts, Entry, Job, JobState, JobTable, Seq};
+use failures::FailureHistory;
 use persimmon_peak::{Planner, Profile, RunTimeEstimator};
 use persimmon_place::{ClaimKey, Health, Ledger, QuotaUsage, Shares, WorkKind};
 use persimmon_types::Size;
@@ -60,6 +62,7 @@
     ledger: Ledger,
     quotas: QuotaUsage,
     health: Health,
+    failures: FailureHistory,
     claims: HashMap<u64, ClaimKey>,
     workers: Vec<Worker>,
     worker_index: HashMap<String, usize>,
@@ -89,6 +92,7 @@
         let queue = queued.map(QueueKey::from).collect();
         Self {
             health: Health::new(options.health),
+            failures: FailureHistory::default(),
             options,
             charts,
             owned_since,
@@ -236,6 +240,9 @@
             return;
         };
         let (queued, held) = (job.state == JobState::Queued, job.is_held());
+        if job.is_ended() {
+            self.failures.forget(number);
+        }
         if queued {
             self.queue.insert(QueueKey::from(job));
         }
--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -19,11 +19,14 @@
 impl Core {
     /// Places queued jobs on workers in queue order and returns the number of jobs placed.
     pub fn place_queued(&mut self, now: Instant, now_unix_ms: u64) -> usize {
+        let probation = self.probation_workers(now);
+        let mut excluded = self.excluded_workers(now);
+        excluded.extend(&probation);
         let mut pass = Pass {
             now,
             now_unix_ms,
             claimed_cpu_millis: self.batch_claimed_cpu_millis(),
-            excluded: self.excluded_workers(now),
+            excluded,
             sizes_without_room: HashSet::new(),
             over_budget: false,
         };
@@ -44,10 +47,40 @@
                 }
             }
         }
+        placed += self.place_on_probation(&without_room, &probation, &mut pass);
         self.reserve_worker(&without_room, &pass);
         placed
     }
 
+    /// Tries workers on probation with jobs for which there is no other room: first those of classes
+    /// that have not failed, then those whose failure is longest ago, so that jobs that fail
+    /// everywhere can't keep the workers in quarantine for all others.
+    fn place_on_probation(
+        &mut self,
+        without_room: &[u64],
+        probation: &HashSet<WorkerKey>,
+        pass: &mut Pass,
+    ) -> usize {
+        if probation.is_empty() {
+            return 0;
+        }
+        pass.excluded.retain(|key| !probation.contains(key));
+        pass.sizes_without_room.clear();
+        let mut waiting = without_room.to_vec();
+        waiting.sort_by_key(|number| {
+            let job = self.jobs.try_find(*number);
+            job.map(|job| self.failures.order(job))
+        });
+        let mut placed = 0;
+        for number in waiting {
+            if probation.is_subset(&pass.excluded) {
+                break;
+            }
+            placed += usize::from(self.try_place(number, pass).is_ok());
+        }
+        placed
+    }
+
     /// Recomputes the processors required to meet all deadlines, which [`Core::demand()`] returns.
     pub fn plan(&mut self, now_unix_ms: u64) {
         self.profile.advance_day(now_unix_ms);
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -266,6 +266,7 @@
             TaskStatus::Running => {}
             TaskStatus::Done => {
                 self.health.record_success(key);
+                self.failures.record_success(job);
                 self.record_run_time(number, now_unix_ms);
                 self.append_step(number, JobEvent::Complete, now_unix_ms, None, false);
             }
@@ -306,6 +307,7 @@
         let Some(job) = self.jobs.try_find(number) else {
             return;
         };
+        self.failures.record_failure(job, now_unix_ms);
         let failures = job.failures + u32::from(counts);
         let last = failures >= job.attempts_max || job.state == JobState::Unknown;
         let event = if last {
--- a/crates/persimmon-shard/src/core/worker.rs
+++ b/crates/persimmon-shard/src/core/worker.rs
@@ -165,15 +165,24 @@
 
     /// Returns the workers that must not be given a task at `now` because of failures.
     pub(super) fn excluded_workers(&self, now: Instant) -> HashSet<WorkerKey> {
-        let may_be_given_task = |worker: &Worker| match self.health.state(worker.key, now) {
-            HealthState::Healthy => true,
-            HealthState::Quarantined => false,
-            HealthState::Probation => worker.held_jobs.is_empty(),
-        };
-        let excluded = self
-            .workers
-            .iter()
-            .filter(|worker| !may_be_given_task(worker));
-        excluded.map(|worker| worker.key).collect()
+        self.workers_where(|worker| match self.health.state(worker.key, now) {
+            HealthState::Healthy => false,
+            HealthState::Quarantined => true,
+            HealthState::Probation => !worker.held_jobs.is_empty(),
+        })
+    }
+
+    /// Returns the workers that may be given one task at `now`, to see whether it fails.
+    pub(super) fn probation_workers(&self, now: Instant) -> HashSet<WorkerKey> {
+        self.workers_where(|worker| {
+            worker.held_jobs.is_empty()
+                && worker.state == WorkerState::Live
+                && self.health.state(worker.key, now) == HealthState::Probation
+        })
+    }
+
+    fn workers_where(&self, condition: impl Fn(&Worker) -> bool) -> HashSet<WorkerKey> {
+        let matching = self.workers.iter().filter(|worker| condition(worker));
+        matching.map(|worker| worker.key).collect()
     }
 }
--- a/crates/persimmon-shard/tests/all/quarantine.rs
+++ b/crates/persimmon-shard/tests/all/quarantine.rs
@@ -57,3 +57,28 @@
         shard.run_for(RUN_TIME / 10);
     }
 }
+
+#[test]
+fn probation_not_taken_by_a_class_that_fails() {
+    let mut shard = Shard::new(2);
+    shard.failing_classes = vec!["failing".to_owned()];
+    for _ in 0..20 {
+        shard.submit(class("failing", 1_000, RUN_TIME), HOUR);
+    }
+    let good = shard.submit(class("good", 1_000, RUN_TIME), HOUR * 2);
+    for _ in 0..(QUARANTINE + SETTLE).as_secs() {
+        shard.submit(class("failing", 1_000, RUN_TIME), HOUR);
+        shard.run_for(RUN_TIME);
+    }
+    assert_eq!(shard.state(good), JobState::Done);
+}
+
+#[test]
+fn probation_not_taken_by_jobs_that_failed_before() {
+    let mut shard = Shard::new(2);
+    let class = class("class", 1_000, RUN_TIME);
+    shard.failing_jobs = (0..8).map(|_| shard.submit(class.clone(), HOUR)).collect();
+    let good = shard.submit(class, HOUR * 2);
+    shard.run_for(QUARANTINE + SETTLE);
+    assert_eq!(shard.state(good), JobState::Done);
+}
--- a/crates/persimmon-shard/tests/all/support.rs
+++ b/crates/persimmon-shard/tests/all/support.rs
@@ -35,6 +35,8 @@
     pub(crate) commits_held: bool,
     /// The classes of which every task fails.
     pub(crate) failing_classes: Vec<String>,
+    /// The jobs of which every task fails.
+    pub(crate) failing_jobs: Vec<u64>,
     started_at: Instant,
     now_ms: u64,
     uncommitted: Option<Seq>,
@@ -89,6 +91,7 @@
             charts,
             commits_held: false,
             failing_classes: Vec::new(),
+            failing_jobs: Vec::new(),
             started_at,
             now_ms: 0,
             uncommitted: None,
@@ -201,7 +204,8 @@
             } => {
                 let task = Task {
                     status: TaskStatus::Running,
-                    fails: self.failing_classes.contains(class),
+                    fails: self.failing_classes.contains(class)
+                        || self.failing_jobs.contains(number),
                     size: *size,
                     ends_at_ms: self.now_ms + run_time.as_millis() as u64,
                 };
