fix(shard): a reserved worker that does not drain does not hold up other jobs

A reservation moves on when its worker takes twice as long as expected to have room. If the job fits no other worker, the same worker was reserved for the same job again, so with a task there that never ends no other job that others keep out got a reservation any more.

A job whose reservation has expired comes last until all others that wait have had one.

The test failed before: placement_job_not_starved_behind_a_reservation_that_does_not_drain assertion `left == right` failed: left: Queued, right: Done

--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -59,6 +59,8 @@
     queue: BTreeSet<QueueKey>,
     wait_reasons: HashMap<u64, WaitReason>,
     reservation: Option<Reservation>,
+    /// Queued jobs whose reservation has expired.
+    expired_reservations: BTreeSet<u64>,
     ledger: Ledger,
     quotas: QuotaUsage,
     health: Health,
@@ -104,6 +106,7 @@
             queue,
             wait_reasons: HashMap::new(),
             reservation: None,
+            expired_reservations: BTreeSet::new(),
             ledger: Ledger::new(shares),
             quotas: QuotaUsage::default(),
             claims: HashMap::new(),
@@ -231,6 +234,7 @@
             self.queue.remove(&QueueKey::from(job));
         }
         self.wait_reasons.remove(&number);
+        self.expired_reservations.remove(&number);
     }
 
     /// Adds a job to the queue if its state is `Queued`, and releases its claim unless a worker may
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -33,13 +33,17 @@
                 && self.quota_admits(job)
                 && self.can_hold(reservation.worker, job, pass)
         });
-        if !waits || reservation.until_unix_ms <= pass.now_unix_ms {
+        let expired = reservation.until_unix_ms <= pass.now_unix_ms;
+        if waits && expired {
+            self.expired_reservations.insert(reservation.number);
+        }
+        if !waits || expired {
             self.reservation = None;
         }
     }
 
     /// Reserves a worker for the job that had to start longest ago among those `without_room` that
-    /// some worker can hold, unless one is reserved.
+    /// some worker can hold, unless one is reserved. Jobs whose reservation has expired come last.
     pub(super) fn reserve_worker(&mut self, without_room: &[u64], pass: &Pass) {
         if self.reservation.is_some() {
             return;
@@ -52,12 +56,20 @@
             .map(|job| (self.must_start_since_unix_ms(job), job))
             .filter(|(since_unix_ms, _)| since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms)
             .collect();
-        starved.sort_unstable_by_key(|(since_unix_ms, job)| (*since_unix_ms, job.number));
+        starved.sort_unstable_by_key(|(since_unix_ms, job)| {
+            let expired = self.expired_reservations.contains(&job.number);
+            (expired, *since_unix_ms, job.number)
+        });
         let mut tried_sizes: HashSet<Size> = HashSet::new();
         self.reservation = starved
             .into_iter()
             .filter(|(_, job)| tried_sizes.insert(job.size))
             .find_map(|(_, job)| self.reservation_for(job, pass));
+        let number = self.reservation.map(|reservation| reservation.number);
+        if number.is_some_and(|number| self.expired_reservations.contains(&number)) {
+            // All others have had their turn.
+            self.expired_reservations.clear();
+        }
     }
 
     fn reservation_for(&self, job: &Job, pass: &Pass) -> Option<Reservation> {
--- a/crates/persimmon-shard/tests/all/support.rs
+++ b/crates/persimmon-shard/tests/all/support.rs
@@ -21,6 +21,10 @@
     memory_mib: 4_000,
     accelerators: 0,
 };
+pub(crate) const SHARES: Shares = Shares {
+    latency_critical_percent: 0,
+    batch_percent: 100,
+};
 
 struct Task {
     status: TaskStatus,
@@ -35,6 +39,8 @@
     pub(crate) commits_held: bool,
     /// The classes of which every task fails.
     pub(crate) failing_classes: Vec<String>,
+    /// The classes whose tasks never end.
+    pub(crate) hanging_classes: Vec<String>,
     /// The jobs of which every task fails.
     pub(crate) failing_jobs: Vec<u64>,
     started_at: Instant,
@@ -71,12 +77,8 @@
 }
 
 fn core(charts: &Arc<Charts>, jobs: JobTable, owned_since: Instant) -> Core {
-    let shares = Shares {
-        latency_critical_percent: 0,
-        batch_percent: 100,
-    };
     let charts = Arc::clone(charts);
-    Core::new(Options::default(), charts, shares, jobs, owned_since)
+    Core::new(Options::default(), charts, SHARES, jobs, owned_since)
 }
 
 impl Shard {
@@ -91,6 +93,7 @@
             charts,
             commits_held: false,
             failing_classes: Vec::new(),
+            hanging_classes: Vec::new(),
             failing_jobs: Vec::new(),
             started_at,
             now_ms: 0,
@@ -202,12 +205,16 @@
                 run_time,
                 ..
             } => {
+                let run_ms = match self.hanging_classes.contains(class) {
+                    true => u64::MAX / 2,
+                    false => run_time.as_millis() as u64,
+                };
                 let task = Task {
                     status: TaskStatus::Running,
                     fails: self.failing_classes.contains(class)
                         || self.failing_jobs.contains(number),
                     size: *size,
-                    ends_at_ms: self.now_ms + run_time.as_millis() as u64,
+                    ends_at_ms: self.now_ms + run_ms,
                 };
                 tasks.entry((*number, *attempt)).or_insert(task);
             }
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -80,3 +80,26 @@
     shard.run_for(RUN_TIME);
     assert_ne!(shard.worker_of(job), worker);
 }
+
+#[test]
+fn placement_job_not_starved_behind_a_reservation_that_does_not_drain() {
+    let mut shard = Shard::new(2);
+    shard.hanging_classes = vec!["hanging".to_owned()];
+    let capacity = Size {
+        cpu_millis: 3_000,
+        ..CAPACITY
+    };
+    let smaller = WorkerSpec {
+        capacity,
+        ..worker_spec(1)
+    };
+    let now = shard.now();
+    shard.core.set_workers(&[worker_spec(0), smaller], now);
+    shard.submit(class("hanging", 3_500, RUN_TIME), DEADLINE);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    shard.submit(class("widest", 4_000, RUN_TIME), DEADLINE / 2);
+    let wide = shard.submit(class("wide", 3_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN * 3);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
