--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -1,3 +1,4 @@
+mod failures;
 mod job;
 mod placement;
 mod reservation;
@@ -12,6 +13,7 @@
 };
 
 use crate::{Charts, Entry, Job, JobState, JobTable, Seq};
+use failures::FailureHistory;
 use persimmon_peak::{Planner, Profile, RunTimeEstimator};
 use persimmon_place::{ClaimKey, Health, Ledger, QuotaUsage, Shares, WorkKind};
 use persimmon_types::Size;
@@ -57,9 +59,12 @@
     queue: BTreeSet<QueueKey>,
     wait_reasons: HashMap<u64, WaitReason>,
     reservation: Option<Reservation>,
+    /// Queued jobs whose reservation has expired.
+    expired_reservations: BTreeSet<u64>,
     ledger: Ledger,
     quotas: QuotaUsage,
     health: Health,
+    failures: FailureHistory,
     claims: HashMap<u64, ClaimKey>,
     workers: Vec<Worker>,
     worker_index: HashMap<String, usize>,
@@ -89,6 +94,7 @@
         let queue = queued.map(QueueKey::from).collect();
         Self {
             health: Health::new(options.health),
+            failures: FailureHistory::default(),
             options,
             charts,
             owned_since,
@@ -100,6 +106,7 @@
             queue,
             wait_reasons: HashMap::new(),
             reservation: None,
+            expired_reservations: BTreeSet::new(),
             ledger: Ledger::new(shares),
             quotas: QuotaUsage::default(),
             claims: HashMap::new(),
@@ -227,6 +234,7 @@
             self.queue.remove(&QueueKey::from(job));
         }
         self.wait_reasons.remove(&number);
+        self.expired_reservations.remove(&number);
     }
 
     /// Adds a job to the queue if its state is `Queued`, and releases its claim unless a worker may
@@ -236,6 +244,9 @@
             return;
         };
         let (queued, held) = (job.state == JobState::Queued, job.is_held());
+        if job.is_ended() {
+            self.failures.forget(number);
+        }
         if queued {
             self.queue.insert(QueueKey::from(job));
         }
--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -14,39 +14,70 @@
     pub(super) excluded: HashSet<WorkerKey>,
     sizes_without_room: HashSet<Size>,
     over_budget: bool,
-    /// The job that has waited too long for room, and since when it had to start.
-    pub(super) starved: Option<(u64, u64)>,
 }
 
 impl Core {
     /// Places queued jobs on workers in queue order and returns the number of jobs placed.
     pub fn place_queued(&mut self, now: Instant, now_unix_ms: u64) -> usize {
+        let probation = self.probation_workers(now);
+        let mut excluded = self.excluded_workers(now);
+        excluded.extend(&probation);
         let mut pass = Pass {
             now,
             now_unix_ms,
             claimed_cpu_millis: self.batch_claimed_cpu_millis(),
-            excluded: self.excluded_workers(now),
+            excluded,
             sizes_without_room: HashSet::new(),
             over_budget: false,
-            starved: None,
         };
         self.check_reservation(&pass);
         let reserved = self.reservation.map(|reservation| reservation.worker);
         pass.excluded.extend(reserved);
         let candidates: Vec<u64> = self.queue.iter().map(|key| key.number).collect();
+        let mut without_room = Vec::new();
         let mut placed = 0;
         for number in candidates {
             match self.try_place(number, &mut pass) {
                 Ok(()) => placed += 1,
                 Err(reason) => {
                     if reason == WaitReason::NoRoom {
-                        self.consider_for_reservation(number, &mut pass);
+                        without_room.push(number);
                     }
                     self.wait_reasons.insert(number, reason);
                 }
             }
         }
-        self.reserve_worker(&pass);
+        placed += self.place_on_probation(&without_room, &probation, &mut pass);
+        self.reserve_worker(&without_room, &pass);
+        placed
+    }
+
+    /// Tries workers on probation with jobs for which there is no other room: first those of classes
+    /// that have not failed, then those whose failure is longest ago, so that jobs that fail
+    /// everywhere can't keep the workers in quarantine for all others.
+    fn place_on_probation(
+        &mut self,
+        without_room: &[u64],
+        probation: &HashSet<WorkerKey>,
+        pass: &mut Pass,
+    ) -> usize {
+        if probation.is_empty() {
+            return 0;
+        }
+        pass.excluded.retain(|key| !probation.contains(key));
+        pass.sizes_without_room.clear();
+        let mut waiting = without_room.to_vec();
+        waiting.sort_by_key(|number| {
+            let job = self.jobs.try_find(*number);
+            job.map(|job| self.failures.order(job))
+        });
+        let mut placed = 0;
+        for number in waiting {
+            if probation.is_subset(&pass.excluded) {
+                break;
+            }
+            placed += usize::from(self.try_place(number, pass).is_ok());
+        }
         placed
     }
 
