fix(sched): a runner that failed several tasks is given one at the end of a backoff

The end of a backoff is certain, that the runner works again is not.

A failure of that task lengthens the backoff as before.

runner_that_failed_all_it_started_is_given_one_task_first failed before (left: 4, right: 1).

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -33,9 +33,18 @@
     /// Failed runs and unanswered or refused starts since the last run that succeeded.
     failed_starts: Failures,
     until: Option<Instant>,
+    probation: Option<Probation>,
     lack_of_room: LackOfRoom,
 }
 
+/// Time after a backoff in which a runner has one new task at a time, unless a run succeeds: it may
+/// still fail all that it starts.
+#[derive(Debug, Clone, Copy)]
+struct Probation {
+    since: Instant,
+    until: Instant,
+}
+
 /// Demands for which a runner lacks free resources although its claims leave them free.
 #[derive(Debug, Default)]
 struct LackOfRoom {
@@ -70,6 +79,7 @@
         self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
         let wait = self.failed_starts.add(now);
         self.extend(now + wait);
+        self.set_probation(wait, now);
     }
 
     /// Handles a run that failed.
@@ -79,6 +89,23 @@
         if self.failed_starts.count >= FAILURES_BEFORE_BACKOFF {
             self.extend(now + wait);
         }
+        self.set_probation(wait, now);
+    }
+
+    /// Lets probation follow a backoff of this length, for as long, after several failures.
+    fn set_probation(&mut self, backoff: Duration, now: Instant) {
+        if self.failed_starts.count >= FAILURES_BEFORE_BACKOFF {
+            self.probation = Some(Probation {
+                since: now + backoff,
+                until: now + 2 * backoff,
+            });
+        }
+    }
+
+    /// Returns since when new tasks count towards the one that a runner on probation may have.
+    pub(crate) fn probation_since(&self, now: Instant) -> Option<Instant> {
+        let probation = self.probation.filter(|it| now < it.until);
+        probation.map(|it| it.since)
     }
 
     /// Returns whether a long-running task that has run since `started_at` shows that failed starts
@@ -91,6 +118,7 @@
     /// Handles a run that succeeded.
     pub(crate) fn run_succeeded(&mut self) {
         self.failed_starts.count = 0;
+        self.probation = None;
     }
 
     /// Returns whether a task with this demand may be placed, as far as earlier refusals tell.
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -569,7 +569,7 @@
         let is_recent = |at: Instant| now < at + self.report_age_max();
         !runner.is_leaving()
             && runner.last_report_at.is_some_and(is_recent)
-            && runner.backoff.is_over(now)
+            && !runner.is_backed_off(now)
     }
 
     /// Counts the placed tasks of the same step and occurrence, by runner.
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -225,7 +225,7 @@
                 } else {
                     schedulable += 1;
                 }
-            } else if !runner.backoff.is_over(now) || !admits {
+            } else if runner.is_backed_off(now) || !admits {
                 backing_off += 1;
             } else {
                 silent += 1;
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -358,6 +358,14 @@
         now >= self.lease.expires_at() + grace
     }
 
+    /// Returns whether failures keep new tasks off the runner: it is backed off from, or on probation
+    /// with a new task.
+    pub(crate) fn is_backed_off(&self, now: Instant) -> bool {
+        let has_new_task =
+            |since: Instant| self.claims.values().any(|claim| claim.placed_at >= since);
+        !self.backoff.is_over(now) || self.backoff.probation_since(now).is_some_and(has_new_task)
+    }
+
     /// Returns whether the instance list says that the runner leaves or has left.
     pub(crate) fn is_leaving(&self) -> bool {
         !self.listed || self.info.state == RunnerState::Draining
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -379,3 +379,54 @@
     fleet.run_calmly(START_ELSEWHERE_MAX_MS);
     assert_eq!(fleet.starts_on("a", 0), 2, "{:?}", fleet.starts);
 }
+
+/// A runner that has failed four tasks, half a second after the end of its backoff; more tasks wait.
+fn probed() -> Fleet {
+    let mut fleet = Fleet::new(&[("a", 4_000)]);
+    for id in 1..=20 {
+        fleet.harness.submit(job(id, vec![step(1)]));
+    }
+    fleet.run_calmly(ROUND_MS);
+    assert_eq!(fleet.running.len(), 4);
+    for number in 1..=4 {
+        fleet.end(number, 0, EndKind::Failed);
+    }
+    run_past_backoff(&mut fleet);
+    fleet
+}
+
+fn run_past_backoff(fleet: &mut Fleet) {
+    let failed_at_ms = fleet.now_ms();
+    while fleet.running.is_empty() {
+        fleet.run_calmly(ROUND_MS);
+        assert!(fleet.now_ms() - failed_at_ms <= BACKOFF_MAX_MS);
+    }
+    fleet.run_calmly(500);
+}
+
+#[test]
+fn runner_that_failed_all_it_started_is_given_one_task_first() {
+    let mut fleet = probed();
+    assert_eq!(fleet.running.len(), 1);
+    for number in 5..=15 {
+        fleet.end(number, 0, EndKind::Failed);
+        run_past_backoff(&mut fleet);
+        assert_eq!(fleet.running.len(), 1);
+    }
+}
+
+#[test]
+fn runner_whose_first_task_succeeds_after_a_backoff_is_given_all_that_fits() {
+    let mut fleet = probed();
+    fleet.end(5, 0, EndKind::Done);
+    fleet.run_calmly(2 * ROUND_MS);
+    assert_eq!(fleet.running.len(), 4);
+}
+
+/// The first task after a backoff may take long.
+#[test]
+fn runner_is_not_kept_to_one_task_for_longer_than_a_backoff() {
+    let mut fleet = probed();
+    fleet.run_calmly(BACKOFF_MAX_MS);
+    assert_eq!(fleet.running.len(), 4);
+}
