fix(sched): failures of a gang are counted by run, not by member

Cause: each member counted its own failures, and only the one that failed was compared with the limit.

Evidence: the test failed before, "left: Some(Active), right: Some(Failed)" after two members had failed in runs 1 and 2 of 2. A second test, which passed before as well, shows that two members that fail in one run count once.

All members start a run with the highest number of failures among them. Members that fail in the same run thus count it once, and the number is in the record, so the next owner counts on.

--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -144,10 +144,12 @@
 
     /// Places a waiting task with a new run, which starts once the placement is committed.
     pub(super) fn place_run(&mut self, id: TaskId, run: u32, runner: RunnerKey, claim: Claim) {
+        let failures = self.failed_runs(id);
         let Some(task) = self.task_mut(id) else {
             return;
         };
         task.run = run;
+        task.failures = failures;
         self.runner_mut(runner).claim(id, run, claim);
         // The change of the state makes this version.
         let version = self.jobs.get(&id.job).map_or(0, |job| job.version) + 1;
@@ -268,6 +270,15 @@
             .collect()
     }
 
+    /// Number of failed runs of a task, or of its gang. Members start each run with the same number,
+    /// so those that fail in one run count it once.
+    fn failed_runs(&self, id: TaskId) -> u32 {
+        let own = self.task(id).map(|task| task.failures);
+        let gang = self.step(id).filter(|_| self.is_gang(id));
+        let members = gang.into_iter().flat_map(|step| &step.tasks);
+        members.map(|task| task.failures).max().or(own).unwrap_or(0)
+    }
+
     pub(super) fn is_gang(&self, id: TaskId) -> bool {
         self.step_of(id).is_some_and(|step| step.gang)
     }
--- a/crates/persimmon-sched/tests/all/engine.rs
+++ b/crates/persimmon-sched/tests/all/engine.rs
@@ -320,6 +320,61 @@
     assert_eq!(restarts, [("a".to_owned(), task(1, 0, 0), 2)]);
 }
 
+#[test]
+fn gang_is_started_again_after_different_members_used_up_its_attempts() {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 1_000);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2)
+    };
+    harness.submit(job(1, vec![gang]));
+    for failing in 0..2 {
+        let runs = starts(&harness.round());
+        assert_eq!(runs.len(), 2, "{runs:?}");
+        for (runner, task, run) in runs {
+            harness.answer_start(task, run, Answer::Started);
+            let kind = if task.index == failing {
+                EndKind::Failed
+            } else {
+                EndKind::Cut
+            };
+            let end = End {
+                task,
+                run,
+                ..end(u64::from(run), kind)
+            };
+            report_end(&mut harness, &runner, end);
+        }
+        harness.commit();
+        harness.advance(100);
+    }
+    assert!(starts(&harness.round()).is_empty());
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Failed));
+}
+
+/// Two members that fail in one run are one failure of the gang.
+#[test]
+fn gang_fails_after_one_run_in_which_two_members_failed() {
+    let mut harness = TestEngine::with_runners(&["a", "b"], 1_000);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2)
+    };
+    harness.submit(job(1, vec![gang]));
+    for (runner, task, run) in starts(&harness.round()) {
+        harness.answer_start(task, run, Answer::Started);
+        let failed = End {
+            task,
+            ..end(1, EndKind::Failed)
+        };
+        report_end(&mut harness, &runner, failed);
+    }
+    harness.commit();
+    harness.advance(100);
+    assert_eq!(starts(&harness.round()).len(), 2);
+    assert_eq!(harness.engine.phase(JobId(1)), Some(Phase::Active));
+}
+
 /// Keys in the store are listed in key order, so a cancellation may precede its submission.
 #[test]
 fn cancel_before_submission_is_kept() {
