fix(sched): starts that fail together count as one failure of their runner

Callers' tasks waited: a runner that refused or did not answer ten starts in one moment, as during a short overload or a lost connection, was given no task for 6 s, ten times as long as after one such start.

Cause: each failed start lengthened the backoff, also those that had been ordered before the first one failed.

Evidence: the test failed before ("after Refused": a new task has not started a second later).

Until the backoff of a failed start is over, the runner is given no task, so starts that fail meanwhile were ordered before; they do not count. A runner that fails again after it was tried again backs off longer, as before. Failed runs count each as before, since a runner that fails all it starts is known by them.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -32,6 +32,8 @@
     missed_reports: Failures,
     /// Failed runs and unanswered or refused starts since the last run that succeeded.
     failed_starts: Failures,
+    /// Until when failed starts may be of those that were ordered before the last one that counted.
+    failed_starts_until: Option<Instant>,
     until: Option<Instant>,
     lack_of_room: LackOfRoom,
 }
@@ -67,8 +69,13 @@
 
     /// Handles a start that was refused or not answered.
     pub(crate) fn start_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
+        // Starts that were on their way together count once.
+        if self.failed_starts_until.is_some_and(|until| now < until) {
+            return;
+        }
         self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
         let wait = self.failed_starts.add(now);
+        self.failed_starts_until = Some(now + wait);
         self.extend(now + wait);
     }
 
--- a/crates/persimmon-sched/tests/all/runner_backoff.rs
+++ b/crates/persimmon-sched/tests/all/runner_backoff.rs
@@ -242,6 +242,21 @@
     assert_eq!(fleet.running.len(), 20);
 }
 
+/// One moment in which a runner refuses or does not answer starts is one failure.
+#[test]
+fn failed_starts_ordered_together_count_as_many_failures() {
+    for answer in [Answer::Refused, Answer::Old, Answer::Unknown] {
+        let mut fleet = Fleet::new(&[("a", 40_000)]);
+        fleet.harness.submit(job(1, vec![long_running(10)]));
+        fleet.run(ROUND_MS, |_, _| true, |_| answer);
+        assert_eq!(fleet.starts.len(), 10);
+        fleet.harness.submit(job(2, vec![long_running(1)]));
+        fleet.run_calmly(START_ELSEWHERE_MAX_MS);
+        let has_started = fleet.running.iter().any(|it| it.1 == task(2, 0, 0));
+        assert!(has_started, "after {answer:?}");
+    }
+}
+
 #[test]
 fn refused_task_starts_once_a_run_has_ended_there() {
     let mut fleet = Fleet::new(&[("a", 4_000)]);
