fix(shard): a wide job is not kept out of its team's quota by narrow ones

A job that does not fit the rest of its team's quota waited while later, narrower jobs of the team used each part that became free, also past its deadline and without a bound.

Once a job must start and waits for quota or room, a part of the quota as large as the job is kept from later jobs of its team, unless the whole quota that other shards leave is too small for it. Shards do not keep quota for each other: jobs of the team in other shards can still use it first.

The test failed before: placement_wide_job_of_a_team_not_starved_of_its_quota assertion `left == right` failed: left: Queued, right: Done

--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -3,7 +3,10 @@
 use persimmon_peak::Work;
 use persimmon_place::{place, HealthState, WorkKind, WorkerKey};
 use persimmon_types::Size;
-use std::{collections::HashSet, time::Instant};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Instant,
+};
 
 /// The state of one call of [`Core::place_queued()`].
 pub(super) struct Pass {
@@ -14,6 +17,8 @@
     pub(super) excluded: HashSet<WorkerKey>,
     sizes_without_room: HashSet<Size>,
     over_budget: bool,
+    /// For each team, the job that must start and waits, and the part of the quota kept for it.
+    quota_kept: HashMap<String, (u64, Size)>,
 }
 
 impl Core {
@@ -29,6 +34,7 @@
             excluded,
             sizes_without_room: HashSet::new(),
             over_budget: false,
+            quota_kept: HashMap::new(),
         };
         self.check_reservation(&pass);
         let reserved = self.reservation.map(|reservation| reservation.worker);
@@ -43,6 +49,7 @@
                     if reason == WaitReason::NoRoom {
                         without_room.push(number);
                     }
+                    self.keep_quota(number, &mut pass);
                     self.wait_reasons.insert(number, reason);
                 }
             }
@@ -150,7 +157,9 @@
         if reserved.is_none() && pass.sizes_without_room.contains(&size) {
             return Err(WaitReason::NoRoom);
         }
-        if !self.quota_admits(job) {
+        let kept = pass.quota_kept.get(&job.team);
+        let kept = kept.filter(|(kept_for, _)| *kept_for != number);
+        if !self.quota_admits(job, kept.map_or(Size::ZERO, |(_, size)| *size)) {
             return Err(WaitReason::Quota);
         }
         let level_cpu_millis = pass.claimed_cpu_millis + u64::from(size.cpu_millis);
@@ -256,19 +265,35 @@
         chosen.filter(|key| !excluded.contains(key))
     }
 
-    /// Returns whether the team's quota admits the job. The quota applies across all shards, as far
-    /// as their owners have reported their usage.
-    pub(super) fn quota_admits(&self, job: &Job) -> bool {
-        let Some(quota) = self.team_quotas.get(&job.team).copied() else {
-            return true;
+    /// Keeps a part of the team's quota for a job that must start, so that later jobs of the team
+    /// can't use each part that becomes free.
+    fn keep_quota(&self, number: u64, pass: &mut Pass) {
+        let waiting = self.jobs.try_find(number);
+        let Some(job) = waiting.filter(|job| self.must_start(job, pass.now_unix_ms)) else {
+            return;
         };
-        let used_elsewhere = self
-            .team_used_elsewhere
-            .get(&job.team)
-            .copied()
-            .unwrap_or(Size::ZERO);
-        self.quotas
-            .admits(&job.team, quota.saturating_sub(used_elsewhere), job.size)
+        let fits = self
+            .quota_left_here(job)
+            .is_some_and(|quota| job.size.fits(quota));
+        if fits && !pass.quota_kept.contains_key(&job.team) {
+            pass.quota_kept.insert(job.team.clone(), (number, job.size));
+        }
+    }
+
+    /// Returns whether the team's quota, without the part that is `kept`, admits the job. The quota
+    /// applies across all shards, as far as their owners have reported their usage.
+    pub(super) fn quota_admits(&self, job: &Job, kept: Size) -> bool {
+        self.quota_left_here(job).is_none_or(|quota| {
+            self.quotas
+                .admits(&job.team, quota.saturating_sub(kept), job.size)
+        })
+    }
+
+    /// Returns the part of the team's quota that other shards don't use; `None` without a quota.
+    fn quota_left_here(&self, job: &Job) -> Option<Size> {
+        let quota = self.team_quotas.get(&job.team)?;
+        let used_elsewhere = self.team_used_elsewhere.get(&job.team).copied();
+        Some(quota.saturating_sub(used_elsewhere.unwrap_or(Size::ZERO)))
     }
 
     /// Iterates over the resources that batch tasks may claim on each live worker.
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -30,7 +30,7 @@
         let job = self.jobs.try_find(reservation.number);
         let waits = job.is_some_and(|job| {
             job.state == JobState::Queued
-                && self.quota_admits(job)
+                && self.quota_admits(job, Size::ZERO)
                 && self.can_hold(reservation.worker, job, pass)
         });
         let expired = reservation.until_unix_ms <= pass.now_unix_ms;
@@ -52,7 +52,7 @@
             .iter()
             .filter_map(|number| self.jobs.try_find(*number));
         let mut starved: Vec<(u64, &Job)> = waiting
-            .filter(|job| job.state == JobState::Queued && self.quota_admits(job))
+            .filter(|job| job.state == JobState::Queued && self.quota_admits(job, Size::ZERO))
             .map(|job| (self.must_start_since_unix_ms(job), job))
             .filter(|(since_unix_ms, _)| since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms)
             .collect();
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -1,10 +1,10 @@
 //! How long a job can be kept waiting by others.
 
-use crate::support::{class, worker_spec, Shard, CAPACITY};
+use crate::support::{class, worker_spec, Shard, CAPACITY, SHARES};
 use persimmon_shard::{JobState, WorkerSpec};
 use persimmon_ticket::BatchClass;
 use persimmon_types::Size;
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 const RUN_TIME: Duration = Duration::from_secs(10);
 const DEADLINE: Duration = Duration::from_secs(60);
@@ -81,6 +81,23 @@
     assert_ne!(shard.worker_of(job), worker);
 }
 
+#[test]
+fn placement_wide_job_of_a_team_not_starved_of_its_quota() {
+    let mut shard = Shard::new(2);
+    let quota = Size {
+        cpu_millis: 4_000,
+        ..CAPACITY
+    };
+    shard
+        .core
+        .configure(SHARES, BTreeMap::from([("team".to_owned(), quota)]));
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
+
 #[test]
 fn placement_job_not_starved_behind_a_reservation_that_does_not_drain() {
     let mut shard = Shard::new(2);
