refactor(lease): the state of a member's ownership moves out of the daemon

Ownership joins the session and the promises of witnesses and opens no socket, so it belongs beside them, where tests reach it. Its behaviour is unchanged.

--- a/crates/persimmon-lease/src/lib.rs
+++ b/crates/persimmon-lease/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`Session`]: the member's lease in the store; ownership is valid for as long as it is.
 //! - [`Extension`]: keeps a member without access to the store an owner while enough witnesses
 //!   promise not to release its shards to another member.
+//! - [`Ownership`]: both together, for all shards of a member.
 //! - [`Witness`]: grants promises and releases, never both for one holder.
 //! - [`Takeover`]: decides whether a shard whose owner is gone may be taken over.
 //! - [`owners()`]: assigns shards to members.
@@ -18,6 +19,7 @@
 
 mod clock_drift;
 mod extension;
+mod member;
 mod owners;
 mod quorum;
 mod session;
@@ -27,6 +29,7 @@
 
 pub use clock_drift::ClockDrift;
 pub use extension::Extension;
+pub use member::{Ownership, OwnershipOptions};
 pub use owners::owners;
 pub use quorum::Quorum;
 pub use session::Session;
--- a/crates/persimmonshiftd/src/member/ownership.rs
+++ b/crates/persimmon-lease/src/member.rs
@@ -1,16 +1,21 @@
-use crate::{message::HolderWire, settings::Settings};
-use persimmon_lease::{ClockDrift, Extension, Session};
-use std::time::Instant;
+use crate::{ClockDrift, Extension, Session};
+use std::time::{Duration, Instant};
 
-/// Returns the name that identifies a witness process in an [`Extension`].
-pub(crate) fn witness_name(holder: &HolderWire) -> String {
-    format!("{}#{}", holder.member, holder.incarnation)
+/// The times on which a member's ownership of shards rests.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnershipOptions {
+    /// The TTL of a session in the store.
+    pub session_ttl: Duration,
+    /// How long a promise of a witness lasts.
+    pub promise_term: Duration,
+    /// The longest time for which ownership lasts without the store.
+    pub outage_limit: Duration,
 }
 
-/// What the ownership of shards rests on: this daemon's session in the store, and the promises of
+/// What a member's ownership of shards rests on: its session in the store, and the promises of
 /// witnesses that extend it while the store is unreachable.
 #[derive(Debug)]
-pub(crate) struct Ownership {
+pub struct Ownership {
     session: Session,
     /// Incremented with each session; an owner confirms its shards again in each new one.
     session_number: u64,
@@ -20,9 +25,10 @@
 }
 
 impl Ownership {
-    pub(crate) fn new(settings: &Settings, drift: ClockDrift) -> Self {
-        let extension = Extension::new(settings.promise_term, settings.outage_limit, drift);
-        let session = Session::new(settings.session_ttl, drift);
+    /// Creates the state of a member without a session.
+    pub fn new(options: OwnershipOptions, drift: ClockDrift) -> Self {
+        let extension = Extension::new(options.promise_term, options.outage_limit, drift);
+        let session = Session::new(options.session_ttl, drift);
         Self {
             session,
             session_number: 0,
@@ -32,49 +38,50 @@
     }
 
     /// Records a new session whose lease was requested at `sent_at`.
-    pub(crate) fn begin_session(&mut self, sent_at: Instant) {
+    pub fn begin_session(&mut self, sent_at: Instant) {
         self.session_number += 1;
         self.record_renewal(sent_at);
     }
 
     /// Records a confirmed renewal whose request was sent at `sent_at`.
-    pub(crate) fn record_renewal(&mut self, sent_at: Instant) {
+    pub fn record_renewal(&mut self, sent_at: Instant) {
         self.session.record_renewal(sent_at);
         self.store_confirmed_at = self.store_confirmed_at.max(Some(sent_at));
     }
 
-    pub(crate) fn end_session(&mut self) {
+    /// Records that the store no longer has the lease of the session.
+    pub fn end_session(&mut self) {
         self.session.end();
     }
 
     /// Records a promise of `witness` that was requested at `sent_at`.
-    pub(crate) fn record_promise(&mut self, witness: &HolderWire, sent_at: Instant) {
-        self.extension
-            .record_promise(&witness_name(witness), sent_at);
+    pub fn record_promise(&mut self, witness: &str, sent_at: Instant) {
+        self.extension.record_promise(witness, sent_at);
     }
 
     /// Returns the number of the current session if it is valid at `now`.
-    pub(crate) fn valid_session(&self, now: Instant) -> Option<u64> {
+    pub fn valid_session(&self, now: Instant) -> Option<u64> {
         self.session.is_valid(now).then_some(self.session_number)
     }
 
-    pub(crate) fn session_valid_until(&self) -> Option<Instant> {
+    /// Returns when the session must be treated as expired.
+    pub fn session_valid_until(&self) -> Option<Instant> {
         self.session.valid_until()
     }
 
     /// Ends the ownership of all shards, before this member's record is removed.
-    pub(crate) fn relinquish(&mut self) {
+    pub fn relinquish(&mut self) {
         self.session.end();
         self.session_number += 1;
         self.store_confirmed_at = None;
     }
 
-    /// Returns whether this daemon may act for a shard that was confirmed in session
+    /// Returns whether this member may act for a shard that was confirmed in session
     /// `confirmed_session`.
     ///
     /// `witness_sets` are the witnesses in the shard's record and those in a write of it whose
     /// outcome is unknown.
-    pub(crate) fn is_owner(
+    pub fn is_owner(
         &self,
         confirmed_session: u64,
         witness_sets: &[Vec<String>],
--- a/crates/persimmonshiftd/src/context/mod.rs
+++ b/crates/persimmonshiftd/src/context/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     config::ActiveConfig,
-    member::{Members, Ownership},
+    member::Members,
     message::{BusiestMinute, HolderWire, PeerRequest, PeerResponse},
     metrics::Metrics,
     peers::Peers,
@@ -14,7 +14,7 @@
     settings::Settings,
     shards::ShardHandle,
 };
-use persimmon_lease::Witness;
+use persimmon_lease::{Ownership, OwnershipOptions, Witness};
 use persimmon_mesh::Mesh;
 use persimmon_store::HttpStore;
 use persimmon_types::{unix_ms, Clock};
@@ -92,10 +92,15 @@
     pub(crate) fn new(parts: ContextParts) -> Self {
         let settings = parts.settings;
         let drift = persimmon_lease::ClockDrift::default();
+        let ownership_options = OwnershipOptions {
+            session_ttl: settings.session_ttl,
+            promise_term: settings.promise_term,
+            outage_limit: settings.outage_limit,
+        };
         let now = parts.started_at;
         Self {
             witness: NonPoisonMutex::new(Witness::new(settings.promise_term, drift, now)),
-            ownership: NonPoisonMutex::new(Ownership::new(&settings, drift)),
+            ownership: NonPoisonMutex::new(Ownership::new(ownership_options, drift)),
             config: NonPoisonMutex::new(ActiveConfig::default()),
             members: NonPoisonMutex::new(Members::default()),
             peers: NonPoisonMutex::new(Peers::default()),
--- a/crates/persimmonshiftd/src/member/session.rs
+++ b/crates/persimmonshiftd/src/member/session.rs
@@ -3,7 +3,7 @@
 //! While the store is unreachable, other members act as witnesses: each promises for a limited term
 //! not to release this member's shards to another one. Enough promises extend the ownership.
 
-use super::{Member, MEMBER_PREFIX};
+use super::{witness_name, Member, MEMBER_PREFIX};
 use crate::{
     context::Context,
     message::{HolderWire, PeerRequest, PeerResponse},
@@ -181,7 +181,10 @@
                     member: member.id.clone(),
                     incarnation,
                 };
-                context.ownership.lock().record_promise(&witness, sent_at);
+                context
+                    .ownership
+                    .lock()
+                    .record_promise(&witness_name(&witness), sent_at);
             }
             Ok(PeerResponse::Denied { reason }) => {
                 log::info!("step=promise.ask peer={} reason=\"{reason}\"", member.id);
