fix(lease): a member that relinquished its shards does not regain them

At a graceful exit a member stops to act for its shards before it removes its record from the store. The session task goes on until the exit, so the answer to a renewal made the session valid again, and a shard that was not handed over in time counted as owned, at once if it had no witnesses and else with promises, while another member could take it over.

relinquish() is now final: later renewals and sessions confirm nothing.

Tests that failed before, in member.rs of persimmon-lease: ownership_ended_by_relinquish_not_regained_by_a_renewal assertion failed: !ownership.is_owner(session, &[Vec::new()], now) ownership_ended_by_relinquish_not_regained_by_promises assertion failed: !ownership.is_owner(session, &witnesses, now) ownership_ended_by_relinquish_not_regained_by_a_session assertion `left == right` failed: left: Some(2), right: None

Found by reading, never seen in a run.

--- a/crates/persimmon-lease/src/member.rs
+++ b/crates/persimmon-lease/src/member.rs
@@ -22,6 +22,7 @@
     extension: Extension,
     /// When the newest request was sent that the store confirmed, in any session.
     store_confirmed_at: Option<Instant>,
+    relinquished: bool,
 }
 
 impl Ownership {
@@ -34,6 +35,7 @@
             session_number: 0,
             extension,
             store_confirmed_at: None,
+            relinquished: false,
         }
     }
 
@@ -43,8 +45,12 @@
         self.record_renewal(sent_at);
     }
 
-    /// Records a confirmed renewal whose request was sent at `sent_at`.
+    /// Records a confirmed renewal whose request was sent at `sent_at`. After
+    /// [`Self::relinquish()`] it confirms nothing.
     pub fn record_renewal(&mut self, sent_at: Instant) {
+        if self.relinquished {
+            return;
+        }
         self.session.record_renewal(sent_at);
         self.store_confirmed_at = self.store_confirmed_at.max(Some(sent_at));
     }
@@ -69,8 +75,9 @@
         self.session.valid_until()
     }
 
-    /// Ends the ownership of all shards, before this member's record is removed.
+    /// Ends the ownership of all shards for good, before this member's record is removed.
     pub fn relinquish(&mut self) {
+        self.relinquished = true;
         self.session.end();
         self.session_number += 1;
         self.store_confirmed_at = None;
--- a/crates/persimmon-lease/tests/all/main.rs
+++ b/crates/persimmon-lease/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of shard ownership, witnesses and leases.
 
+mod member;
 mod owners;
 mod ownership;
 mod quorum;
