fix(entry): a start waits for its specification until it is too old, and no longer

Callers: a task whose start waits for a slow read of its specification is taken for unanswered after 2 s. Its runner is told to stop a run that it was never told to start, counts as one that does not answer, and the task waits for the stop besides.

Cause: the relay answered the start when the read had ended, which takes up to 8 s while an answer keeps arriving, twice if the stale read finds nothing, and longer behind other reads. The start itself may not be sent 0.7 s after its order.

Fix: the relay answers "withheld" when the start becomes too old. The read goes on, so a later start finds the specification; without that, a read of more than 0.7 s would never end.

Test: start_waits_for_its_specification_until_it_is_taken_for_unanswered, key reads of 5 s.

--- a/crates/persimmon-entry/src/job_cache.rs
+++ b/crates/persimmon-entry/src/job_cache.rs
@@ -56,17 +56,34 @@
     }
 }
 
-/// Returns the specification of an accepted job. Calls for the same job share one read, also one
-/// that fails: each would otherwise wait for those before it to time out.
+/// Returns the specification of an accepted job; `None` if it can't be read or is not known at
+/// `until`. The read then goes on for later calls.
 pub(crate) async fn specification<P: Platform>(
-    shared: &Shared<P>,
+    shared: &Rc<Shared<P>>,
+    group: GroupId,
+    job: JobId,
+    until: Instant,
+) -> Option<Rc<JobSpec>> {
+    let known = shared.job_cache.entry(group, job, shared.now());
+    if let Some(spec) = known.get() {
+        return spec.clone();
+    }
+    let reading = tokio::task::spawn_local(read_once(Rc::clone(shared), group, job));
+    let remaining = until.saturating_duration_since(shared.now());
+    tokio::time::timeout(remaining, reading).await.ok()?.ok()?
+}
+
+/// Reads the specification of a job. Calls for the same job share one read, also one that fails:
+/// each would otherwise wait for those before it to time out.
+async fn read_once<P: Platform>(
+    shared: Rc<Shared<P>>,
     group: GroupId,
     job: JobId,
 ) -> Option<Rc<JobSpec>> {
     let cell = shared.job_cache.entry(group, job, shared.now());
     let spec = cell.get_or_init(|| async {
         let _permit = shared.relay.specification_read().await;
-        let spec = read(shared, group, job).await;
+        let spec = read(&shared, group, job).await;
         let failed = |reason: &String| {
             log::warn!("event=job.specification job={job} fault=\"{reason}\"");
         };
--- a/crates/persimmon-entry/src/relay.rs
+++ b/crates/persimmon-entry/src/relay.rs
@@ -232,7 +232,7 @@
     let _ = tokio::time::timeout(ACKNOWLEDGEMENT_WAIT, acknowledged).await;
 }
 
-async fn make_call<P: Platform>(shared: &Shared<P>, call: &OrderCall) -> Outcome {
+async fn make_call<P: Platform>(shared: &Rc<Shared<P>>, call: &OrderCall) -> Outcome {
     let run = RunRef {
         task: call.task,
         number: call.run,
@@ -245,7 +245,7 @@
             expires_at,
         } => {
             let group = GroupId(call.session.group);
-            let job = job_cache::specification(shared, group, call.task.job).await;
+            let job = job_cache::specification(shared, group, call.task.job, *expires_at).await;
             let _permit = shared.relay.orders.acquire().await.ok();
             let Some(job) = job.filter(|_| shared.now() < *expires_at) else {
                 log::info!(
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -10,3 +10,4 @@
 mod slow_links;
 mod specifications;
 mod takeovers;
+mod waits;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -12,7 +12,7 @@
 use persimmon_types::{Clock, Size};
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     future::{poll_fn, Future},
     net::SocketAddr,
     pin::Pin,
@@ -33,6 +33,8 @@
 const RUNNERS: &str = "runners/";
 /// Value of the key of a runner that drains.
 pub(crate) const DRAINING: &[u8] = b"draining";
+/// Prefix of the value of the key of a runner that names its rack.
+pub(crate) const RACK: &str = "rack=";
 
 /// Limits of a page.
 const PAGE_ITEMS_MAX: usize = 500;
@@ -40,6 +42,8 @@
 /// How long a page, and an answer to a watch beyond its wait time, may take to arrive.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(2_000);
 const CHANGES_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time allowed for a poll beyond its wait time.
+const POLL_MARGIN: Duration = Duration::from_millis(700);
 
 /// Bytes of an item in an answer, with its value in text form.
 fn wire_bytes(item: &Item) -> usize {
@@ -81,6 +85,12 @@
     pub(crate) store_is_down: Cell<bool>,
     /// While set, reads of single keys time out.
     pub(crate) key_reads_time_out: Cell<bool>,
+    /// Added to the latency of each read of a single key.
+    pub(crate) extra_key_read_latency: Cell<Duration>,
+    /// Watches on this prefix are rejected as too many.
+    pub(crate) throttled_watch: RefCell<Option<String>>,
+    /// While set, transactions that only remove keys are rejected as the store is busy.
+    pub(crate) rejects_removals: Cell<bool>,
     /// Limits on the calls per second; more are rejected.
     pub(crate) call_limits: Cell<Option<CallLimits>>,
     calls_in_second: Cell<CallsInSecond>,
@@ -117,6 +127,10 @@
     pub(crate) lose_every_nth_write: Cell<u64>,
     writes: Cell<u64>,
     runners: RefCell<BTreeMap<String, FakeRunner>>,
+    /// Runners that accept polls and never answer them.
+    pub(crate) hanging_runners: RefCell<BTreeSet<String>>,
+    /// All stops that were acknowledged.
+    pub(crate) stops: RefCell<Vec<(TaskId, u32)>>,
     /// All starts that were carried out.
     pub(crate) starts: RefCell<Vec<(TaskId, u32, String)>>,
     /// Measurement that the runs of a job report; 0 if not set.
@@ -184,6 +198,12 @@
     started_at: Instant,
 }
 
+/// Rack of a runner whose key has this value.
+fn rack(value: &[u8]) -> String {
+    let text = String::from_utf8_lossy(value);
+    text.strip_prefix(RACK).unwrap_or("r1").to_owned()
+}
+
 fn queue(name: &str) -> Queue {
     Queue {
         name: name.to_owned(),
@@ -423,6 +443,7 @@
             return Err(call_error("get", Effect::Unknown));
         }
         self.simulate_call("get").await?;
+        tokio::time::sleep(self.state.extra_key_read_latency.get()).await;
         let items = self.state.items.borrow();
         Ok(items.get(key).map(|(item, _)| item.clone()))
     }
@@ -459,6 +480,12 @@
         wait: Duration,
     ) -> Result<WatchOutcome, CallError> {
         self.simulate_call("watch").await?;
+        if self.state.throttled_watch.borrow().as_deref() == Some(prefix) {
+            return Err(CallError {
+                is_throttled: true,
+                ..call_error("watch", Effect::None)
+            });
+        }
         if self.state.watches_are_silent.get() {
             tokio::time::sleep(wait).await;
             return Err(call_error("watch", Effect::None));
@@ -503,6 +530,10 @@
             return Ok(TxnOutcome::NoLease);
         }
         self.check_value_sizes(txn)?;
+        let only_removes = txn.writes.is_empty() && !txn.remove.is_empty();
+        if only_removes && self.state.rejects_removals.get() {
+            return Err(call_error("txn", Effect::None));
+        }
         if !txn.preconditions.iter().all(|it| self.holds(it)) {
             let items = self.state.items.borrow();
             let conflicting = txn.preconditions.iter().filter_map(|it| items.get(&it.key));
@@ -570,6 +601,10 @@
             costs.other
         };
         self.use_processor(cost).await;
+        if self.state.hanging_runners.borrow().contains(&runner.id) {
+            tokio::time::sleep(request.wait + POLL_MARGIN).await;
+            return Err(call_error("poll", Effect::Unknown));
+        }
         let until = now() + request.wait;
         let mut step = Duration::from_millis(2);
         loop {
@@ -661,6 +696,7 @@
             fake_runner.end(run.task, run.number, EndKind::Cut);
         }
         fake_runner.closed_runs.insert(run.task, run.number);
+        self.state.stops.borrow_mut().push((run.task, run.number));
         Ok(())
     }
 
@@ -711,7 +747,7 @@
                 memory_mib: 8_000,
                 accelerators: 0,
             },
-            labels: vec!["a".to_owned(), "r1".to_owned()],
+            labels: vec!["a".to_owned(), rack(value)],
         })
     }
 }
