fix(relay): a runner that missed a poll does not wait for those that never answered

Callers: work lost. A runner misses one poll, its next one waits behind first polls of runners that hang, and its lease of 6 s lapses with all that runs on it.

Cause: polls of runners whose last poll failed shared the few permits for first polls. Each hanging runner holds one for 0.7 s: with 4 permits and 47 of them a turn takes 8 s.

Fix: a runner that has answered in the session is polled without a permit. The delay between its attempts, 50 to 800 ms, bounds the calls as before. First polls keep their permits.

Test: lease_lapses_as_a_missed_poll_is_repeated_after_those_of_runners_that_hang.

--- a/crates/persimmon-entry/src/relay.rs
+++ b/crates/persimmon-entry/src/relay.rs
@@ -163,7 +163,7 @@
     };
     let mut retry_delay = RETRY_DELAY_MIN;
     while let Some(poll) = begin() {
-        let permit = if poll.has_report {
+        let permit = if poll.has_answered {
             None
         } else {
             relay.first_polls.acquire().await.ok()
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -19,3 +19,32 @@
     let phase = phase(&mut cluster, &handle, 1).await;
     assert_eq!(phase, Some(Phase::Completed));
 }
+
+/// A runner's lease must be renewed within its term of 6 s.
+#[tokio::test(start_paused = true)]
+async fn lease_lapses_as_a_missed_poll_is_repeated_after_those_of_runners_that_hang() {
+    let hanging: Vec<_> = (0..47).map(|number| format!("h{number}")).collect();
+    let mut cluster = Cluster::new(&["a"]);
+    // The fewest calls at a time.
+    let handle = cluster.start_with_capacity("one", 1, 1);
+    cluster.advance(2 * SECOND).await;
+    submit(&mut cluster, &handle, 1, 60_000).await;
+    cluster.advance(SECOND).await;
+    assert_eq!(cluster.running_count("a"), 1);
+    cluster
+        .state
+        .hanging_runners
+        .borrow_mut()
+        .extend(hanging.clone());
+    hanging.iter().for_each(|id| cluster.write_runner(id, b""));
+    cluster.advance(2 * SECOND).await;
+    cluster
+        .state
+        .hanging_runners
+        .borrow_mut()
+        .insert("a".to_owned());
+    cluster.advance(SECOND).await;
+    cluster.state.hanging_runners.borrow_mut().remove("a");
+    cluster.advance(10 * SECOND).await;
+    assert_eq!(cluster.state.lapsed_runs.get(), 0);
+}
--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -107,6 +107,9 @@
     pub deadline_ms: Option<u64>,
     /// Whether the runner has answered the last poll.
     pub has_report: bool,
+    /// Whether the runner has answered a poll of the session. Its lease must be renewed, so it
+    /// does not wait for runners that have not.
+    pub has_answered: bool,
     /// Whether the runner has runs or is about to.
     pub has_runs: bool,
     /// How long a runner without runs may delay its report.
@@ -212,6 +215,7 @@
             acknowledged_end,
             deadline_ms: (it.deadline_ms > 0).then_some(it.deadline_ms),
             has_report: it.has_report,
+            has_answered: it.polled_incarnation_ms.is_some(),
             has_runs: it.has_runs(),
             idle_wait: session.idle_wait,
             requested_us: session.made_at_us,
