fix(entry): items are read if only their watch fails

Callers: a configuration that is never applied, a group whose loss of the owner nobody sees, starts that wait for the instance list, for as long as watches fail while the store answers other calls.

Cause: a watch that fails was repeated as it was, without a bound. That it succeeds at last is likely, not certain: an answer that can't be decoded, say, comes again for the same revision.

Fix: after 4 s without an answer to a watch the items are read, as after a compaction, if the store answers other calls and the watch is not throttled (a read counts towards the same limit). That bounds what is unknown to about 4 s and a call, and the reads to one every 4 s.

Test: configuration_is_never_applied_while_its_watch_fails.

--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -36,6 +36,9 @@
 /// Delay before a failed read or watch is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// If no watch was answered for this long though the store answers other calls, the items are read.
+const WATCH_SILENCE_MAX: Duration = Duration::from_secs(4);
+
 /// A warning is logged for every this many calls that fail in a row.
 const FAILURES_PER_WARNING: u32 = 10;
 
@@ -260,7 +263,7 @@
 }
 
 /// Watches the prefix until the history after the known revision is compacted, the changes since are
-/// too large to arrive in time, or the options say to read the items instead. Unlike their history,
+/// too large to arrive in time, only watches fail, or the options say to read the items instead. Unlike their history,
 /// the items themselves don't grow meanwhile. Returns the time that a large item takes the link, if
 /// that is why.
 async fn watch<P: Platform>(
@@ -274,6 +277,7 @@
     let mut failures = 0;
     let mut retry_delay = RetryDelay::new(RETRY_DELAY);
     let mut marker = None;
+    let mut answered_at = shared.now();
     loop {
         let called_at = shared.now();
         match shared.platform.watch(prefix, *revision, options.wait).await {
@@ -284,6 +288,7 @@
                 shared.record_store_answer();
                 failures = 0;
                 retry_delay.reset();
+                answered_at = shared.now();
                 *revision = new_revision.max(*revision);
                 let has_backlog = changes.len() >= BACKLOG_CHANGES;
                 let puts = changes.iter().filter_map(|change| match change {
@@ -327,6 +332,12 @@
                 failures += 1;
                 log_failure("store.watch", prefix, failures, &err);
                 tokio::time::sleep(retry_delay.after(&err)).await;
+                let is_silent = shared.now() >= answered_at + WATCH_SILENCE_MAX;
+                // A read counts towards the same limit as a watch.
+                if is_silent && !err.is_throttled && !shared.store_is_unreachable() {
+                    log::warn!("event=store.unwatched prefix={prefix} revision={revision}");
+                    return None;
+                }
             }
         }
     }
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -1,7 +1,8 @@
 //! Waits for something that may not come, and what ends them.
 
-use crate::platform::{phase, submit, Cluster};
-use persimmon_sched::Phase;
+use crate::platform::{phase, request, spec, submit, Cluster};
+use persimmon_entry::Request;
+use persimmon_sched::{JobId, Phase};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -20,6 +21,24 @@
     assert_eq!(phase, Some(Phase::Completed));
 }
 
+/// Reads are answered all along.
+#[tokio::test(start_paused = true)]
+async fn configuration_is_never_applied_while_its_watch_fails() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(3 * SECOND).await;
+    cluster.state.watches_are_silent.set(true);
+    cluster.advance(2 * SECOND).await;
+    cluster.write_policy(2, &["quotes", "added"]);
+    cluster.advance(10 * SECOND).await;
+    let added = Request {
+        path: format!("/added/{}", JobId(1)),
+        ..request(1)
+    };
+    let accepted = cluster.run_until(handle.submit(added, spec(100))).await;
+    assert!(accepted.is_ok(), "{accepted:?}");
+}
+
 /// A runner's lease must be renewed within its term of 6 s.
 #[tokio::test(start_paused = true)]
 async fn lease_lapses_as_a_missed_poll_is_repeated_after_those_of_runners_that_hang() {
