fix(entry): an owner that does not serve is logged in two more cases

Operators: for as long as the store refuses, an owner of a group serves nothing, jobs are accepted, and no line says so. Covered before was the reading of the jobs alone (failures by 503, 429, time-outs or answers that can't be decoded count there).

Cases: the learned estimates are read before the jobs, for up to 8 s; and the answer to a takeover was lost while the earlier owners can't be read, or a release fails, without a bound.

Fix: event=group.loading every 2 s from the takeover on in the first case, and from the time that the process knows of its key in the second. Whether such jobs are refused is unchanged (docs/design/11-takeover.md).

Tests: owner_that_does_not_serve_is_not_logged_before_it_reads_the_jobs and owner_that_does_not_serve_is_not_logged_while_it_knows_no_earlier_owners.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -24,7 +24,7 @@
 };
 
 /// Interval at which an owner that does not serve its group yet is logged.
-const LOADING_LOG_INTERVAL: Duration = Duration::from_secs(2);
+pub(crate) const LOADING_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 #[derive(Default)]
 struct StoredJob {
@@ -36,15 +36,23 @@
 }
 
 impl<P: Platform> OwnedGroup<P> {
-    /// Loads the group's jobs from the store. Returns the keys in the inbox and the revision to
-    /// watch it from.
+    /// Loads from the store what is needed to serve the group. Returns the keys in the inbox and
+    /// the revision to watch it from.
     pub(super) async fn load(&self) -> (BTreeSet<String>, u64) {
-        let prefix = keys::jobs(self.id);
         let progress = Cell::default();
-        let (items, revision) = tokio::select! {
-            loaded = prefix_watch::list(&self.shared, &prefix, &progress) => loaded,
-            never = self.log_loading(&progress) => match never {},
+        let loaded = async {
+            self.load_learned().await;
+            self.load_jobs(&progress).await
         };
+        tokio::select! {
+            loaded = loaded => loaded,
+            never = self.log_loading(&progress) => match never {},
+        }
+    }
+
+    async fn load_jobs(&self, progress: &Cell<ListProgress>) -> (BTreeSet<String>, u64) {
+        let prefix = keys::jobs(self.id);
+        let (items, revision) = prefix_watch::list(&self.shared, &prefix, progress).await;
         let inbox = keys::inbox(self.id);
         let keys = items.iter().map(|item| item.key.clone());
         let known = keys.filter(|key| key.starts_with(&inbox)).collect();
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -8,7 +8,7 @@
 mod relays;
 mod runner_list;
 
-pub(crate) use self::lease_authority::Predecessors;
+pub(crate) use self::{inbox::LOADING_LOG_INTERVAL, lease_authority::Predecessors};
 
 use self::{activity::Activity, lease_authority::LeaseAuthority, relays::Relays};
 use crate::{
@@ -121,7 +121,6 @@
     async fn run(self: Rc<Self>) {
         let taken_at = self.shared.now();
         self.configure();
-        self.load_learned().await;
         let revision = self.load().await;
         self.is_loaded.set(true);
         self.spawn(Rc::clone(&self).follow_inbox(revision));
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -1,7 +1,7 @@
 //! Ownership of groups: taking groups without an owner and handing groups over.
 
 use crate::{
-    group::{OwnedGroup, Predecessors},
+    group::{OwnedGroup, Predecessors, LOADING_LOG_INTERVAL},
     keys::{self, GroupId},
     member::{self, Member},
     peers,
@@ -104,6 +104,7 @@
 
 async fn take_free_groups<P: Platform>(shared: &Rc<Shared<P>>) {
     let mut free_since: BTreeMap<GroupId, Instant> = BTreeMap::new();
+    let mut unserved: BTreeMap<GroupId, Unserved> = BTreeMap::new();
     loop {
         tokio::time::sleep(FREE_GROUP_CHECK_INTERVAL).await;
         let now = shared.now();
@@ -112,11 +113,16 @@
             let is_served = shared.groups.borrow().contains_key(&group);
             if is_served || shared.draining.get() {
                 free_since.remove(&group);
+                unserved.remove(&group);
                 continue;
             }
             if let Some((is_own, revision)) = owner_in_store(shared, group) {
                 if is_own {
+                    let since = unserved.entry(group).or_insert_with(|| Unserved::new(now));
+                    since.log(group, revision, now);
                     resume_ownership(shared, group, revision).await;
+                } else {
+                    unserved.remove(&group);
                 }
                 free_since.remove(&group);
                 continue;
@@ -136,6 +142,35 @@
     }
 }
 
+/// A group that this process owns according to the store but does not serve.
+struct Unserved {
+    since: Instant,
+    logged_at: Instant,
+}
+
+impl Unserved {
+    fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            logged_at: now,
+        }
+    }
+
+    /// Logs the group if that is due.
+    fn log(&mut self, group: GroupId, fencing_token: u64, now: Instant) {
+        if now < self.logged_at + LOADING_LOG_INTERVAL {
+            return;
+        }
+        self.logged_at = now;
+        log::warn!(
+            "event=group.loading group={} fence={fencing_token} owned_for_ms={} \
+             reason=\"neither resumed nor released\"",
+            group.0,
+            now.saturating_duration_since(self.since).as_millis()
+        );
+    }
+}
+
 /// Handles a group that this process owns according to the store but does not serve.
 async fn resume_ownership<P: Platform>(shared: &Rc<Shared<P>>, group: GroupId, revision: u64) {
     let last_fencing_token = shared.last_fencing_tokens.borrow().get(&group).copied();
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod accepted_jobs;
 mod faults;
 mod jobs;
+mod log_lines;
 mod owners;
 mod platform;
 mod runners;
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -1,6 +1,9 @@
 //! Waits for something that may not come, and what ends them.
 
-use crate::platform::{phase, request, spec, submit, Cluster};
+use crate::{
+    log_lines,
+    platform::{phase, request, spec, submit, Cluster},
+};
 use persimmon_entry::Request;
 use persimmon_sched::{JobId, Phase};
 use std::time::Duration;
@@ -67,3 +70,38 @@
     cluster.advance(10 * SECOND).await;
     assert_eq!(cluster.state.lapsed_runs.get(), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn owner_that_does_not_serve_is_not_logged_before_it_reads_the_jobs() {
+    log_lines::record();
+    let mut cluster = Cluster::new(&["a"]);
+    cluster.state.extra_key_read_latency.set(8 * SECOND);
+    cluster.start("one");
+    cluster.advance(12 * SECOND).await;
+    assert_eq!(log_lines::count("group.take"), 1);
+    assert_eq!(log_lines::count("group.read"), 0);
+    let lines = log_lines::count("group.loading");
+    assert!(lines > 0, "no line");
+}
+
+/// The answer to the takeover is lost, and the earlier owners can't be read.
+#[tokio::test(start_paused = true)]
+async fn owner_that_does_not_serve_is_not_logged_while_it_knows_no_earlier_owners() {
+    log_lines::record();
+    let mut cluster = Cluster::new(&["a"]);
+    cluster.start("one");
+    while log_lines::count("session.open") == 0 {
+        cluster.advance(SECOND / 500).await;
+    }
+    cluster.state.lose_every_nth_write.set(1);
+    while cluster.owner_of(0).is_none() {
+        cluster.advance(SECOND / 500).await;
+    }
+    cluster.state.key_reads_time_out.set(true);
+    cluster.state.lose_every_nth_write.set(0);
+    cluster.advance(10 * SECOND).await;
+    assert_eq!(cluster.owner_of(0).as_deref(), Some("one"));
+    assert_eq!(log_lines::count("group.read"), 0);
+    let lines = log_lines::count("group.loading");
+    assert!(lines > 0, "no line");
+}
