fix(entry): calls that only an owner makes back off for 0.4 s at most

Callers: after the store throttled the owner's watch of the instance list, nothing starts for up to 1.6 s more; the list counts as known for 1 s.

Cause: while throttled, delays double to 0.8 s and are randomized to twice that, for the calls of all members and for those of the one owner alike.

Fix: the calls of a group's owner double to 0.2 s, so 0.4 s at most. They are three watches a group, or one list.

Test: owner_follows_the_instance_list_late_after_its_watch_was_throttled, longest of eight starts; bound: the time for which the list counts as known.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -52,7 +52,7 @@
 
     async fn load_jobs(&self, progress: &Cell<ListProgress>) -> (BTreeSet<String>, u64) {
         let prefix = keys::jobs(self.id);
-        let (items, revision) = prefix_watch::list(&self.shared, &prefix, progress).await;
+        let (items, revision) = prefix_watch::list(&self.shared, &prefix, false, progress).await;
         let inbox = keys::inbox(self.id);
         let keys = items.iter().map(|item| item.key.clone());
         let known = keys.filter(|key| key.starts_with(&inbox)).collect();
--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -118,12 +118,13 @@
 pub(crate) async fn list<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
+    by_all_members: bool,
     progress: &Cell<ListProgress>,
 ) -> (Vec<Item>, u64) {
     let started_at = shared.now();
     let mut items: Vec<Item> = Vec::new();
     let mut first_revision = None;
-    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    let mut retry_delay = RetryDelay::of(RETRY_DELAY, by_all_members);
     let mut failures = 0;
     // Ranges of a lower depth are known to be too wide.
     let mut depth_min = 0;
@@ -201,7 +202,7 @@
     match start {
         Some((known, revision)) => state = WatchState { known, revision },
         None => {
-            read_all(shared, prefix, &mut state, &mut on_event).await;
+            read_all(shared, prefix, options, &mut state, &mut on_event).await;
         }
     }
     loop {
@@ -209,7 +210,7 @@
         loop {
             // As long a pause leaves half of the link to other calls.
             tokio::time::sleep(large.unwrap_or_default()).await;
-            large = read_all(shared, prefix, &mut state, &mut on_event).await;
+            large = read_all(shared, prefix, options, &mut state, &mut on_event).await;
             if large.is_none() || !options.skips_large_versions {
                 break;
             }
@@ -231,11 +232,12 @@
 async fn read_all<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
+    options: WatchOptions,
     state: &mut WatchState,
     on_event: &mut impl FnMut(WatchEvent),
 ) -> Option<Duration> {
     let called_at = shared.now();
-    let (items, revision) = list(shared, prefix, &Cell::default()).await;
+    let (items, revision) = list(shared, prefix, options.by_all_members, &Cell::default()).await;
     let changed = items.iter().filter(|item| item.revision > state.revision);
     let large = large_item_time(shared, changed);
     let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
@@ -275,7 +277,7 @@
 ) -> Option<Duration> {
     let WatchState { known, revision } = state;
     let mut failures = 0;
-    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    let mut retry_delay = RetryDelay::of(RETRY_DELAY, options.by_all_members);
     let mut marker = None;
     let mut answered_at = shared.now();
     loop {
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -71,6 +71,29 @@
     assert_eq!(cluster.state.lapsed_runs.get(), 0);
 }
 
+/// The list counts as known for a second, and nothing is started while it is not.
+#[tokio::test(start_paused = true)]
+async fn owner_follows_the_instance_list_late_after_its_watch_was_throttled() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    let mut longest = Duration::ZERO;
+    for job in 1..=8 {
+        *cluster.state.throttled_watch.borrow_mut() = Some("runners/".to_owned());
+        cluster
+            .advance(5 * SECOND + Duration::from_millis(job * 130))
+            .await;
+        submit(&mut cluster, &handle, job, 300).await;
+        cluster.state.throttled_watch.take();
+        let since = tokio::time::Instant::now();
+        while cluster.start_count(job) == 0 && since.elapsed() < 5 * SECOND {
+            cluster.advance(SECOND / 100).await;
+        }
+        longest = longest.max(since.elapsed());
+    }
+    assert!(longest < SECOND, "{longest:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn owner_that_does_not_serve_is_not_logged_before_it_reads_the_jobs() {
     log_lines::record();
