fix(entry): keys of expired jobs are removed until the store has answered

Cause: one attempt; the engine has forgotten the job by then.

Fix: the removal is repeated like other transactions of the owner, until it is applied, rejected for its contents or the group is lost.

Test: keys_of_expired_jobs_stay_if_the_store_rejects_their_removal. Before: assertion `left == right` failed left: ["ps/job/0/in/q/"] right: [] Ruled out: a removal that meets a new job of the same id; an id is kept for 130 s after its end, and a late first attempt could do the same.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -306,8 +306,12 @@
                 remove: remove.to_vec(),
                 ..self.owned_txn()
             };
-            if let Err(err) = self.shared.platform.txn(&txn).await {
-                log::warn!("event=job.remove fault=\"{err}\"");
+            match self.send_until_answered(&txn).await {
+                Written::Applied(_) => {}
+                Written::Rejected(err) => {
+                    log::error!("event=job.remove group={} fault=\"{err}\"", self.id.0);
+                }
+                Written::Stopped => return,
             }
         }
     }
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -94,6 +94,26 @@
     assert!(longest < SECOND, "{longest:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn keys_of_expired_jobs_stay_if_the_store_rejects_their_removal() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    submit(&mut cluster, &handle, 1, 300).await;
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(
+        phase(&mut cluster, &handle, 1).await,
+        Some(Phase::Completed)
+    );
+    cluster.state.rejects_removals.set(true);
+    cluster.advance(140 * SECOND).await;
+    assert_eq!(cluster.keys("ps/job/0/").len(), 1, "rejected");
+    cluster.state.rejects_removals.set(false);
+    cluster.advance(10 * SECOND).await;
+    let none: [&str; 0] = [];
+    assert_eq!(cluster.keys("ps/job/0/"), none);
+}
+
 #[tokio::test(start_paused = true)]
 async fn owner_that_does_not_serve_is_not_logged_before_it_reads_the_jobs() {
     log_lines::record();
