--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -36,6 +36,9 @@
 /// Delay before a failed read or watch is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// If no watch was answered for this long though the store answers other calls, the items are read.
+const WATCH_SILENCE_MAX: Duration = Duration::from_secs(4);
+
 /// A warning is logged for every this many calls that fail in a row.
 const FAILURES_PER_WARNING: u32 = 10;
 
@@ -115,12 +118,13 @@
 pub(crate) async fn list<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
+    by_all_members: bool,
     progress: &Cell<ListProgress>,
 ) -> (Vec<Item>, u64) {
     let started_at = shared.now();
     let mut items: Vec<Item> = Vec::new();
     let mut first_revision = None;
-    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    let mut retry_delay = RetryDelay::of(RETRY_DELAY, by_all_members);
     let mut failures = 0;
     // Ranges of a lower depth are known to be too wide.
     let mut depth_min = 0;
@@ -198,7 +202,7 @@
     match start {
         Some((known, revision)) => state = WatchState { known, revision },
         None => {
-            read_all(shared, prefix, &mut state, &mut on_event).await;
+            read_all(shared, prefix, options, &mut state, &mut on_event).await;
         }
     }
     loop {
@@ -206,7 +210,7 @@
         loop {
             // As long a pause leaves half of the link to other calls.
             tokio::time::sleep(large.unwrap_or_default()).await;
-            large = read_all(shared, prefix, &mut state, &mut on_event).await;
+            large = read_all(shared, prefix, options, &mut state, &mut on_event).await;
             if large.is_none() || !options.skips_large_versions {
                 break;
             }
@@ -228,11 +232,12 @@
 async fn read_all<P: Platform>(
     shared: &Shared<P>,
     prefix: &str,
+    options: WatchOptions,
     state: &mut WatchState,
     on_event: &mut impl FnMut(WatchEvent),
 ) -> Option<Duration> {
     let called_at = shared.now();
-    let (items, revision) = list(shared, prefix, &Cell::default()).await;
+    let (items, revision) = list(shared, prefix, options.by_all_members, &Cell::default()).await;
     let changed = items.iter().filter(|item| item.revision > state.revision);
     let large = large_item_time(shared, changed);
     let known: BTreeSet<_> = items.iter().map(|item| item.key.clone()).collect();
@@ -260,7 +265,7 @@
 }
 
 /// Watches the prefix until the history after the known revision is compacted, the changes since are
-/// too large to arrive in time, or the options say to read the items instead. Unlike their history,
+/// too large to arrive in time, only watches fail, or the options say to read the items instead. Unlike their history,
 /// the items themselves don't grow meanwhile. Returns the time that a large item takes the link, if
 /// that is why.
 async fn watch<P: Platform>(
@@ -272,8 +277,9 @@
 ) -> Option<Duration> {
     let WatchState { known, revision } = state;
     let mut failures = 0;
-    let mut retry_delay = RetryDelay::new(RETRY_DELAY);
+    let mut retry_delay = RetryDelay::of(RETRY_DELAY, options.by_all_members);
     let mut marker = None;
+    let mut answered_at = shared.now();
     loop {
         let called_at = shared.now();
         match shared.platform.watch(prefix, *revision, options.wait).await {
@@ -284,6 +290,7 @@
                 shared.record_store_answer();
                 failures = 0;
                 retry_delay.reset();
+                answered_at = shared.now();
                 *revision = new_revision.max(*revision);
                 let has_backlog = changes.len() >= BACKLOG_CHANGES;
                 let puts = changes.iter().filter_map(|change| match change {
@@ -327,6 +334,12 @@
                 failures += 1;
                 log_failure("store.watch", prefix, failures, &err);
                 tokio::time::sleep(retry_delay.after(&err)).await;
+                let is_silent = shared.now() >= answered_at + WATCH_SILENCE_MAX;
+                // A read counts towards the same limit as a watch.
+                if is_silent && !err.is_throttled && !shared.store_is_unreachable() {
+                    log::warn!("event=store.unwatched prefix={prefix} revision={revision}");
+                    return None;
+                }
             }
         }
     }
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod accepted_jobs;
 mod faults;
 mod jobs;
+mod log_lines;
 mod owners;
 mod platform;
 mod runners;
@@ -10,3 +11,4 @@
 mod slow_links;
 mod specifications;
 mod takeovers;
+mod waits;
