fix(store): a call that the store rejects had no effect, and renews nothing

Any answer other than 429, 503 and 5xx was decoded as if the store had carried the call out. A compare-and-swap answered with 412 or 413 counted as one that may have taken effect, so an operator's ticket was told to be in doubt although it was certain not to be accepted. A renewal rejected with any 4xx counted as a lease that is gone, on which the member gave up its session and with it its shards.

Each call now names the one status beside success that its interface defines: 404 for get, renew and revoke, 409 for a compare-and-swap, 410 for a watch. All other 4xx are errors without an effect. Statuses 1xx, 3xx and 5xx except 503 are errors with an unknown one, as 5xx were.

Found by reading, never seen in a run.

--- a/crates/persimmon-store/src/http.rs
+++ b/crates/persimmon-store/src/http.rs
@@ -48,11 +48,13 @@
         }
     }
 
+    /// Sends a request whose answer has a success status, or the status `expected` for this call.
     async fn send(
         &self,
         step: &'static str,
         request: RequestBuilder,
         timeout: Duration,
+        expected: Option<StatusCode>,
     ) -> Result<Response, Error> {
         self.call_count.fetch_add(1, Ordering::Relaxed);
         let outcome = request.timeout(timeout).send().await;
@@ -64,16 +66,17 @@
             };
             self.error(step, err.without_url().to_string(), effect)
         })?;
-        match response.status() {
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                let reason = format!("status {}", response.status());
-                Err(self.error(step, reason, Effect::None))
-            }
-            status if status.is_server_error() => {
-                Err(self.error(step, format!("status {status}"), Effect::Unknown))
-            }
-            _ => Ok(response),
+        let status = response.status();
+        if status.is_success() || Some(status) == expected {
+            return Ok(response);
         }
+        let rejected = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+        let effect = if rejected {
+            Effect::None
+        } else {
+            Effect::Unknown
+        };
+        Err(self.error(step, format!("status {status}"), effect))
     }
 
     async fn decode<T: DeserializeOwned>(
@@ -92,7 +95,9 @@
 impl Store for HttpStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let request = self.client.get(self.url("/v1/kv")).query(&[("key", key)]);
-        let response = self.send("get", request, self.timeout).await?;
+        let response = self
+            .send("get", request, self.timeout, Some(StatusCode::NOT_FOUND))
+            .await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -104,13 +109,15 @@
             .client
             .get(self.url("/v1/range"))
             .query(&[("prefix", prefix)]);
-        let response = self.send("range", request, self.timeout).await?;
+        let response = self.send("range", request, self.timeout, None).await?;
         self.decode("range", response).await
     }
 
     async fn cas(&self, cas: &CasRequest) -> Result<CasOutcome, Error> {
         let request = self.client.post(self.url("/v1/cas")).json(cas);
-        let response = self.send("cas", request, self.timeout).await?;
+        let response = self
+            .send("cas", request, self.timeout, Some(StatusCode::CONFLICT))
+            .await?;
         let conflict = response.status() == StatusCode::CONFLICT;
         let CasResponse { revision } = self.decode("cas", response).await?;
         if conflict {
@@ -124,7 +131,7 @@
             ttl_ms: ttl.as_millis() as u64,
         };
         let request = self.client.post(self.url("/v1/lease")).json(&body);
-        let response = self.send("grant", request, self.timeout).await?;
+        let response = self.send("grant", request, self.timeout, None).await?;
         let LeaseBody { lease } = self.decode("grant", response).await?;
         Ok(LeaseId(lease))
     }
@@ -132,14 +139,18 @@
     async fn renew(&self, lease: LeaseId) -> Result<bool, Error> {
         let body = LeaseBody { lease: lease.0 };
         let request = self.client.post(self.url("/v1/lease/renew")).json(&body);
-        let response = self.send("renew", request, self.timeout).await?;
+        let response = self
+            .send("renew", request, self.timeout, Some(StatusCode::NOT_FOUND))
+            .await?;
         Ok(response.status().is_success())
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), Error> {
         let body = LeaseBody { lease: lease.0 };
         let request = self.client.post(self.url("/v1/lease/revoke")).json(&body);
-        self.send("revoke", request, self.timeout).await.map(drop)
+        self.send("revoke", request, self.timeout, Some(StatusCode::NOT_FOUND))
+            .await
+            .map(drop)
     }
 
     async fn watch(
@@ -152,7 +163,14 @@
         let wait_ms = wait.as_millis().to_string();
         let query = [("prefix", prefix), ("after", &after), ("wait_ms", &wait_ms)];
         let request = self.client.get(self.url("/v1/watch")).query(&query);
-        let response = self.send("watch", request, wait + self.timeout).await?;
+        let response = self
+            .send(
+                "watch",
+                request,
+                wait + self.timeout,
+                Some(StatusCode::GONE),
+            )
+            .await?;
         if response.status() == StatusCode::GONE {
             return Ok(WatchOutcome::Compacted);
         }
