fix(sched): paused runs beside a high tail are resumed in turn

Beside a tail that is over its target without best-effort work, one run at a time is resumed after 5 s without any. It was the first in the report's order of those that had been idle for 5 s; it was paused again 1.3 s later, and after 5 s it was the first once more. The runs behind it stayed paused until it had ended, which a long-running one does not.

Limits are now raised in the order of the time since when a run has been idle. A run that was resumed is idle from later on than all that were not, so each gets its turn after as many intervals as there are paused runs. Where more than one limit is raised all are raised as before, only in another order.

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -351,15 +351,15 @@
                 .raised_limit()
                 .filter(|_| worst <= RELAX_RATIO_MAX)
         };
-        let limits = batch_runs
-            .iter()
-            .filter_map(|it| Some((it.run, limit(it)?)));
-        let limits: Vec<_> = limits.take(limits_max).collect();
+        let limits = batch_runs.iter().filter_map(|it| Some((it, limit(it)?)));
+        let mut limits: Vec<_> = limits.collect();
         if limits.is_empty() {
             return;
         }
-        for (run, percent) in limits {
-            self.set_cpu_limit(key, run, percent, now);
+        // Those that have been idle for longest go first, so that each gets its turn.
+        limits.sort_by_key(|(batch_run, _)| batch_run.idle_since);
+        for (batch_run, percent) in limits.into_iter().take(limits_max) {
+            self.set_cpu_limit(key, batch_run.run, percent, now);
         }
         self.runner_mut(key).throttled_at = Some(now);
     }
--- a/crates/persimmon-sched/tests/all/paused_runs.rs
+++ b/crates/persimmon-sched/tests/all/paused_runs.rs
@@ -111,3 +111,57 @@
     }
     assert_eq!(limits, [0]);
 }
+
+/// Beside a tail that is over its target without them, one run at a time is resumed.
+#[test]
+fn same_one_of_two_paused_runs_is_resumed_each_time() {
+    const RESUMED_MAX_MS: u64 = 3 * (PAUSED_MAX_MS + HARM_MAX_MS);
+    let mut harness = TestEngine::with_runners(&["a"], 10_000);
+    let best_effort = StepSpec {
+        image: "batch".to_owned(),
+        best_effort: true,
+        ..step(2)
+    };
+    let latency_critical = StepSpec {
+        image: "counter".to_owned(),
+        tail_target_ms: TARGET_MS,
+        long_running: true,
+        ..step(1)
+    };
+    harness.submit(job(1, vec![latency_critical]));
+    harness.submit(job(2, vec![best_effort]));
+    let started = starts(&harness.round());
+    assert_eq!(started.len(), 3);
+    for (_, task, run) in started {
+        harness.answer_start(task, run, Answer::Started);
+    }
+    let batch = [task(2, 0, 0), task(2, 0, 1)];
+    let mut limits = [100_u64; 2];
+    let mut resumed = [false; 2];
+    for _ in 0..RESUMED_MAX_MS / REPORT_INTERVAL_MS {
+        harness.advance(REPORT_INTERVAL_MS);
+        let status = |task: TaskId, measurement| RunStatus {
+            measurement,
+            ..listed(task, 1)
+        };
+        let mut running = vec![status(task(1, 0, 0), TARGET_MS * 2)];
+        let used = limits.iter().map(|limit| limit * 10);
+        running.extend(batch.iter().zip(used).map(|(&task, it)| status(task, it)));
+        harness.report("a", running);
+        let now = harness.now;
+        for order in harness.round() {
+            let Order::Throttle {
+                task, run, percent, ..
+            } = order
+            else {
+                continue;
+            };
+            let at = usize::from(task.index);
+            limits[at] = u64::from(percent);
+            resumed[at] |= percent > 0;
+            let engine = &mut harness.engine;
+            engine.handle_throttle_answer(task, run, percent, now);
+        }
+    }
+    assert_eq!(resumed, [true; 2], "after {RESUMED_MAX_MS} ms");
+}
