fix(shard): a starved job that fits on no worker does not keep the others from a reservation

Of the jobs that have waited for room too long, the one that had to start first is given a worker that is kept free. If no live worker can hold it, as the only one that is large enough is leaving, is quarantined or has left, no worker was reserved for anyone, pass after pass: the jobs behind it starved as they did before, until it was cancelled or a worker returned.

The test failed before: waits::placement_wide_job_not_starved_behind_one_that_fits_on_no_worker assertion `left == right` failed left: Queued right: Done

A job now is a candidate only if a worker can hold it. Jobs are compared with the best candidate first, so the workers are looked at only for those that would be taken.

--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -36,17 +36,24 @@
         }
     }
 
-    /// Makes the job a candidate for the next reservation if it has waited for room too long.
+    /// Makes the job a candidate for the next reservation if it has waited for room too long and a
+    /// worker can be kept free for it: others would wait behind it for ever otherwise.
     pub(super) fn consider_for_reservation(&self, number: u64, pass: &mut Pass) {
         let Some(job) = self.jobs.try_find(number) else {
             return;
         };
         let since_unix_ms = self.must_start_since_unix_ms(job);
+        let candidate = (since_unix_ms, number);
         let starved = since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms;
-        if starved && self.quota_admits(job) {
-            let candidate = (since_unix_ms, number);
-            let first = pass.starved.map_or(candidate, |first| first.min(candidate));
-            pass.starved = Some(first);
+        if starved
+            && pass.starved.is_none_or(|first| candidate < first)
+            && self.quota_admits(job)
+            && self
+                .workers
+                .iter()
+                .any(|it| self.can_hold(it.key, job, pass))
+        {
+            pass.starved = Some(candidate);
         }
     }
 
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -1,8 +1,9 @@
 //! How long a job can be kept waiting by others.
 
-use crate::support::{class, worker_spec, Shard};
+use crate::support::{class, worker_spec, Shard, CAPACITY};
 use persimmon_shard::{JobState, WorkerSpec};
 use persimmon_ticket::BatchClass;
+use persimmon_types::Size;
 use std::time::Duration;
 
 const RUN_TIME: Duration = Duration::from_secs(10);
@@ -58,3 +59,32 @@
     shard.run_for(RUN_TIME);
     assert_ne!(shard.worker_of(job), worker);
 }
+
+/// The larger job fits on no worker since the only one that is large enough leaves.
+#[test]
+fn placement_wide_job_not_starved_behind_one_that_fits_on_no_worker() {
+    let mut shard = Shard::new(3);
+    let large = |leaving| WorkerSpec {
+        capacity: Size {
+            cpu_millis: 2 * CAPACITY.cpu_millis,
+            ..CAPACITY
+        },
+        leaving,
+        ..worker_spec(2)
+    };
+    let specs = [worker_spec(0), worker_spec(1), large(false)];
+    shard.core.set_workers(&specs, shard.now());
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME);
+    let specs = [worker_spec(0), worker_spec(1), large(true)];
+    let largest = BatchClass {
+        urgent: true,
+        ..class("largest", 8_000, RUN_TIME)
+    };
+    shard.submit(largest, DEADLINE);
+    shard.core.set_workers(&specs, shard.now());
+    run_beside(&mut shard, &narrow, RUN_TIME * 2);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
