fix(shard): a job that fits no worker does not keep its team out of its quota

A job that must start has a part of its team's quota kept for it, also one for which no worker is large enough any more: with a quota as large as that job, no later job of the team was started at all.

placement_team_not_kept_out_of_its_quota_by_a_job_that_fits_no_worker failed before ("left: Queued, right: Done"). Quota is now kept only for a job that some live worker would hold without other tasks.

--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -265,17 +265,21 @@
         chosen.filter(|key| !excluded.contains(key))
     }
 
-    /// Keeps a part of the team's quota for a job that must start, so that later jobs of the team
-    /// can't use each part that becomes free.
+    /// Keeps a part of the team's quota for a job that must start and that some worker is large
+    /// enough for, so that later jobs of the team can't use each part that becomes free.
     fn keep_quota(&self, number: u64, pass: &mut Pass) {
         let waiting = self.jobs.try_find(number);
         let Some(job) = waiting.filter(|job| self.must_start(job, pass.now_unix_ms)) else {
             return;
         };
-        let fits = self
+        if pass.quota_kept.contains_key(&job.team) {
+            return;
+        }
+        let fits_quota = self
             .quota_left_here(job)
             .is_some_and(|quota| job.size.fits(quota));
-        if fits && !pass.quota_kept.contains_key(&job.team) {
+        let mut workers = self.workers.iter();
+        if fits_quota && workers.any(|worker| self.is_large_enough(worker.key, job)) {
             pass.quota_kept.insert(job.team.clone(), (number, job.size));
         }
     }
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -87,12 +87,15 @@
 
     /// Returns whether the worker may be given the job once its batch tasks have ended.
     fn can_hold(&self, key: WorkerKey, job: &Job, pass: &Pass) -> bool {
+        !pass.excluded.contains(&key) && self.is_large_enough(key, job)
+    }
+
+    /// Returns whether the job would fit on the worker without any batch task.
+    pub(super) fn is_large_enough(&self, key: WorkerKey, job: &Job) -> bool {
         let worker = &self.workers[key.index()];
         let beside_runners = worker.spec.capacity.saturating_sub(worker.spec.runners);
         let limit = self.ledger.share_limit(key, WorkKind::Batch);
-        worker.state == WorkerState::Live
-            && !pass.excluded.contains(&key)
-            && job.size.fits(limit.min(beside_runners))
+        worker.state == WorkerState::Live && job.size.fits(limit.min(beside_runners))
     }
 
     /// Returns the time in which all tasks of a worker should have ended. An overdue task is
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -149,3 +149,29 @@
     run_beside(&mut shard, &narrow, DONE_WITHIN);
     assert_eq!(shard.state(wide), JobState::Done);
 }
+
+#[test]
+fn placement_team_not_kept_out_of_its_quota_by_a_job_that_fits_no_worker() {
+    let mut shard = Shard::new(2);
+    let quota = Size {
+        cpu_millis: 4_000,
+        ..CAPACITY
+    };
+    shard
+        .core
+        .configure(SHARES, BTreeMap::from([("team".to_owned(), quota)]));
+    let capacity = Size {
+        cpu_millis: 3_000,
+        ..CAPACITY
+    };
+    let smaller = |index| WorkerSpec {
+        capacity,
+        ..worker_spec(index)
+    };
+    shard.submit(class("widest", 4_000, RUN_TIME), RUN_TIME);
+    let now = shard.now();
+    shard.core.set_workers(&[smaller(0), smaller(1)], now);
+    let narrow = shard.submit(class("narrow", 1_000, RUN_TIME), DEADLINE);
+    shard.run_for(DEADLINE);
+    assert_eq!(shard.state(narrow), JobState::Done);
+}
