fix(entry): a record that the store rejected is written again as the job is by then

A job whose record the store had rejected for its contents was shown as active for ever after its cancellation had been confirmed: the record was written again every 5 s as it was when it was rejected, and the job's later changes waited for it, its end included.

Cause: a retry repeated the write in place of asking the engine for the job's record again.

Evidence: the test failed before, "left: Some(Active), right: Some(Cancelled)" 6 s after the cancellation.

Each retry now writes the record as it is by then, still one in 5 s, since a job that changes often would otherwise have a transaction rejected with each change. A cancelled job whose record is still rejected stays active, as before.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -94,8 +94,9 @@
         }
     }
 
-    /// Writes a record that the store rejected until it is written.
-    async fn write_rejected(self: Rc<Self>, commit: Commit, mut err: CallError) {
+    /// Writes the record of a job whose record the store rejected, as it is by then, until it is
+    /// written.
+    async fn write_rejected(self: Rc<Self>, mut commit: Commit, mut err: CallError) {
         loop {
             log::error!(
                 "event=record.rejected group={} job={} fault=\"{err}\"",
@@ -103,6 +104,7 @@
                 commit.job
             );
             tokio::time::sleep(REJECTED_RETRY_DELAY).await;
+            commit = self.engine.borrow_mut().renew_commit(commit);
             match self.write_records(slice::from_ref(&commit)).await {
                 Ok(()) => return,
                 Err(again) => err = again,
--- a/crates/persimmon-entry/tests/all/faults.rs
+++ b/crates/persimmon-entry/tests/all/faults.rs
@@ -193,3 +193,23 @@
         assert!(cluster.start_count(job) > 0, "job {job} waits for ever");
     }
 }
+
+/// The record of the cancelled job is shorter, as it names no runners.
+#[tokio::test(start_paused = true)]
+async fn rejected_record_is_written_again_as_it_was_after_a_cancellation() {
+    let mut cluster = Cluster::new(&["a"]);
+    let handle = cluster.start("one");
+    cluster.advance(2 * SECOND).await;
+    cluster.state.value_bytes_max.set(4_500);
+    let submission = handle.submit(request(1), spec_with_long_record());
+    let accepted = cluster.run_until(submission).await;
+    accepted.expect("accepted");
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(cluster.start_count(1), 0, "its record was rejected");
+    let cancelled = cluster.run_until(handle.cancel(request(1))).await;
+    assert!(cancelled.is_ok(), "{cancelled:?}");
+    cluster.advance(6 * SECOND).await;
+    let phase = phase(&mut cluster, &handle, 1).await;
+    assert_eq!(phase, Some(Phase::Cancelled));
+    assert_eq!(cluster.start_count(1), 0);
+}
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -26,6 +26,21 @@
         commits
     }
 
+    /// Returns the write to make in place of one that the store rejected: that of the job as it is
+    /// now, which may have ended since.
+    pub fn renew_commit(&mut self, rejected: Commit) -> Commit {
+        let id = rejected.job;
+        let (Some(job), Some(record)) = (self.jobs.get(&id), self.record(id)) else {
+            return rejected;
+        };
+        self.dirty.retain(|it| it != id);
+        Commit {
+            version: job.version,
+            record,
+            ..rejected
+        }
+    }
+
     fn record(&self, id: JobId) -> Option<Record> {
         let job = self.jobs.get(&id)?;
         let mut runners = Vec::new();
