fix(entry): the mesh is opened again if its address was in use

Callers: a process whose address was still in use at its start never calls others. As an owner it has no relays and confirms neither takeovers nor outages; as a member it carries no runners; during an outage it answers no states.

Cause: one attempt to open the mesh, then the task ended.

Fix: an attempt a second, each logged.

Test: process_whose_address_was_in_use_never_calls_others (real time, as the processes use sockets).

--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -31,6 +31,8 @@
 const HOLD_MAX: Duration = Duration::from_secs(1);
 /// Delay before the keys are looked up again.
 const KEYS_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Delay before the mesh is opened again: its address may still be in use.
+const OPEN_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// A notification or request to a group's owner; [`Self::OwnerView`] is sent to all members.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -96,7 +98,7 @@
 
 pub(crate) type Peers = Mesh<PeerRequest, PeerReply>;
 
-/// Opens the mesh once the keys are known, and answers peers. Returns only on an error.
+/// Opens the mesh once the keys are known, and answers peers. Returns only if the keys are invalid.
 pub(crate) async fn serve<P: Platform>(shared: Rc<Shared<P>>) {
     let keys = loop {
         match load_keys(&shared).await {
@@ -109,12 +111,12 @@
         }
     };
     let address = shared.options.peer_address;
-    let mesh = match Peers::open(address, &keys, Options::default()) {
-        Ok(mesh) => Arc::new(mesh),
-        Err(err) => {
-            log::error!("event=peers.open fault=\"{err}\"");
-            return;
+    let mesh = loop {
+        match Peers::open(address, &keys, Options::default()) {
+            Ok(mesh) => break Arc::new(mesh),
+            Err(err) => log::error!("event=peers.open fault=\"{err}\""),
         }
+        tokio::time::sleep(OPEN_RETRY_DELAY).await;
     };
     let (requests, mut queue) = mpsc::channel(QUEUED_CALLS_MAX);
     *shared.peers.borrow_mut() = Some(Arc::clone(&mesh));
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -6,7 +6,10 @@
 };
 use persimmon_entry::Request;
 use persimmon_sched::{JobId, Phase};
-use std::time::Duration;
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -148,3 +151,29 @@
     let lines = log_lines::count("group.loading");
     assert!(lines > 0, "no line");
 }
+
+/// Returns an address that no process uses, and the socket that keeps it in use.
+fn used_address() -> (SocketAddr, UdpSocket) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    (socket.local_addr().expect("its address"), socket)
+}
+
+/// Runs in real time, as processes call each other over sockets.
+#[tokio::test]
+async fn process_whose_address_was_in_use_never_calls_others() {
+    let mut cluster = Cluster::new(&["a"]);
+    let (owner_address, owner_socket) = used_address();
+    drop(owner_socket);
+    let owner = cluster.start_at("one", 500, 1, owner_address);
+    let (address, socket) = used_address();
+    let handle = cluster.start_at("two", 100, 1, address);
+    cluster.advance(2 * SECOND).await;
+    assert_eq!(cluster.owner_of(0).as_deref(), Some("one"));
+    submit(&mut cluster, &owner, 1, 60_000).await;
+    drop(socket);
+    cluster.advance(2 * SECOND).await;
+    // The owner answers from memory.
+    cluster.state.store_is_down.set(true);
+    let phase = cluster.run_until(handle.phase(request(1))).await;
+    assert_eq!(phase, Ok(Some(Phase::Active)));
+}
