fix(entry): a relay that answers slowly gives its runners up to others

Callers: tasks placed on runners of such a relay never start, and come back to them, as runners on which nothing starts have the most room. Nothing fails: reports arrive, leases are renewed.

Cause: a relay sends a start only if the order was made within 0.7 s of its last news. If an exchange takes longer, each start is answered as withheld, without a bound: a relay fails after 2.65 s without an answer only, and a withheld start does not count against its runner.

Fix: after three exchanges in a row over 0.85 s (0.7 s and the wait for news) the relay is given up for 10 s, if another member that is not in such a backoff could carry its runners and a renewal of the session sent within the last 0.7 s has succeeded; otherwise the link of the owner may be the cause, and all relays would be given up in turn, with their leases.

Test: nothing_starts_on_the_runners_of_a_relay_that_answers_slowly, two relays, datagrams to the larger one delayed by 0.5 s each way, in real time. Before, 7 s after the submission: assertion `left == right` failed left: 0 right: 1 Not bounded by this: all relays slow, or the owner's link.

--- a/crates/persimmon-entry/src/group/relays.rs
+++ b/crates/persimmon-entry/src/group/relays.rs
@@ -9,7 +9,7 @@
 };
 use persimmon_relay::{
     assign::{Candidate, Member},
-    Batch, Event, Link, RunnerAddress,
+    Batch, Event, Link, RunnerAddress, START_AGE_MAX,
 };
 use persimmon_sched::{Answer, Order, TaskId};
 use std::{
@@ -39,6 +39,10 @@
 const ORDER_BYTES_MAX: usize = 4_096;
 /// How long a member that did not answer carries no runners.
 const FAILED_RELAY_BACKOFF: Duration = Duration::from_secs(2);
+/// Exchanges in a row that take too long for starts, after which another member carries the runners.
+const SLOW_EXCHANGES_MAX: u32 = 3;
+/// How long a member that answered slowly carries no runners.
+const SLOW_RELAY_BACKOFF: Duration = Duration::from_secs(10);
 /// Interval at which the runners are assigned again without a change that is known of.
 const ASSIGN_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest delay of the report of a runner without runs in a large group.
@@ -71,6 +75,8 @@
     link: RefCell<Link>,
     has_orders: Notify,
     is_closed: Cell<bool>,
+    /// Exchanges in a row that took too long for starts.
+    slow_exchanges: Cell<u32>,
 }
 
 /// An exchange with a relay failed.
@@ -208,6 +214,7 @@
             link: RefCell::new(link),
             has_orders: Notify::new(),
             is_closed: Cell::new(false),
+            slow_exchanges: Cell::new(0),
         });
         let mut connections = self.relays.connections.borrow_mut();
         connections.insert(key.to_owned(), Rc::clone(&connection));
@@ -265,7 +272,9 @@
     async fn follow_news(self: Rc<Self>, connection: Rc<Connection>) {
         while !connection.is_closed.get() {
             let batch = self.take_batch(&connection);
+            let sent_at = self.shared.now();
             let reply = self.exchange(&connection, batch, Some(NEWS_WAIT_MAX)).await;
+            let duration = self.shared.now().saturating_duration_since(sent_at);
             let is_leaving = matches!(reply, Ok(RelayReply::Leaving(_)));
             match reply {
                 Ok(RelayReply::News(news) | RelayReply::Leaving(news)) => {
@@ -281,6 +290,7 @@
             if is_leaving {
                 self.fail_relay(&connection, "it is about to stop");
             }
+            self.check_duration(&connection, duration);
             self.close_if_idle(&connection);
         }
     }
@@ -375,9 +385,40 @@
         self.stop_serving("a relay knows a newer owner");
     }
 
-    /// Gives the runners of a relay that failed to others. Later calls for the same connection have
-    /// no effect.
+    /// Gives up a relay if its exchanges take so long that each start comes too late, others could
+    /// carry its runners, and the link of this process is not the cause.
+    fn check_duration(self: &Rc<Self>, connection: &Connection, duration: Duration) {
+        if duration < NEWS_WAIT_MAX + START_AGE_MAX {
+            connection.slow_exchanges.set(0);
+            return;
+        }
+        let slow_exchanges = connection.slow_exchanges.get() + 1;
+        connection.slow_exchanges.set(slow_exchanges);
+        let now = self.shared.now();
+        // Renewals of the session use the same link.
+        let proven_at = self.shared.session_proven_at.get();
+        let is_store_near = proven_at.is_some_and(|at| now < at + START_AGE_MAX);
+        if slow_exchanges >= SLOW_EXCHANGES_MAX && is_store_near && self.has_other_relay(connection)
+        {
+            self.give_up_relay(connection, "it answers slowly", SLOW_RELAY_BACKOFF);
+        }
+    }
+
+    fn has_other_relay(&self, connection: &Connection) -> bool {
+        let own_key = keys::member(&self.shared.options.name);
+        let candidates = self.relay_candidates(self.shared.now());
+        candidates
+            .iter()
+            .any(|it| it.key != connection.key && it.key != own_key)
+    }
+
     fn fail_relay(self: &Rc<Self>, connection: &Connection, reason: &str) {
+        self.give_up_relay(connection, reason, FAILED_RELAY_BACKOFF);
+    }
+
+    /// Gives the runners of a relay to others for at least `backoff`. Later calls for the same
+    /// connection have no effect.
+    fn give_up_relay(self: &Rc<Self>, connection: &Connection, reason: &str, backoff: Duration) {
         if connection.is_closed.replace(true) {
             return;
         }
@@ -389,7 +430,7 @@
         );
         let events = connection.link.borrow_mut().close();
         connection.has_orders.notify_one();
-        let until = self.shared.now() + FAILED_RELAY_BACKOFF;
+        let until = self.shared.now() + backoff;
         let mut failed_until = self.relays.failed_until.borrow_mut();
         failed_until.insert(connection.key.clone(), until);
         drop(failed_until);
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod runners;
 mod scale;
 mod slow_links;
+mod slow_relays;
 mod specifications;
 mod takeovers;
 mod waits;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -869,6 +869,23 @@
         handle
     }
 
+    /// Makes other processes call the process at another address.
+    pub(crate) fn set_member_address(&self, name: &str, address: SocketAddr) {
+        let key = format!("ps/m/node/{name}");
+        let (item, lease) = self.state.items.borrow()[&key].clone();
+        let value = String::from_utf8_lossy(&item.value).into_owned();
+        let mut words: Vec<_> = value.split(' ').collect();
+        let address = address.to_string();
+        words[1] = &address;
+        let write = Write {
+            key,
+            value: words.join(" ").into_bytes(),
+            lease: lease.map(Lease),
+        };
+        let client = self.client();
+        client.put(&write, client.next_revision());
+    }
+
     /// Drops the store's history, so that all watches start again.
     pub(crate) fn compact(&self) {
         self.state.compacted.set(self.client().next_revision());
--- a/crates/persimmon-relay/src/lib.rs
+++ b/crates/persimmon-relay/src/lib.rs
@@ -20,4 +20,4 @@
 pub use assign::assign;
 pub use link::{Event, Link};
 pub use message::{Batch, News, RunnerAddress, RunnerIndex, SessionKey};
-pub use relay::{Action, OrderCall, OrderKind, Outcome, PollCall, Refusal, Relay};
+pub use relay::{Action, OrderCall, OrderKind, Outcome, PollCall, Refusal, Relay, START_AGE_MAX};
--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -13,7 +13,7 @@
 
 /// Oldest order that a start is sent for. Together with the age of the owner's instance list and
 /// the time limit of the call it must stay below the time for which a leaving runner may be used.
-const START_AGE_MAX: Duration = Duration::from_millis(700);
+pub const START_AGE_MAX: Duration = Duration::from_millis(700);
 /// A session without a batch for this long is dropped; an owner sends several a second.
 const SESSION_SILENCE_MAX: Duration = Duration::from_secs(3);
 /// Longest time between two polls of a runner, with what a poll may take. After a longer one this
