--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -6,7 +6,10 @@
 };
 use persimmon_entry::Request;
 use persimmon_sched::{JobId, Phase};
-use std::time::Duration;
+use std::{
+    net::{SocketAddr, UdpSocket},
+    time::Duration,
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -149,6 +152,12 @@
     assert!(lines > 0, "no line");
 }
 
+/// Returns an address that no process uses, and the socket that keeps it in use.
+fn used_address() -> (SocketAddr, UdpSocket) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    (socket.local_addr().expect("its address"), socket)
+}
+
 /// Runs in real time, as processes call each other over sockets.
 #[tokio::test]
 async fn process_whose_address_was_in_use_never_calls_others() {
