fix(sched): a starved job does not wait for the end of the pause after a harmful trial that has ended

A job of which nothing runs may now follow such a trial at once. Further tasks of jobs that run keep the pause.

job_does_not_wait_for_the_end_of_a_pause_after_a_harmful_trial_that_has_ended failed before ("assertion failed: fleet.is_running(task(2, 0, 0)) || ...").

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -167,9 +167,12 @@
         let Some(mut trial) = runner.trial else {
             return;
         };
-        trial.has_done_harm |= worst_tail_ratio(runner) >= THROTTLE_RATIO;
+        let is_over_threshold = worst_tail_ratio(runner) >= THROTTLE_RATIO;
+        trial.has_done_harm |= is_over_threshold;
         let (id, run) = trial.run;
-        let is_measured = match self.stage_on(key, id, run) {
+        let stage = self.stage_on(key, id, run);
+        trial.has_ended = stage.is_none() && !is_over_threshold;
+        let is_measured = match stage {
             Some(Stage::Running(since)) => now >= since + MEASUREMENT_DELAY,
             Some(_) => false,
             None => now >= trial.placed_at + MEASUREMENT_DELAY,
@@ -436,7 +439,9 @@
             return match admission {
                 Admission::Predicted => self.best_effort_penalty(runner, claim),
                 Admission::Trial if !has_measured_idle_cpu(runner, claim) => None,
-                Admission::Trial | Admission::Share => self.trial_penalty(runner, claim, now),
+                Admission::Trial | Admission::Share => {
+                    self.trial_penalty(runner, claim, admission, now)
+                }
             };
         }
         if !claim.latency_critical {
@@ -473,12 +478,22 @@
     }
 
     /// As [`Self::best_effort_penalty`] for a run on trial. Its effect is measured and acted upon
-    /// like that of any other run, so it is kept off only where the measurement would not tell.
-    fn trial_penalty(&self, runner: &Runner, claim: &Claim, now: Instant) -> Option<i64> {
+    /// like that of any other run, so it is kept off only where the measurement would not tell, and
+    /// for a while after a trial that did harm, unless that has ended and nothing of the job runs.
+    fn trial_penalty(
+        &self,
+        runner: &Runner,
+        claim: &Claim,
+        admission: Admission,
+        now: Instant,
+    ) -> Option<i64> {
         if worst_tail_ratio(runner) >= THROTTLE_RATIO && !is_unused(runner, now) {
             return None;
         }
-        let is_recent = |trial: Trial| now < trial.placed_at + TRIAL_INTERVAL_MIN;
+        let is_shared = admission == Admission::Share;
+        let is_recent = |trial: Trial| {
+            now < trial.placed_at + TRIAL_INTERVAL_MIN && !(is_shared && trial.has_ended)
+        };
         if !runner.tails.is_empty() && runner.trial.is_some_and(is_recent) {
             return None;
         }
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -303,6 +303,7 @@
             run,
             placed_at: now,
             has_done_harm: false,
+            has_ended: false,
         });
         log::info!("event=task.trial task={id} runner={}", runner.info.id);
     }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -172,6 +172,8 @@
     pub(crate) placed_at: Instant,
     /// Whether a tail latency has reached the throttling threshold since it was placed.
     pub(crate) has_done_harm: bool,
+    /// Whether the run has ended and no tail latency is at the threshold any more.
+    pub(crate) has_ended: bool,
 }
 
 /// An ended run that may be acknowledged once this version of its job is committed.
--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -550,3 +550,18 @@
     let harm_ms = fleet.harm_most_ms();
     assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms");
 }
+
+#[test]
+fn job_does_not_wait_for_the_end_of_a_pause_after_a_harmful_trial_that_has_ended() {
+    let mut fleet = Fleet::serving(1);
+    fleet.run_ms = 500;
+    fleet.weight = 4.0;
+    fleet.restore_weight(WEIGHT_MAX);
+    fleet.harness.submit(job(1, vec![best_effort(1, 3_000)]));
+    fleet.rounds(1_500);
+    fleet.harness.submit(job(2, vec![best_effort(1, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    assert_eq!(fleet.phase(1), Some(Phase::Completed));
+    assert!(fleet.harm_most_ms() > 0, "the first trial did harm");
+    assert!(fleet.is_running(task(2, 0, 0)) || fleet.phase(2) == Some(Phase::Completed));
+}
