fix(entry): an outage of the store does not make all items be read again

Callers: after an outage of over 4 s an owner on a slow link reads its whole inbox, seconds of the link, while it is to place what has waited.

Cause: a watch call that began during the outage fails after the store is back, and the time without an answer counted the outage.

Fix: only calls that began while the store was answering count.

Test: all_items_are_read_again_after_an_outage. Before: assertion `left == right` failed: after 6100 ms left: 2 right: 1

--- a/crates/persimmon-entry/src/prefix_watch.rs
+++ b/crates/persimmon-entry/src/prefix_watch.rs
@@ -279,9 +279,10 @@
     let mut failures = 0;
     let mut retry_delay = RetryDelay::of(RETRY_DELAY, options.by_all_members);
     let mut marker = None;
-    let mut answered_at = shared.now();
+    let mut silent_since = shared.now();
     loop {
         let called_at = shared.now();
+        let is_outage = shared.store_is_unreachable();
         match shared.platform.watch(prefix, *revision, options.wait).await {
             Ok(WatchOutcome::Changes {
                 changes,
@@ -290,7 +291,7 @@
                 shared.record_store_answer();
                 failures = 0;
                 retry_delay.reset();
-                answered_at = shared.now();
+                silent_since = shared.now();
                 *revision = new_revision.max(*revision);
                 let has_backlog = changes.len() >= BACKLOG_CHANGES;
                 let puts = changes.iter().filter_map(|change| match change {
@@ -332,9 +333,12 @@
             }
             Err(err) => {
                 failures += 1;
+                if is_outage {
+                    silent_since = shared.now();
+                }
                 log_failure("store.watch", prefix, failures, &err);
                 tokio::time::sleep(retry_delay.after(&err)).await;
-                let is_silent = shared.now() >= answered_at + WATCH_SILENCE_MAX;
+                let is_silent = shared.now() >= silent_since + WATCH_SILENCE_MAX;
                 // A read counts towards the same limit as a watch.
                 if is_silent && !err.is_throttled && !shared.store_is_unreachable() {
                     log::warn!("event=store.unwatched prefix={prefix} revision={revision}");
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -99,6 +99,8 @@
     /// Every n-th read of a page is rejected; 0 for none.
     pub(crate) reject_every_nth_page: Cell<u64>,
     page_reads: Cell<u64>,
+    /// Reads of pages, by prefix.
+    pub(crate) reads_of: RefCell<BTreeMap<String, u32>>,
     /// Changes in an answer to a watch; 0 for all.
     pub(crate) changes_per_answer: Cell<usize>,
     /// Processor time of a call, of which a process makes one at a time.
@@ -458,6 +460,9 @@
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError> {
         self.simulate_call("range").await?;
         self.state.page_reads.set(self.state.page_reads.get() + 1);
+        let mut reads_of = self.state.reads_of.borrow_mut();
+        *reads_of.entry(prefix.to_owned()).or_default() += 1;
+        drop(reads_of);
         let reject_every_nth = self.state.reject_every_nth_page.get();
         if reject_every_nth > 0 && self.state.page_reads.get() % reject_every_nth == 0 {
             return Err(call_error("range", Effect::None));
--- a/crates/persimmon-entry/tests/all/waits.rs
+++ b/crates/persimmon-entry/tests/all/waits.rs
@@ -45,6 +45,23 @@
     assert!(accepted.is_ok(), "{accepted:?}");
 }
 
+/// What has changed during an outage is less than all items, which a slow link carries in seconds.
+#[tokio::test(start_paused = true)]
+async fn all_items_are_read_again_after_an_outage() {
+    for outage_ms in (4_000..12_000).step_by(700) {
+        let mut cluster = Cluster::new(&["a"]);
+        cluster.start("one");
+        cluster.advance(4 * SECOND).await;
+        assert_eq!(cluster.state.reads_of.borrow()["policy"], 1);
+        cluster.state.store_is_down.set(true);
+        cluster.advance(Duration::from_millis(outage_ms)).await;
+        cluster.state.store_is_down.set(false);
+        cluster.advance(6 * SECOND).await;
+        let reads = cluster.state.reads_of.borrow()["policy"];
+        assert_eq!(reads, 1, "after {outage_ms} ms");
+    }
+}
+
 /// A runner's lease must be renewed within its term of 6 s.
 #[tokio::test(start_paused = true)]
 async fn lease_lapses_as_a_missed_poll_is_repeated_after_those_of_runners_that_hang() {
