fix(shard): quarantines stay short while no worker of the shard is healthy

Quarantines double up to 30 min. That keeps work off a bad worker among good ones; when all workers of a shard fail, as something that all tasks need is away, there is no better place to wait for, and after it came back all jobs of the shard waited for the rest of the quarantines, up to 30 min.

While no live worker is healthy, each quarantine ends 30 s after it began.

The test failed before, on two workers on which everything failed for 10 min: quarantine_short_while_no_worker_is_healthy assertion `left == right` failed: left: 20, right: 0 That is: 40 s after tasks no longer fail, 20 of 20 jobs waited, now none does.

--- a/crates/persimmon-place/src/health.rs
+++ b/crates/persimmon-place/src/health.rs
@@ -51,7 +51,13 @@
 struct FailureRecord {
     failed_jobs: BTreeSet<JobId>,
     quarantine_count: u32,
-    quarantined_until: Option<Instant>,
+    quarantine: Option<Quarantine>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Quarantine {
+    since: Instant,
+    until: Instant,
 }
 
 /// Distinguishes workers on which every task fails from jobs that fail on every worker.
@@ -97,17 +103,31 @@
         }
         let backoff =
             options.quarantine_initial * 2u32.saturating_pow(record.quarantine_count.min(16));
-        record.quarantined_until = Some(now + backoff.min(options.quarantine_max));
+        record.quarantine = Some(Quarantine {
+            since: now,
+            until: now + backoff.min(options.quarantine_max),
+        });
         record.quarantine_count += 1;
         FailureCause::Worker
     }
 
+    /// Ends a quarantine after the length of a first one, however many came before it. For a time in
+    /// which there is no healthy worker, as a longer one saves no task from a failure then.
+    pub fn shorten_quarantine(&mut self, worker: WorkerKey) {
+        let initial = self.options.quarantine_initial;
+        let record = self.records.get_mut(&worker);
+        if let Some(quarantine) = record.and_then(|record| record.quarantine.as_mut()) {
+            quarantine.until = quarantine.until.min(quarantine.since + initial);
+        }
+    }
+
     /// Returns the health of the worker at `now`.
     pub fn state(&self, worker: WorkerKey, now: Instant) -> HealthState {
         let until = self
             .records
             .get(&worker)
-            .and_then(|record| record.quarantined_until);
+            .and_then(|record| record.quarantine)
+            .map(|quarantine| quarantine.until);
         match until {
             None => HealthState::Healthy,
             Some(until) if now < until => HealthState::Quarantined,
--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -24,6 +24,7 @@
 impl Core {
     /// Places queued jobs on workers in queue order and returns the number of jobs placed.
     pub fn place_queued(&mut self, now: Instant, now_unix_ms: u64) -> usize {
+        self.shorten_quarantines_without_healthy_workers(now);
         let probation = self.probation_workers(now);
         let mut excluded = self.excluded_workers(now);
         excluded.extend(&probation);
--- a/crates/persimmon-shard/src/core/worker.rs
+++ b/crates/persimmon-shard/src/core/worker.rs
@@ -163,6 +163,20 @@
         self.worker_index.get(id).copied()
     }
 
+    /// Shortens the quarantines while no live worker is healthy.
+    pub(super) fn shorten_quarantines_without_healthy_workers(&mut self, now: Instant) {
+        let mut live = self
+            .workers
+            .iter()
+            .filter(|worker| worker.state == WorkerState::Live);
+        if live.any(|worker| self.health.state(worker.key, now) == HealthState::Healthy) {
+            return;
+        }
+        for worker in &self.workers {
+            self.health.shorten_quarantine(worker.key);
+        }
+    }
+
     /// Returns the workers that must not be given a task at `now` because of failures.
     pub(super) fn excluded_workers(&self, now: Instant) -> HashSet<WorkerKey> {
         self.workers_where(|worker| match self.health.state(worker.key, now) {
--- a/crates/persimmon-shard/tests/all/quarantine.rs
+++ b/crates/persimmon-shard/tests/all/quarantine.rs
@@ -82,3 +82,19 @@
     shard.run_for(QUARANTINE + SETTLE);
     assert_eq!(shard.state(good), JobState::Done);
 }
+
+#[test]
+fn quarantine_short_while_no_worker_is_healthy() {
+    let mut shard = Shard::new(2);
+    shard.failing_classes = vec!["failing".to_owned()];
+    let jobs: Vec<u64> = (0..20)
+        .map(|_| shard.submit(class("failing", 1_000, RUN_TIME), HOUR))
+        .collect();
+    shard.run_for(QUARANTINE * 20);
+    shard.failing_classes.clear();
+    shard.run_for(QUARANTINE + SETTLE * 2);
+    let waiting = jobs
+        .iter()
+        .filter(|job| shard.state(**job) == JobState::Queued);
+    assert_eq!(waiting.count(), 0);
+}
