fix(shard): a job that fails on all workers ends once its deadline has passed

Failures on workers in quarantine or on probation count against the workers. A job that fails everywhere, in a shard where nothing else is queued, was therefore tried at each probation without an end, and its caller never learnt that it had failed.

Failures after the deadline of a job count against its attempts. Before the deadline they still do not, so an outage of something that all tasks need does not use up the attempts of jobs that can be in time.

Ways weighed: a limit on the failures that do not count (with few jobs and many workers an outage of two minutes would use it up).

The test failed before: job_that_fails_on_all_workers_ends_once_its_deadline_has_passed assertion `left == right` failed: left: Queued, right: Failed

--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -303,10 +303,13 @@
         let (key, number) = (self.workers[index].key, task.number);
         // `health` is kept per shard and only tells jobs apart, so any shard index will do.
         let id = persimmon_types::JobId { shard: 0, number };
-        let counts = self.health.record_failure(key, id, now) == FailureCause::Job;
+        let cause = self.health.record_failure(key, id, now);
         let Some(job) = self.jobs.try_find(number) else {
             return;
         };
+        // A job that fails on all workers must not be tried again without an end.
+        let late = now_unix_ms > job.deadline_unix_ms;
+        let counts = cause == FailureCause::Job || late;
         self.failures.record_failure(job, now_unix_ms);
         let failures = job.failures + u32::from(counts);
         let last = failures >= job.attempts_max || job.state == JobState::Unknown;
--- a/crates/persimmon-shard/tests/all/quarantine.rs
+++ b/crates/persimmon-shard/tests/all/quarantine.rs
@@ -98,3 +98,21 @@
         .filter(|job| shard.state(**job) == JobState::Queued);
     assert_eq!(waiting.count(), 0);
 }
+
+#[test]
+fn job_that_fails_on_all_workers_ends_once_its_deadline_has_passed() {
+    let mut shard = Shard::new(2);
+    shard.failing_classes = vec!["failing".to_owned()];
+    let class = class("failing", 1_000, RUN_TIME);
+    let attempts_max = class.attempts_max;
+    let deadline = QUARANTINE * 4;
+    let jobs: Vec<u64> = (0..8)
+        .map(|_| shard.submit(class.clone(), deadline))
+        .collect();
+    shard.run_for(deadline);
+    // Each quarantine of the two workers is followed by one attempt.
+    shard.run_for((QUARANTINE + SETTLE) * attempts_max * jobs.len() as u32 / 2);
+    for job in jobs {
+        assert_eq!(shard.state(job), JobState::Failed);
+    }
+}
