--- a/crates/persimmon-shard/tests/all/quarantine.rs
+++ b/crates/persimmon-shard/tests/all/quarantine.rs
@@ -82,3 +82,37 @@
     shard.run_for(QUARANTINE + SETTLE);
     assert_eq!(shard.state(good), JobState::Done);
 }
+
+#[test]
+fn quarantine_short_while_no_worker_is_healthy() {
+    let mut shard = Shard::new(2);
+    shard.failing_classes = vec!["failing".to_owned()];
+    let jobs: Vec<u64> = (0..20)
+        .map(|_| shard.submit(class("failing", 1_000, RUN_TIME), HOUR))
+        .collect();
+    shard.run_for(QUARANTINE * 20);
+    shard.failing_classes.clear();
+    shard.run_for(QUARANTINE + SETTLE * 2);
+    let waiting = jobs
+        .iter()
+        .filter(|job| shard.state(**job) == JobState::Queued);
+    assert_eq!(waiting.count(), 0);
+}
+
+#[test]
+fn job_that_fails_on_all_workers_ends_once_its_deadline_has_passed() {
+    let mut shard = Shard::new(2);
+    shard.failing_classes = vec!["failing".to_owned()];
+    let class = class("failing", 1_000, RUN_TIME);
+    let attempts_max = class.attempts_max;
+    let deadline = QUARANTINE * 4;
+    let jobs: Vec<u64> = (0..8)
+        .map(|_| shard.submit(class.clone(), deadline))
+        .collect();
+    shard.run_for(deadline);
+    // Each quarantine of the two workers is followed by one attempt.
+    shard.run_for((QUARANTINE + SETTLE) * attempts_max * jobs.len() as u32 / 2);
+    for job in jobs {
+        assert_eq!(shard.state(job), JobState::Failed);
+    }
+}
