test: waits that others can lengthen without a bound, found by review

Shares and trials of best-effort tasks: - A runner with latency-critical tasks takes a trial each 4 s, or each 5 s where a tail is over its target without best-effort work, and a share is bound to the same interval, so jobs of which nothing runs wait in line. A long-running task, or a step that reserves processors, takes it away from all best-effort tasks of its job for as long as it runs. - Trials and shares are given in placement order, not by the time that a step has been held back. - A gang needs several runners without a recent trial at once.

Room: no runner is kept free for a task that lacks memory. persimmon-shard keeps a worker free for a job that lacks room, not a part of a quota for one that its team's narrow jobs keep over it.

--- a/crates/persimmon-sched/tests/all/backlog.rs
+++ b/crates/persimmon-sched/tests/all/backlog.rs
@@ -10,6 +10,7 @@
 const ROUND_MS: u64 = 100;
 const RUNNER: &str = "a";
 const RUNNER_CPU_MILLIS: u32 = 10_000;
+const RUNNER_MEMORY_MIB: u32 = 100_000;
 const SMALL_CPU_MILLIS: u32 = 1_000;
 
 /// A runner whose processors are all used by small best-effort tasks. Whenever one of them ends,
@@ -62,13 +63,18 @@
     }
 
     fn submit_at(&mut self, submitted_at_ms: u64, image: &str, cpu_millis: u32) -> TaskId {
+        let id = self.submit_steps(submitted_at_ms, vec![best_effort(image, cpu_millis)]);
+        task(id, 0, 0)
+    }
+
+    fn submit_steps(&mut self, submitted_at_ms: u64, steps: Vec<StepSpec>) -> u64 {
         self.last_job += 1;
-        let spec = job(self.last_job, vec![best_effort(image, cpu_millis)]);
+        let spec = job(self.last_job, steps);
         self.harness.submit(JobSpec {
             submitted_at_ms,
             ..spec
         });
-        task(self.last_job, 0, 0)
+        self.last_job
     }
 
     /// Ends the run at this position with this outcome.
@@ -180,3 +186,68 @@
         "nothing of its job runs for {RUNS_WITHIN_MS} ms"
     );
 }
+
+/// The share of a job of which nothing runs is for its best-effort work.
+#[test]
+fn best_effort_step_is_not_kept_out_beside_a_long_running_step_of_its_job() {
+    let mut backlog = Backlog::new();
+    let long_running = StepSpec {
+        long_running: true,
+        ..step(1)
+    };
+    let steps = vec![long_running, best_effort("large", 5 * SMALL_CPU_MILLIS)];
+    let id = backlog.submit_steps(backlog.wall_ms(), steps);
+    assert!(
+        backlog.runs_after_ms(task(id, 0, 0)).is_some(),
+        "the long-running task has its reserved processors"
+    );
+    assert!(
+        backlog.runs_after_ms(task(id, 1, 0)).is_some(),
+        "no best-effort task of its job runs for {RUNS_WITHIN_MS} ms"
+    );
+}
+
+/// It needs as much memory as five of the small ones hold.
+#[test]
+fn latency_critical_task_is_not_kept_out_by_memory_of_best_effort_ones() {
+    let mut backlog = Backlog::new();
+    let mut small = best_effort("small", SMALL_CPU_MILLIS);
+    small.size.memory_mib = RUNNER_MEMORY_MIB / 10;
+    let mut latency_critical = StepSpec {
+        tail_target_ms: 100,
+        ..step(1)
+    };
+    latency_critical.size.memory_mib = RUNNER_MEMORY_MIB / 2;
+    for _ in 0..10 {
+        backlog.end(0, EndKind::Done);
+        backlog.submit_steps(backlog.wall_ms(), vec![small.clone()]);
+    }
+    backlog.round();
+    assert_eq!(backlog.running.len(), 10);
+    let id = backlog.submit_steps(0, vec![latency_critical]);
+    let until_ms = backlog.wall_ms() + RUNS_WITHIN_MS;
+    while backlog.wall_ms() < until_ms {
+        backlog.end(0, EndKind::Done);
+        backlog.submit_steps(backlog.wall_ms(), vec![small.clone()]);
+        backlog.round();
+    }
+    let has_run = backlog.running.iter().any(|it| it.0 == task(id, 0, 0));
+    assert!(has_run, "it does not run for {RUNS_WITHIN_MS} ms");
+}
+
+/// Each task of a long-running step counts, whether others of its job run or not.
+#[test]
+fn long_running_best_effort_task_is_not_kept_out_beside_another_of_its_step() {
+    let mut backlog = Backlog::new();
+    let long_running = StepSpec {
+        long_running: true,
+        count: 2,
+        ..best_effort("large", 5 * SMALL_CPU_MILLIS)
+    };
+    let id = backlog.submit_steps(backlog.wall_ms(), vec![long_running]);
+    assert!(backlog.runs_after_ms(task(id, 0, 0)).is_some());
+    assert!(
+        backlog.runs_after_ms(task(id, 0, 1)).is_some(),
+        "it does not run for {RUNS_WITHIN_MS} ms"
+    );
+}
--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{job, report, runner, size, step, task, TestEngine};
 use persimmon_sched::{
-    Answer, End, EndKind, JobId, Learned, Order, Phase, RunStatus, StepSpec, TaskId,
+    Answer, End, EndKind, JobId, JobSpec, Learned, Order, Phase, RunStatus, StepSpec, TaskId,
 };
 use std::collections::VecDeque;
 
@@ -511,3 +511,92 @@
     assert!(harm_ms > 0, "the images do interfere");
     assert!(harm_ms < HARM_MAX_MS, "{harm_ms} ms");
 }
+
+/// A job of one best-effort task of an image that is taken to interfere and does not.
+fn wrongly_held_back(fleet: &mut Fleet, id: u64, batch: StepSpec) -> JobSpec {
+    let image = format!("batch-{id}");
+    let weight = ("serving".to_owned(), image.clone(), WEIGHT_MAX);
+    fleet.harness.engine.restore_learned(Learned {
+        interference_weights: vec![weight],
+        ..Learned::default()
+    });
+    job(id, vec![StepSpec { image, ..batch }])
+}
+
+/// The jobs that are submitted use less than half of the processors.
+const SUBMIT_INTERVAL_MS: u64 = 200;
+/// Time in which a job that is held back runs beside others that are.
+const STARVED_MAX_MS: u64 = 30_000;
+
+#[test]
+fn held_back_job_is_not_starved_by_trials_of_more_urgent_ones() {
+    let mut fleet = Fleet::serving(3);
+    let batch = best_effort(1, 2_000);
+    let waits_from = PLACED_WITHIN_MS / SUBMIT_INTERVAL_MS;
+    let mut has_run = false;
+    for id in 1..=waits_from + STARVED_MAX_MS / SUBMIT_INTERVAL_MS {
+        let spec = wrongly_held_back(&mut fleet, id, batch.clone());
+        fleet.harness.submit(spec);
+        if id == waits_from {
+            let spec = wrongly_held_back(&mut fleet, 999, batch.clone());
+            fleet.harness.submit(JobSpec {
+                submitted_at_ms: 1_000,
+                ..spec
+            });
+        }
+        fleet.rounds(SUBMIT_INTERVAL_MS);
+        has_run |= fleet.is_running(task(999, 0, 0));
+    }
+    assert!(has_run, "nothing of it ran for {STARVED_MAX_MS} ms");
+}
+
+/// Each of its members needs a runner without another trial.
+#[test]
+fn held_back_gang_is_not_starved_by_trials_of_less_urgent_tasks() {
+    let mut fleet = Fleet::serving(3);
+    let batch = best_effort(1, 1_000);
+    for id in 1..=10 {
+        let spec = wrongly_held_back(&mut fleet, id, batch.clone());
+        fleet.harness.submit(spec);
+    }
+    fleet.rounds(PLACED_WITHIN_MS);
+    let gang = StepSpec {
+        gang: true,
+        per_runner_max: 1,
+        ..best_effort(3, 1_000)
+    };
+    let spec = wrongly_held_back(&mut fleet, 900, gang);
+    fleet.harness.submit(spec);
+    let mut has_run = false;
+    for at in 1..=STARVED_MAX_MS / SUBMIT_INTERVAL_MS {
+        let spec = wrongly_held_back(&mut fleet, 10 + at, batch.clone());
+        fleet.harness.submit(JobSpec {
+            submitted_at_ms: 1_000,
+            ..spec
+        });
+        fleet.rounds(SUBMIT_INTERVAL_MS);
+        has_run |= fleet.runs_of(900) == 3;
+    }
+    assert!(has_run, "it did not run for {STARVED_MAX_MS} ms");
+}
+
+/// More jobs than runners, beside tails over their target without best-effort work, and beside tails
+/// that it harms.
+#[test]
+fn jobs_of_which_nothing_runs_do_not_wait_for_trials_of_others() {
+    for (own_ratio, weight) in [(1.3, 0.0), (0.5, 4.0)] {
+        let mut fleet = Fleet::serving(3);
+        fleet.weight = weight;
+        fleet.run_ms = 10_000;
+        for worker in &mut fleet.workers {
+            worker.own_ratio = own_ratio;
+        }
+        fleet.rounds(6_000);
+        for id in 1..=12 {
+            fleet.harness.submit(job(id, vec![best_effort(1, 3_000)]));
+        }
+        fleet.rounds(PLACED_WITHIN_MS);
+        let waiting: Vec<_> = (1..=12).filter(|&id| fleet.runs_of(id) == 0).collect();
+        assert!(waiting.is_empty(), "{own_ratio}: {waiting:?} have not run");
+    }
+}
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -1,10 +1,11 @@
 //! How long a job can be kept waiting by others.
 
 use crate::support::{class, worker_spec, Shard, CAPACITY};
+use persimmon_place::Shares;
 use persimmon_shard::{JobState, WorkerSpec};
 use persimmon_ticket::BatchClass;
 use persimmon_types::Size;
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 const RUN_TIME: Duration = Duration::from_secs(10);
 const DEADLINE: Duration = Duration::from_secs(60);
@@ -60,6 +61,23 @@
     assert_ne!(shard.worker_of(job), worker);
 }
 
+/// Jobs of its own team take each part of the quota that becomes free.
+#[test]
+fn placement_wide_job_not_starved_by_narrow_ones_under_a_quota() {
+    let mut shard = Shard::new(2);
+    let shares = Shares {
+        latency_critical_percent: 0,
+        batch_percent: 100,
+    };
+    let quotas = BTreeMap::from([("team".to_owned(), CAPACITY)]);
+    shard.core.configure(shares, quotas);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
+
 /// The larger job fits on no worker since the only one that is large enough leaves.
 #[test]
 fn placement_wide_job_not_starved_behind_one_that_fits_on_no_worker() {
