fix(sched): a best-effort task gets its share beside a long-running one of its job

A placed long-running task of the job counted as running for good, so the others of its step, and the steps beside it, waited for idle processors, which a backlog never leaves.

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -51,7 +51,7 @@
 
 /// A best-effort step that estimates have held back for [`TRIAL_AFTER`].
 struct HeldStep {
-    /// Whether a task of its job is placed.
+    /// See [`Engine::has_placed_tasks`].
     has_placed_tasks: bool,
     /// When it was first held back, or last placed on trial.
     waits_since: Instant,
@@ -308,11 +308,19 @@
         log::info!("event=task.trial task={id} runner={}", runner.info.id);
     }
 
-    /// Returns whether a task of the same job and occurrence is placed.
+    /// Returns whether a task of the same job and occurrence is placed, without long-running
+    /// ones: they may keep the others waiting for ever, and each of them is owed a runner.
     fn has_placed_tasks(&self, id: TaskId) -> bool {
-        let job = self.jobs.get(&id.job);
-        let steps = job.and_then(|job| job.tasks.get(id.occurrence as usize));
-        let mut tasks = steps.into_iter().flatten().flat_map(|step| &step.tasks);
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let specs = &job.spec.steps;
+        if specs[usize::from(id.step)].long_running {
+            return false;
+        }
+        let steps = job.tasks.get(id.occurrence as usize).into_iter().flatten();
+        let steps = steps.zip(specs).filter(|(_, spec)| !spec.long_running);
+        let mut tasks = steps.flat_map(|(step, _)| &step.tasks);
         tasks.any(|task| matches!(task.state(), State::Placed { .. }))
     }
 
