--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -4,7 +4,7 @@
 use persimmon_sched::{
     Answer, End, EndKind, JobId, Learned, Order, Phase, RunStatus, StepSpec, TaskId,
 };
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 /// Time within which a task runs while there are no faults and a runner has room for it.
 const PLACED_WITHIN_MS: u64 = 3_000;
@@ -565,3 +565,28 @@
     assert!(fleet.harm_most_ms() > 0, "the first trial did harm");
     assert!(fleet.is_running(task(2, 0, 0)) || fleet.phase(2) == Some(Phase::Completed));
 }
+
+/// A second run on a runner is predicted to come too close to the target, so tasks wait.
+#[test]
+fn job_of_many_tasks_has_a_run_while_predictions_hold_its_other_tasks_back() {
+    let mut fleet = Fleet::serving(3);
+    fleet.run_ms = 5_000;
+    fleet.weight = 0.5;
+    fleet.restore_weight(0.5);
+    fleet.harness.submit(job(1, vec![best_effort(20, 3_000)]));
+    fleet.rounds(PLACED_WITHIN_MS);
+    let (mut idle_ms, mut has_waited) = (0, false);
+    while fleet.phase(1) != Some(Phase::Completed) {
+        fleet.round();
+        idle_ms = if fleet.runs_of(1) > 0 {
+            0
+        } else {
+            idle_ms + ROUND_MS
+        };
+        assert!(idle_ms < PLACED_WITHIN_MS && fleet.rounds * ROUND_MS < 60_000);
+        let min = Duration::from_millis(PLACED_WITHIN_MS);
+        let now = fleet.harness.now;
+        has_waited |= !fleet.harness.engine.stalled(min, now).is_empty();
+    }
+    assert!(has_waited, "a task of a job that runs may wait for longer");
+}
