fix(ticket): a ticket in doubt is not told to be stale once it may be folded

A daemon that lost the answer to its write of a ticket looks for the ticket in the record.

The rule moves to persimmon-ticket, where a test reaches it.

--- a/crates/persimmon-ticket/src/accept.rs
+++ b/crates/persimmon-ticket/src/accept.rs
@@ -43,6 +43,37 @@
     },
 }
 
+/// What became of an earlier attempt to write a ticket whose answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EarlierAttempt {
+    /// The ticket was accepted.
+    Accepted,
+    /// The ticket was not accepted; the record shows no trace of it.
+    NotAccepted,
+    /// Later tickets were folded into a snapshot, which does not tell which ones it contains.
+    Unknown,
+}
+
+/// Returns what the record shows of an earlier attempt to write `ticket`.
+///
+/// Tickets are given by number and digest: the newest one in the snapshot, with number 0 if there is
+/// no snapshot, and those accepted since.
+pub fn earlier_attempt<'a>(
+    ticket: &Ticket,
+    newest_in_snapshot: (u64, &'a str),
+    recent: impl IntoIterator<Item = (u64, &'a str)>,
+) -> EarlierAttempt {
+    let digest = digest(ticket);
+    let wanted = (ticket.number, digest.as_str());
+    if newest_in_snapshot == wanted || recent.into_iter().any(|known| known == wanted) {
+        return EarlierAttempt::Accepted;
+    }
+    if ticket.number < newest_in_snapshot.0 {
+        return EarlierAttempt::Unknown;
+    }
+    EarlierAttempt::NotAccepted
+}
+
 /// Returns the SHA-256 digest of a ticket's canonical form, in hexadecimal.
 pub fn digest(ticket: &Ticket) -> String {
     // The wire type has a fixed field order, so its JSON is canonical. Serialization can't fail,
--- a/crates/persimmonshiftd/src/api/tickets.rs
+++ b/crates/persimmonshiftd/src/api/tickets.rs
@@ -142,7 +142,7 @@
             error.body.retry_after_ms = Some(2_000);
             error
         }
-        Error::Unsettled { .. } => {
+        Error::Unsettled { .. } | Error::Folded { .. } => {
             ApiError::new(Status::BadGateway, STEP, "store", "unsettled", &message).unknown()
         }
     }
--- a/crates/persimmonshiftd/src/config/apply.rs
+++ b/crates/persimmonshiftd/src/config/apply.rs
@@ -7,7 +7,10 @@
 };
 use futures_util::future::join_all;
 use persimmon_store::{CasOutcome, Effect, Store};
-use persimmon_ticket::{accept, Ticket};
+use persimmon_ticket::{
+    accept::{self, EarlierAttempt},
+    Ticket,
+};
 use persimmon_wire::{api::TicketAnswer, store::CasRequest};
 use std::{collections::BTreeSet, time::Duration};
 
@@ -32,6 +35,13 @@
     /// The ticket may have been written. Applying the same ticket again shows whether it was.
     #[error("ticket {number}: may be accepted, apply the same ticket again to learn: {reason}")]
     Unsettled { number: u64, reason: String },
+    /// The ticket may have been written, and so many tickets followed that the record no longer
+    /// shows it.
+    #[error(
+        "ticket {number}: may have been accepted, later tickets were folded into a snapshot: compare \
+         the configuration in force"
+    )]
+    Folded { number: u64 },
 }
 
 /// Accepts `ticket`, then waits up to [`PROPAGATION_TIMEOUT`] for all members to put it in force.
@@ -57,6 +67,7 @@
             Ok(Some(repeated)) => return Ok(repeated),
             Ok(None) => {}
             Err(AttemptError::Refused(err)) => return Err(err.into()),
+            Err(AttemptError::Folded) => return Err(Error::Folded { number }),
             Err(AttemptError::Store(err)) => {
                 in_doubt |= err.step == "cas" && err.effect == Effect::Unknown;
                 reason = err.to_string();
@@ -72,6 +83,8 @@
 
 enum AttemptError {
     Refused(record::Error),
+    /// It is not known whether an earlier attempt wrote the ticket.
+    Folded,
     Store(persimmon_store::Error),
 }
 
@@ -96,17 +109,13 @@
         None => ConfigRecord::default(),
     };
     let mut config = record.replay().map_err(AttemptError::Refused)?;
-    let digest = accept::digest(ticket);
     // A later ticket may already follow the one that this call wrote, so look for it among all
     // tickets since the snapshot.
-    let written = record
-        .recent_tickets()
-        .iter()
-        .any(|it| it.digest == digest && it.ticket.number == ticket.number);
-    let outcome = if in_doubt && written {
-        Ok(accept::Outcome::Repeated)
-    } else {
-        config.accept(ticket)
+    let earlier = in_doubt.then(|| record.earlier_attempt(ticket));
+    let outcome = match earlier {
+        Some(EarlierAttempt::Accepted) => Ok(accept::Outcome::Repeated),
+        Some(EarlierAttempt::Unknown) => return Err(AttemptError::Folded),
+        Some(EarlierAttempt::NotAccepted) | None => config.accept(ticket),
     };
     match outcome.map_err(|err| AttemptError::Refused(err.into()))? {
         accept::Outcome::Repeated => {
--- a/crates/persimmonshiftd/src/config/record.rs
+++ b/crates/persimmonshiftd/src/config/record.rs
@@ -1,4 +1,4 @@
-use persimmon_ticket::{Config, Ticket, TicketWire};
+use persimmon_ticket::{accept::EarlierAttempt, Config, Ticket, TicketWire};
 use persimmon_wire::{api::TicketView, store::VALUE_MAX_BYTES};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -81,6 +81,15 @@
         Ok((next, encoded))
     }
 
+    /// Returns what became of an earlier attempt to write `ticket` whose answer was lost.
+    pub(crate) fn earlier_attempt(&self, ticket: &Ticket) -> EarlierAttempt {
+        fn known(view: &TicketView) -> (u64, &str) {
+            (view.ticket.number, view.digest.as_str())
+        }
+        let snapshot = self.base.as_ref().map_or((0, ""), known);
+        persimmon_ticket::accept::earlier_attempt(ticket, snapshot, self.tail.iter().map(known))
+    }
+
     /// The tickets accepted since the snapshot.
     pub(crate) fn recent_tickets(&self) -> &[TicketView] {
         &self.tail
