--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -269,14 +269,14 @@
     /// Keeps a part of the team's quota for a job that must start, so that later jobs of the team
     /// can't use each part that becomes free.
     fn keep_quota(&self, number: u64, pass: &mut Pass) {
-        let waiting = self.jobs.try_find(number);
-        let Some(job) = waiting.filter(|job| self.must_start(job, pass.now_unix_ms)) else {
+        let Some(job) = self.jobs.try_find(number) else {
             return;
         };
         let fits = self
             .quota_left_here(job)
             .is_some_and(|quota| job.size.fits(quota));
-        if fits && !pass.quota_kept.contains_key(&job.team) {
+        let first = !pass.quota_kept.contains_key(&job.team);
+        if fits && first && self.must_start(job, pass.now_unix_ms) {
             pass.quota_kept.insert(job.team.clone(), (number, job.size));
         }
     }
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -52,9 +52,10 @@
             .iter()
             .filter_map(|number| self.jobs.try_find(*number));
         let mut starved: Vec<(u64, &Job)> = waiting
-            .filter(|job| job.state == JobState::Queued && self.quota_admits(job, Size::ZERO))
+            .filter(|job| job.state == JobState::Queued)
             .map(|job| (self.must_start_since_unix_ms(job), job))
             .filter(|(since_unix_ms, _)| since_unix_ms + RESERVATION_DELAY_MS <= pass.now_unix_ms)
+            .filter(|(_, job)| self.quota_admits(job, Size::ZERO))
             .collect();
         starved.sort_unstable_by_key(|(since_unix_ms, job)| {
             let expired = self.expired_reservations.contains(&job.number);
