fix(shard): only healthy workers are reserved

A worker on probation that has no room, as more is used on it than its tasks claim, counted as free at once, was reserved, and lost the reservation in the next pass since workers on probation are given tasks in another order. As it was chosen again each time, no other worker was reserved, and the job went on waiting.

The test failed before: placement_wide_job_not_starved_behind_a_worker_on_probation assertion `left == right` failed: left: Queued, right: Done

--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -10,11 +10,11 @@
 
 /// The state of one call of [`Core::place_queued()`].
 pub(super) struct Pass {
-    now: Instant,
+    pub(super) now: Instant,
     pub(super) now_unix_ms: u64,
     claimed_cpu_millis: u64,
     /// The workers that must not be given another task.
-    pub(super) excluded: HashSet<WorkerKey>,
+    excluded: HashSet<WorkerKey>,
     sizes_without_room: HashSet<Size>,
     over_budget: bool,
     /// For each team, the job that must start and waits, and the part of the quota kept for it.
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -3,7 +3,7 @@
 
 use super::{placement::Pass, Core};
 use crate::{Job, JobState, WorkerState};
-use persimmon_place::{WorkKind, WorkerKey};
+use persimmon_place::{HealthState, WorkKind, WorkerKey};
 use persimmon_types::Size;
 use std::collections::HashSet;
 
@@ -86,13 +86,14 @@
         })
     }
 
-    /// Returns whether the worker may be given the job once its batch tasks have ended.
+    /// Returns whether the worker may be given the job once its batch tasks have ended. One on
+    /// probation is given tasks in another order.
     fn can_hold(&self, key: WorkerKey, job: &Job, pass: &Pass) -> bool {
         let worker = &self.workers[key.index()];
         let beside_runners = worker.spec.capacity.saturating_sub(worker.spec.runners);
         let limit = self.ledger.share_limit(key, WorkKind::Batch);
         worker.state == WorkerState::Live
-            && !pass.excluded.contains(&key)
+            && self.health.state(key, pass.now) == HealthState::Healthy
             && job.size.fits(limit.min(beside_runners))
     }
 
--- a/crates/persimmon-shard/tests/all/support.rs
+++ b/crates/persimmon-shard/tests/all/support.rs
@@ -41,6 +41,8 @@
     pub(crate) failing_classes: Vec<String>,
     /// The classes whose tasks never end.
     pub(crate) hanging_classes: Vec<String>,
+    /// What each worker reports as used beside its tasks.
+    pub(crate) used_beside: Vec<Size>,
     /// The jobs of which every task fails.
     pub(crate) failing_jobs: Vec<u64>,
     started_at: Instant,
@@ -94,6 +96,7 @@
             commits_held: false,
             failing_classes: Vec::new(),
             hanging_classes: Vec::new(),
+            used_beside: vec![Size::ZERO; workers],
             failing_jobs: Vec::new(),
             started_at,
             now_ms: 0,
@@ -248,7 +251,7 @@
         let running = tasks
             .values()
             .filter(|task| task.status == TaskStatus::Running);
-        let used = running.fold(Size::ZERO, |sum, task| {
+        let used = running.fold(self.used_beside[index], |sum, task| {
             sum.checked_add(task.size).expect("the sum of small sizes")
         });
         let report = |((number, attempt), task): (&(u64, u32), &Task)| TaskView {
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -120,3 +120,29 @@
     run_beside(&mut shard, &narrow, DONE_WITHIN * 3);
     assert_eq!(shard.state(wide), JobState::Done);
 }
+
+#[test]
+fn placement_wide_job_not_starved_behind_a_worker_on_probation() {
+    let mut shard = Shard::new(2);
+    // Only the first worker fits jobs of this class, whose tasks fail.
+    shard.failing_classes = vec!["failing".to_owned()];
+    shard.used_beside[1] = Size {
+        cpu_millis: 3_500,
+        ..Size::ZERO
+    };
+    shard.run_for(RUN_TIME);
+    for _ in 0..3 {
+        let failing = BatchClass {
+            attempts_max: 1,
+            ..class("failing", 1_000, RUN_TIME / 10)
+        };
+        shard.submit(failing, LATER_DEADLINE);
+    }
+    shard.run_for(RUN_TIME);
+    shard.used_beside.swap(0, 1);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
