fix(shard): a reservation that expired moves on to a worker not tried yet

A worker on which something else than its tasks uses the processors never has room for a wide job, but counts as the one that is drained first. After its reservation had expired it was reserved again, so the job waited without a bound although another worker could have been drained.

The workers whose reservation for a job has expired are left to the last, until all that can hold the job have been tried; jobs with fewer expired reservations go first.

The test failed before: placement_wide_job_not_starved_behind_workers_that_are_used_by_others assertion `left == right` failed: left: Queued, right: Done

--- a/crates/persimmon-shard/src/core/mod.rs
+++ b/crates/persimmon-shard/src/core/mod.rs
@@ -15,7 +15,7 @@
 use crate::{Charts, Entry, Job, JobState, JobTable, Seq};
 use failures::FailureHistory;
 use persimmon_peak::{Planner, Profile, RunTimeEstimator};
-use persimmon_place::{ClaimKey, Health, Ledger, QuotaUsage, Shares, WorkKind};
+use persimmon_place::{ClaimKey, Health, Ledger, QuotaUsage, Shares, WorkKind, WorkerKey};
 use persimmon_types::Size;
 use reservation::Reservation;
 use std::{
@@ -59,8 +59,8 @@
     queue: BTreeSet<QueueKey>,
     wait_reasons: HashMap<u64, WaitReason>,
     reservation: Option<Reservation>,
-    /// Queued jobs whose reservation has expired.
-    expired_reservations: BTreeSet<u64>,
+    /// For queued jobs, the workers whose reservation has expired.
+    expired_reservations: BTreeMap<u64, BTreeSet<WorkerKey>>,
     ledger: Ledger,
     quotas: QuotaUsage,
     health: Health,
@@ -106,7 +106,7 @@
             queue,
             wait_reasons: HashMap::new(),
             reservation: None,
-            expired_reservations: BTreeSet::new(),
+            expired_reservations: BTreeMap::new(),
             ledger: Ledger::new(shares),
             quotas: QuotaUsage::default(),
             claims: HashMap::new(),
--- a/crates/persimmon-shard/src/core/reservation.rs
+++ b/crates/persimmon-shard/src/core/reservation.rs
@@ -5,7 +5,7 @@
 use crate::{Job, JobState, WorkerState};
 use persimmon_place::{HealthState, WorkKind, WorkerKey};
 use persimmon_types::Size;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 /// How long a job that must start waits for room before a worker is kept free for it.
 const RESERVATION_DELAY_MS: u64 = 10_000;
@@ -35,7 +35,11 @@
         });
         let expired = reservation.until_unix_ms <= pass.now_unix_ms;
         if waits && expired {
-            self.expired_reservations.insert(reservation.number);
+            let tried = self
+                .expired_reservations
+                .entry(reservation.number)
+                .or_default();
+            tried.insert(reservation.worker);
         }
         if !waits || expired {
             self.reservation = None;
@@ -43,7 +47,7 @@
     }
 
     /// Reserves a worker for the job that had to start longest ago among those `without_room` that
-    /// some worker can hold, unless one is reserved. Jobs whose reservation has expired come last.
+    /// some worker can hold, unless one is reserved. Jobs whose reservations have expired come last.
     pub(super) fn reserve_worker(&mut self, without_room: &[u64], pass: &Pass) {
         if self.reservation.is_some() {
             return;
@@ -58,26 +62,35 @@
             .filter(|(_, job)| self.quota_admits(job, Size::ZERO))
             .collect();
         starved.sort_unstable_by_key(|(since_unix_ms, job)| {
-            let expired = self.expired_reservations.contains(&job.number);
-            (expired, *since_unix_ms, job.number)
+            let tried = self.expired_reservations.get(&job.number);
+            (tried.map_or(0, BTreeSet::len), *since_unix_ms, job.number)
         });
         let mut tried_sizes: HashSet<Size> = HashSet::new();
         self.reservation = starved
             .into_iter()
             .filter(|(_, job)| tried_sizes.insert(job.size))
             .find_map(|(_, job)| self.reservation_for(job, pass));
-        let number = self.reservation.map(|reservation| reservation.number);
-        if number.is_some_and(|number| self.expired_reservations.contains(&number)) {
-            // All others have had their turn.
-            self.expired_reservations.clear();
+        let Some(reservation) = self.reservation else {
+            return;
+        };
+        let tried = self.expired_reservations.get(&reservation.number);
+        if tried.is_some_and(|tried| tried.contains(&reservation.worker)) {
+            // All suitable workers have been tried.
+            self.expired_reservations.remove(&reservation.number);
         }
     }
 
+    /// Returns a reservation of the worker that should be drained first, of those not tried yet if
+    /// there are any: a worker may be in use by others than its tasks.
     fn reservation_for(&self, job: &Job, pass: &Pass) -> Option<Reservation> {
+        let tried = self.expired_reservations.get(&job.number);
         let suitable = (0..self.workers.len())
             .filter(|index| self.can_hold(self.workers[*index].key, job, pass))
-            .map(|index| (self.drained_in_ms(index, pass.now_unix_ms), index));
-        let (drained_in_ms, index) = suitable.min()?;
+            .map(|index| {
+                let is_tried = tried.is_some_and(|tried| tried.contains(&self.workers[index].key));
+                (is_tried, self.drained_in_ms(index, pass.now_unix_ms), index)
+            });
+        let (_, drained_in_ms, index) = suitable.min()?;
         let longest_ms = OVERDUE_FACTOR * drained_in_ms + RESERVATION_DELAY_MS;
         Some(Reservation {
             number: job.number,
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -146,3 +146,20 @@
     run_beside(&mut shard, &narrow, DONE_WITHIN);
     assert_eq!(shard.state(wide), JobState::Done);
 }
+
+#[test]
+fn placement_wide_job_not_starved_behind_workers_that_are_used_by_others() {
+    let mut shard = Shard::new(3);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    for index in 0..2 {
+        shard.used_beside[index] = Size {
+            cpu_millis: 3_500,
+            ..Size::ZERO
+        };
+    }
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    // Each of the two workers is kept free for 10 s in vain.
+    run_beside(&mut shard, &narrow, DONE_WITHIN + RUN_TIME * 2);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
