--- a/crates/persimmon-shard/src/core/placement.rs
+++ b/crates/persimmon-shard/src/core/placement.rs
@@ -10,11 +10,11 @@
 
 /// The state of one call of [`Core::place_queued()`].
 pub(super) struct Pass {
-    now: Instant,
+    pub(super) now: Instant,
     pub(super) now_unix_ms: u64,
     claimed_cpu_millis: u64,
     /// The workers that must not be given another task.
-    pub(super) excluded: HashSet<WorkerKey>,
+    excluded: HashSet<WorkerKey>,
     sizes_without_room: HashSet<Size>,
     over_budget: bool,
     /// For each team, the job that must start and waits, and the part of the quota kept for it.
@@ -269,8 +269,7 @@
     /// Keeps a part of the team's quota for a job that must start and that some worker is large
     /// enough for, so that later jobs of the team can't use each part that becomes free.
     fn keep_quota(&self, number: u64, pass: &mut Pass) {
-        let waiting = self.jobs.try_find(number);
-        let Some(job) = waiting.filter(|job| self.must_start(job, pass.now_unix_ms)) else {
+        let Some(job) = self.jobs.try_find(number) else {
             return;
         };
         if pass.quota_kept.contains_key(&job.team) {
@@ -279,8 +278,13 @@
         let fits_quota = self
             .quota_left_here(job)
             .is_some_and(|quota| job.size.fits(quota));
-        let mut workers = self.workers.iter();
-        if fits_quota && workers.any(|worker| self.is_large_enough(worker.key, job)) {
+        let is_kept = fits_quota
+            && self.must_start(job, pass.now_unix_ms)
+            && self
+                .workers
+                .iter()
+                .any(|worker| self.is_large_enough(worker.key, job));
+        if is_kept {
             pass.quota_kept.insert(job.team.clone(), (number, job.size));
         }
     }
--- a/crates/persimmon-shard/tests/all/waits.rs
+++ b/crates/persimmon-shard/tests/all/waits.rs
@@ -150,6 +150,32 @@
     assert_eq!(shard.state(wide), JobState::Done);
 }
 
+#[test]
+fn placement_wide_job_not_starved_behind_a_worker_on_probation() {
+    let mut shard = Shard::new(2);
+    // Only the first worker fits jobs of this class, whose tasks fail.
+    shard.failing_classes = vec!["failing".to_owned()];
+    shard.used_beside[1] = Size {
+        cpu_millis: 3_500,
+        ..Size::ZERO
+    };
+    shard.run_for(RUN_TIME);
+    for _ in 0..3 {
+        let failing = BatchClass {
+            attempts_max: 1,
+            ..class("failing", 1_000, RUN_TIME / 10)
+        };
+        shard.submit(failing, LATER_DEADLINE);
+    }
+    shard.run_for(RUN_TIME);
+    shard.used_beside.swap(0, 1);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    run_beside(&mut shard, &narrow, DONE_WITHIN);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
+
 #[test]
 fn placement_team_not_kept_out_of_its_quota_by_a_job_that_fits_no_worker() {
     let mut shard = Shard::new(2);
@@ -175,3 +201,20 @@
     shard.run_for(DEADLINE);
     assert_eq!(shard.state(narrow), JobState::Done);
 }
+
+#[test]
+fn placement_wide_job_not_starved_behind_workers_that_are_used_by_others() {
+    let mut shard = Shard::new(3);
+    let narrow = class("narrow", 1_000, RUN_TIME);
+    for index in 0..2 {
+        shard.used_beside[index] = Size {
+            cpu_millis: 3_500,
+            ..Size::ZERO
+        };
+    }
+    run_beside(&mut shard, &narrow, RUN_TIME * 3);
+    let wide = shard.submit(class("wide", 4_000, RUN_TIME), DEADLINE);
+    // Each of the two workers is kept free for 10 s in vain.
+    run_beside(&mut shard, &narrow, DONE_WITHIN + RUN_TIME * 2);
+    assert_eq!(shard.state(wide), JobState::Done);
+}
