--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -912,3 +912,9 @@
         run_simulation(seed, RUNNERS as u32, 4);
     }
 }
+
+/// The only runner with room is backed off from.
+#[test]
+fn job_of_three_best_effort_tasks_is_starved_by_a_backoff() {
+    run_simulation(18_440_206_631_574_823_889, RUNNERS as u32, 3);
+}
