--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -200,6 +200,13 @@
     started_at: Instant,
 }
 
+impl PlatformState {
+    fn count_read(&self, prefix: &str) {
+        let mut reads_of = self.reads_of.borrow_mut();
+        *reads_of.entry(prefix.to_owned()).or_default() += 1;
+    }
+}
+
 /// Rack of a runner whose key has this value.
 fn rack(value: &[u8]) -> String {
     let text = String::from_utf8_lossy(value);
@@ -460,9 +467,7 @@
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError> {
         self.simulate_call("range").await?;
         self.state.page_reads.set(self.state.page_reads.get() + 1);
-        let mut reads_of = self.state.reads_of.borrow_mut();
-        *reads_of.entry(prefix.to_owned()).or_default() += 1;
-        drop(reads_of);
+        self.state.count_read(prefix);
         let reject_every_nth = self.state.reject_every_nth_page.get();
         if reject_every_nth > 0 && self.state.page_reads.get() % reject_every_nth == 0 {
             return Err(call_error("range", Effect::None));
