--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -278,6 +278,11 @@
         Ok(())
     }
 
+    fn count_read(&self, prefix: &str) {
+        let mut reads_of = self.state.reads_of.borrow_mut();
+        *reads_of.entry(prefix.to_owned()).or_default() += 1;
+    }
+
     /// Counts a call. Fails if the limit of the current second is reached.
     fn throttle_call(&self, operation: &'static str) -> Result<(), CallError> {
         let Some(limits) = self.state.call_limits.get() else {
@@ -460,9 +465,7 @@
     async fn range(&self, prefix: &str, after: &str) -> Result<Page, CallError> {
         self.simulate_call("range").await?;
         self.state.page_reads.set(self.state.page_reads.get() + 1);
-        let mut reads_of = self.state.reads_of.borrow_mut();
-        *reads_of.entry(prefix.to_owned()).or_default() += 1;
-        drop(reads_of);
+        self.count_read(prefix);
         let reject_every_nth = self.state.reject_every_nth_page.get();
         if reject_every_nth > 0 && self.state.page_reads.get() % reject_every_nth == 0 {
             return Err(call_error("range", Effect::None));
