fix(sched): paused runs are resumed in turn beside a tail that is over its target without them

Beside a tail latency that stays over its target without best-effort work, one paused run at a time is resumed after 5 s and paused again. It was always the first in the report: the others, of other jobs perhaps, stayed paused until that one had ended, for good if it is long.

The run that has been idle for longest is now resumed first. paused_runs_are_resumed_in_turn failed before ("a run stays paused": three runs, 60 s after the first 60 s).

--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -337,8 +337,8 @@
     }
 
     /// Raises the CPU limits of all runs by one step once every tail latency is well below its
-    /// target. Before, it raises those of runs that have been idle for long, one at a time where a
-    /// tail latency is over the threshold without any of them.
+    /// target. Before, it raises those of runs that have been idle for long, one at a time and
+    /// in turn where a tail latency is over the threshold without any of them.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
         let runner = self.runner(key);
         let worst = worst_tail_ratio(runner);
@@ -358,8 +358,10 @@
                 .raised_limit()
                 .filter(|_| worst <= RELAX_RATIO_MAX)
         };
-        let limits = batch_runs
-            .iter()
+        let mut by_idle_time: Vec<_> = batch_runs.iter().collect();
+        by_idle_time.sort_by_key(|it| it.idle_since);
+        let limits = by_idle_time
+            .into_iter()
             .filter_map(|it| Some((it.run, limit(it)?)));
         let limits: Vec<_> = limits.take(limits_max).collect();
         if limits.is_empty() {
--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -590,3 +590,25 @@
     }
     assert!(has_waited, "a task of a job that runs may wait for longer");
 }
+
+/// One paused run at a time is resumed beside a tail that is over its target without any.
+#[test]
+fn paused_runs_are_resumed_in_turn() {
+    let mut fleet = Fleet::serving(1);
+    fleet.restore_weight(0.0);
+    fleet.run_ms = 600_000;
+    fleet.harness.submit(job(1, vec![best_effort(3, 3_000)]));
+    fleet.rounds(1_000);
+    assert_eq!(fleet.runs_of(1), 3);
+    fleet.weight = 1.0;
+    fleet.workers[0].own_ratio = 1.3;
+    fleet.rounds(60_000);
+    let used_ms = |run: &Run| run.left_ms.map_or(0, |left_ms| 600_000 - left_ms);
+    let before: Vec<_> = fleet.workers[0].runs.iter().map(used_ms).collect();
+    fleet.rounds(60_000);
+    let after: Vec<_> = fleet.workers[0].runs.iter().map(used_ms).collect();
+    let runs = before.iter().zip(&after).skip(1);
+    for (before, after) in runs {
+        assert!(after > before, "a run stays paused");
+    }
+}
