fix(mesh,entry): a connection to a process that has restarted is noticed at once

Callers: after a takeover the new owner gave up relays one after the other, each by a call that waited 2.65 s, and their runners with them.

Cause: a process that ends did not close its connections, and one that starts at the same address can't reset those of its predecessor, as tokens and connection ids come from keys of each process. A peer sends on such a connection until its time limit or the idle timeout of 10 s.

A process that has drained now closes its connections and waits up to 0.2 s until its peers know. For one that was killed, its successor resets them: the tokens come from a secret that stays (of the authority and the member's name, or the daemon's private key).

Both tests failed before: 5.0 s in place of under a second, and an answer of step mesh.call.

--- a/crates/persimmon-entry/src/process.rs
+++ b/crates/persimmon-entry/src/process.rs
@@ -23,6 +23,8 @@
 /// How long a stopping process still answers: the load balancer checks once a second and needs two
 /// failed checks to remove it.
 const DRAIN_PERIOD: Duration = Duration::from_millis(2_600);
+/// How long a process that has drained waits until its peers know that their connections are closed.
+const SHUT_DOWN_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Options of the policy watch. A policy must take effect within two seconds of being written, even
 /// if a connection goes silent.
@@ -119,6 +121,10 @@
     if handed_over.is_err() {
         log::warn!("event=group.hand_over reason=\"no answer in time\"");
     }
+    let peers = shared.peers.borrow().clone();
+    if let Some(peers) = peers {
+        peers.shut_down(SHUT_DOWN_TIMEOUT).await;
+    }
     log::info!("event=process.stop");
 }
 
--- a/crates/persimmon-mesh/src/authority.rs
+++ b/crates/persimmon-mesh/src/authority.rs
@@ -72,6 +72,7 @@
             authorities: self.certificate.clone(),
             certificate: certificate.pem(),
             private_key: key.serialize_pem(),
+            reset_secret: format!("{}{member}", self.key),
         })
     }
 }
--- a/crates/persimmon-mesh/src/mesh.rs
+++ b/crates/persimmon-mesh/src/mesh.rs
@@ -1,5 +1,9 @@
 use crate::{Credentials, Delivery, Error, SetupError, TLS_SERVER_NAME};
-use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, TransportConfig};
+use quinn::{
+    default_runtime, ClientConfig, Connection, ConnectionId, ConnectionIdGenerator, Endpoint,
+    EndpointConfig, Incoming, ServerConfig, TransportConfig,
+};
+use ring::hmac;
 use serde::{de::DeserializeOwned, Serialize};
 use std::{
     collections::HashMap,
@@ -23,6 +27,8 @@
 /// tried again shortly after it returns.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+const CONNECTION_ID_BYTES: usize = 8;
+
 /// A connection attempt: `None` while it is in progress, then its outcome.
 type ConnectAttempt = watch::Receiver<Option<Result<Connection, String>>>;
 
@@ -81,7 +87,8 @@
         server.transport_config(Arc::clone(&transport));
         let mut client = ClientConfig::new(Arc::new(credentials.client_config()?));
         client.transport_config(transport);
-        let mut endpoint = Endpoint::server(server, address).map_err(|err| SetupError {
+        let config = endpoint_config(&credentials.reset_secret);
+        let mut endpoint = bind(address, config, server).map_err(|err| SetupError {
             part: "socket",
             reason: format!("{address}: {err}"),
         })?;
@@ -152,6 +159,14 @@
         self.endpoint.close(0u32.into(), b"stop");
     }
 
+    /// Closes all connections and waits up to `timeout` until peers have been told. They would
+    /// otherwise wait for answers on these connections.
+    pub async fn shut_down(&self, timeout: Duration) {
+        self.close();
+        // Peers that were not told notice by themselves.
+        let _ = tokio::time::timeout(timeout, self.endpoint.wait_idle()).await;
+    }
+
     async fn connection(&self, peer: SocketAddr) -> Result<Connection, String> {
         let mut attempt = {
             let mut connections = self.lock_connections();
@@ -247,6 +262,43 @@
     }
 }
 
+/// Returns a configuration with which a process that has restarted with the same secret resets the
+/// connections to its earlier process.
+fn endpoint_config(reset_secret: &str) -> EndpointConfig {
+    let reset_key = hmac::Key::new(hmac::HMAC_SHA256, reset_secret.as_bytes());
+    let mut config = EndpointConfig::new(Arc::new(reset_key));
+    config.cid_generator(|| Box::new(RandomIds));
+    config
+}
+
+/// Connection ids of which any may be one of an earlier process. Packets with ids that the default
+/// generator of another process made are dropped in place of being answered with a reset.
+struct RandomIds;
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; CONNECTION_ID_BYTES]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        CONNECTION_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
+fn bind(
+    address: SocketAddr,
+    config: EndpointConfig,
+    server: ServerConfig,
+) -> std::io::Result<Endpoint> {
+    let runtime = default_runtime().ok_or_else(|| std::io::Error::other("no async runtime"))?;
+    let socket = std::net::UdpSocket::bind(address)?;
+    Endpoint::new(config, Some(server), socket, runtime)
+}
+
 /// Whether the attempt is in progress or led to a connection that is still open.
 fn is_usable(attempt: &ConnectAttempt) -> bool {
     match &*attempt.borrow() {
--- a/crates/persimmon-mesh/src/tls.rs
+++ b/crates/persimmon-mesh/src/tls.rs
@@ -22,6 +22,9 @@
     pub certificate: String,
     /// The private key of `certificate`.
     pub private_key: String,
+    /// A secret that the daemon keeps when it restarts, so that its peers learn at once that their
+    /// connections to its earlier process are gone.
+    pub reset_secret: String,
 }
 
 impl fmt::Debug for Credentials {
--- a/crates/persimmon-mesh/tests/all/authority.rs
+++ b/crates/persimmon-mesh/tests/all/authority.rs
@@ -1,5 +1,5 @@
 use persimmon_mesh::{Authority, Credentials, Handler, Mesh, Options};
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 pub(crate) struct Doubler;
 
@@ -10,7 +10,10 @@
 }
 
 pub(crate) fn open_mesh(credentials: &Credentials) -> Arc<Mesh<u32, u32>> {
-    let address = "127.0.0.1:0".parse().expect("valid address");
+    open_mesh_at(credentials, "127.0.0.1:0".parse().expect("valid address"))
+}
+
+pub(crate) fn open_mesh_at(credentials: &Credentials, address: SocketAddr) -> Arc<Mesh<u32, u32>> {
     Arc::new(Mesh::open(address, credentials, Options::default()).expect("bound mesh"))
 }
 
--- a/crates/persimmon-mesh/tests/all/main.rs
+++ b/crates/persimmon-mesh/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod authority;
 mod call;
 mod lossy_relay;
+mod restarts;
--- a/crates/persimmonshiftd/src/settings/mod.rs
+++ b/crates/persimmonshiftd/src/settings/mod.rs
@@ -216,6 +216,7 @@
             mesh_keys: Credentials {
                 authorities: authorities?,
                 certificate: certificate?,
+                reset_secret: private_key.clone()?,
                 private_key: private_key?,
             },
             shard_count: shard_count? as u16,
