refactor(sched): late ends are looked up without listing the members of a gang

Each run that was known to have started listed all members of its gang, or made a list of one task, to find the key by which late ends are kept. The key is now derived. A comment of place.rs is wrapped.

--- a/crates/persimmon-sched/src/engine/late_end.rs
+++ b/crates/persimmon-sched/src/engine/late_end.rs
@@ -130,16 +130,15 @@
                 number: end.number,
                 run: end.run,
             };
-            self.late_ends.entry(members[0]).or_default().push(late_end);
+            let key = self.late_ends_key(end.task);
+            self.late_ends.entry(key).or_default().push(late_end);
         }
     }
 
     /// Forgets the ends of earlier runs of a task, and of its gang, that were given up: a newer run
     /// has started.
     pub(super) fn forget_late_ends(&mut self, id: TaskId) {
-        if let Some(&first) = self.tasks_of_run(id).first() {
-            self.late_ends.remove(&first);
-        }
+        self.late_ends.remove(&self.late_ends_key(id));
     }
 
     /// Takes a task, and its gang, for done whose latest run never existed, if an earlier one is
@@ -150,7 +149,7 @@
         if !tasks.all(Task::is_waiting) {
             return;
         }
-        let Some(late_ends) = members.first().and_then(|id| self.late_ends.remove(id)) else {
+        let Some(late_ends) = self.late_ends.remove(&self.late_ends_key(id)) else {
             return;
         };
         // Only the latest run that succeeded is known to be followed by none.
@@ -170,6 +169,12 @@
         }
     }
 
+    /// The task by which late ends are kept: the first member of a gang, else the task itself.
+    fn late_ends_key(&self, id: TaskId) -> TaskId {
+        let index = if self.is_gang(id) { 0 } else { id.index };
+        TaskId { index, ..id }
+    }
+
     /// Lists the tasks that one end represents: the members of a gang, else the task itself.
     fn tasks_of_run(&self, id: TaskId) -> Vec<TaskId> {
         match self.step(id).filter(|_| self.is_gang(id)) {
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -14,8 +14,9 @@
 /// A result is worthless to its caller after this multiple of the time budget.
 const OVERDUE_FACTOR: u64 = 3;
 
-/// Most runners looked at in a pass, half of them from the first task in order. A pass of a group with thousands of runners and tasks would
-/// otherwise outlast the owner's session, and that of each owner after it.
+/// Most runners looked at in a pass, half of them from the first task in order. A pass of a group with
+/// thousands of runners and tasks would otherwise outlast the owner's session, and that of each owner
+/// after it.
 const RUNNER_CHECKS_MAX: usize = 600_000;
 /// Most runners looked at besides in a pass to place tasks on trial.
 const TRIAL_RUNNER_CHECKS_MAX: usize = 100_000;
