--- a/crates/persimmon-sched/tests/all/best_effort.rs
+++ b/crates/persimmon-sched/tests/all/best_effort.rs
@@ -463,23 +463,25 @@
     }
 }
 
+/// A best-effort job of an image of its own that is taken to interfere.
+fn held_back_job(fleet: &mut Fleet, id: u64, batch: StepSpec) -> JobSpec {
+    let image = format!("batch-{id}");
+    let weight = ("serving".to_owned(), image.clone(), WEIGHT_MAX);
+    fleet.harness.engine.restore_learned(Learned {
+        interference_weights: vec![weight],
+        ..Learned::default()
+    });
+    job(id, vec![StepSpec { image, ..batch }])
+}
+
 /// Each runner is the only place to learn about one image at a time.
 #[test]
 fn waiting_images_are_tried_as_soon_as_those_before_them_are_measured() {
     const MEASURED_WITHIN_MS: u64 = 1_500;
     let mut fleet = Fleet::serving(3);
     for id in 1..=9 {
-        let image = format!("batch-{id}");
-        let weight = ("serving".to_owned(), image.clone(), WEIGHT_MAX);
-        fleet.harness.engine.restore_learned(Learned {
-            interference_weights: vec![weight],
-            ..Learned::default()
-        });
-        let batch = StepSpec {
-            image,
-            ..best_effort(1, 3_000)
-        };
-        fleet.harness.submit(job(id, vec![batch]));
+        let spec = held_back_job(&mut fleet, id, best_effort(1, 3_000));
+        fleet.harness.submit(spec);
     }
     fleet.rounds(PLACED_WITHIN_MS + 2 * MEASURED_WITHIN_MS);
     let has_run =
@@ -494,17 +496,8 @@
     fleet.run_ms = 10_000;
     fleet.weight = 3.0;
     for id in 1..=20 {
-        let image = format!("batch-{id}");
-        let weight = ("serving".to_owned(), image.clone(), WEIGHT_MAX);
-        fleet.harness.engine.restore_learned(Learned {
-            interference_weights: vec![weight],
-            ..Learned::default()
-        });
-        let batch = StepSpec {
-            image,
-            ..best_effort(2, 1_500)
-        };
-        fleet.harness.submit(job(id, vec![batch]));
+        let spec = held_back_job(&mut fleet, id, best_effort(2, 1_500));
+        fleet.harness.submit(spec);
     }
     fleet.rounds(60_000);
     let harm_ms = fleet.harm_most_ms();
@@ -566,17 +559,6 @@
     assert!(fleet.is_running(task(2, 0, 0)) || fleet.phase(2) == Some(Phase::Completed));
 }
 
-/// A job of one best-effort task of an image that is taken to interfere and does not.
-fn wrongly_held_back(fleet: &mut Fleet, id: u64, batch: StepSpec) -> JobSpec {
-    let image = format!("batch-{id}");
-    let weight = ("serving".to_owned(), image.clone(), WEIGHT_MAX);
-    fleet.harness.engine.restore_learned(Learned {
-        interference_weights: vec![weight],
-        ..Learned::default()
-    });
-    job(id, vec![StepSpec { image, ..batch }])
-}
-
 /// The jobs that are submitted use less than half of the processors.
 const SUBMIT_INTERVAL_MS: u64 = 200;
 /// Time in which a job that is held back runs beside others that are.
@@ -589,10 +571,10 @@
     let waits_from = PLACED_WITHIN_MS / SUBMIT_INTERVAL_MS;
     let mut has_run = false;
     for id in 1..=waits_from + STARVED_MAX_MS / SUBMIT_INTERVAL_MS {
-        let spec = wrongly_held_back(&mut fleet, id, batch.clone());
+        let spec = held_back_job(&mut fleet, id, batch.clone());
         fleet.harness.submit(spec);
         if id == waits_from {
-            let spec = wrongly_held_back(&mut fleet, 999, batch.clone());
+            let spec = held_back_job(&mut fleet, 999, batch.clone());
             fleet.harness.submit(JobSpec {
                 submitted_at_ms: 1_000,
                 ..spec
@@ -610,7 +592,7 @@
     let mut fleet = Fleet::serving(3);
     let batch = best_effort(1, 1_000);
     for id in 1..=10 {
-        let spec = wrongly_held_back(&mut fleet, id, batch.clone());
+        let spec = held_back_job(&mut fleet, id, batch.clone());
         fleet.harness.submit(spec);
     }
     fleet.rounds(PLACED_WITHIN_MS);
@@ -619,11 +601,11 @@
         per_runner_max: 1,
         ..best_effort(3, 1_000)
     };
-    let spec = wrongly_held_back(&mut fleet, 900, gang);
+    let spec = held_back_job(&mut fleet, 900, gang);
     fleet.harness.submit(spec);
     let mut has_run = false;
     for at in 1..=STARVED_MAX_MS / SUBMIT_INTERVAL_MS {
-        let spec = wrongly_held_back(&mut fleet, 10 + at, batch.clone());
+        let spec = held_back_job(&mut fleet, 10 + at, batch.clone());
         fleet.harness.submit(JobSpec {
             submitted_at_ms: 1_000,
             ..spec
