test(sched): tasks that crash their runners are started without end

The fixture of runners gave all the same address; each has its own now, as on the platform. No test depends on it.

--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod best_effort;
 mod commit_order;
+mod crashes;
 mod engine;
 mod full_reports;
 mod id;
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -65,7 +65,7 @@
 pub(crate) fn runner(id: &str, cpu_millis: u32) -> RunnerInfo {
     RunnerInfo {
         id: id.to_owned(),
-        address: "10.0.0.1:80".to_owned(),
+        address: format!("{id}:80"),
         data_centre: String::new(),
         service: SERVICE.to_owned(),
         state: RunnerState::Ready,
