--- a/crates/persimmon-entry/src/group/runner_list.rs
+++ b/crates/persimmon-entry/src/group/runner_list.rs
@@ -55,7 +55,8 @@
         let known = self.runners.borrow_mut().insert(id.clone(), info.clone());
         if known.as_ref().map(|it| it.state) != Some(info.state) {
             log::info!(
-                "event=runner.list runner={id} service={} state={:?}",
+                "event=runner.list runner={id} address={} service={} state={:?}",
+                info.address,
                 info.service,
                 info.state
             );
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -20,6 +20,7 @@
             // it stays away.
             self.requeue_lost_runs(
                 RunnerKey(at as u32),
+                "lease_expired",
                 |_, stage| !matches!(stage, Stage::Ordered { .. }),
                 now,
             );
@@ -31,6 +32,7 @@
     pub(crate) fn requeue_lost_runs(
         &mut self,
         key: RunnerKey,
+        cause: &str,
         is_lost: impl Fn((TaskId, u32), Stage) -> bool,
         now: Instant,
     ) {
@@ -39,6 +41,7 @@
             match self.stage_on(key, id, run) {
                 Some(Stage::Committing(_)) => {}
                 Some(stage) if is_lost((id, run), stage) => {
+                    self.log_lost_run(key, (id, run), stage, cause);
                     // A start without an answer may have been carried out before the runs were lost.
                     self.note_started(id, run);
                     if let Some(task) = self.task_mut(id) {
@@ -52,6 +55,23 @@
         }
     }
 
+    /// Logs a run that was lost with its runner, with its age when the runner was last heard.
+    fn log_lost_run(&self, key: RunnerKey, run: (TaskId, u32), stage: Stage, cause: &str) {
+        let runner = self.runner(key);
+        let placed_at = runner.claims.get(&run).map(|claim| claim.placed_at);
+        let age = placed_at.zip(runner.last_report_at).map(|(placed, heard)| {
+            let age = heard.saturating_duration_since(placed);
+            age.as_millis()
+        });
+        log::info!(
+            "event=run.lost task={} run={} runner={} cause={cause} stage={} age_ms={age:?}",
+            run.0,
+            run.1,
+            runner.info.id,
+            stage.name()
+        );
+    }
+
     /// Requeues the runs of an earlier incarnation of a runner. Those in the report, and those whose
     /// start was answered after it was requested, may be runs of the new incarnation. It may still
     /// carry out a start that had no answer, so such a run stays unconfirmed or is stopped again.
@@ -80,7 +100,7 @@
             Stage::Running(since) if since >= requested_at => false,
             _ => !stage.is_start_unanswered() && !known_runs.contains(&run),
         };
-        self.requeue_lost_runs(key, is_lost, now);
+        self.requeue_lost_runs(key, "restart", is_lost, now);
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             match self.stage_on(key, id, run) {
