fix(sched): a task under which runners crash is given up, what ran beside it runs again at once

Cause: work that is lost with what carries it counted nowhere.

Now a report of a runner at the address of an earlier one proves that the earlier one has ended: its runs are placed again at once rather than when their lease ends. The runs that were new when it was last heard are suspected, with a weight of 2 if there is one, else of 1 each; at 3 the task is given up and its job fails. The weight is part of the record, behind what earlier versions read. A suspected task goes where few others run, and nothing is placed beside one that was the only suspect until it is new no more; if its run stays it is cleared. A crash at the time of another one without a new run does not count, nor does a planned leave, and a lapsed lease alone proves no crash.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -84,9 +84,7 @@
                     };
                     into.done += u32::from(task.state == TaskState::Done);
                     let state = self.restore_task(&spec, id, task, record, now);
-                    let checkpoint = task.checkpoint.clone();
-                    let task = Task::restored(state, task.run, task.failures, checkpoint);
-                    into.tasks.push(task);
+                    into.tasks.push(Task::restored(state, task));
                 }
                 restored.push(into);
             }
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -61,6 +61,7 @@
                 state,
                 run: task.run,
                 failures: task.failures,
+                crash_weight: task.crash_weight,
                 checkpoint: task.checkpoint.clone(),
             }
         };
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -16,10 +16,12 @@
                 runner.claims.len(),
                 runner.listed
             );
+            let key = RunnerKey(at as u32);
+            self.keep_new_runs(key);
             // An ordered start may still be sent and renew the lease, so its answer decides, or that
             // it stays away.
             self.requeue_lost_runs(
-                RunnerKey(at as u32),
+                key,
                 "lease_expired",
                 |_, stage| !matches!(stage, Stage::Ordered { .. }),
                 now,
@@ -85,9 +87,13 @@
         let lease_term_max = self.options.lease_term_max;
         let runner = self.runner_mut(key);
         let known = runner.incarnation_ms.replace(report.incarnation_ms);
+        if known.is_none() {
+            self.end_replaced_runners(key, report.incarnation_ms, now);
+        }
         if known.is_none_or(|known| known == report.incarnation_ms) {
             return;
         }
+        let runner = self.runner_mut(key);
         log::warn!("event=runner.restart runner={}", runner.info.id);
         runner.processed = 0;
         runner.acknowledged = 0;
@@ -100,7 +106,10 @@
             Stage::Running(since) if since >= requested_at => false,
             _ => !stage.is_start_unanswered() && !known_runs.contains(&run),
         };
+        let mut crash = self.crash_of(key);
+        crash.suspects.retain(|run| !known_runs.contains(run));
         self.requeue_lost_runs(key, "restart", is_lost, now);
+        self.count_crash(&crash, now);
         let claims: Vec<_> = self.runner(key).claims.keys().copied().collect();
         for (id, run) in claims {
             match self.stage_on(key, id, run) {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,6 +1,7 @@
 mod add_job;
 mod backoff;
 mod commit;
+mod crash;
 mod dirty;
 mod durations;
 mod infeasible;
@@ -73,6 +74,8 @@
     /// Ends of runs that succeeded after they were given up, while a newer run may exist; by task,
     /// those of a gang by its first one.
     late_ends: HashMap<TaskId, Vec<late_end::LateEnd>>,
+    /// When runners were last heard that crashed without a new run.
+    unexplained_crashes: Vec<Instant>,
     /// Jobs that were cancelled before their submission arrived.
     cancelled_before_submission: HashSet<JobId>,
     /// When all runs started by earlier owners on unreachable runners have ended.
@@ -106,6 +109,7 @@
             interference: InterferenceModel::default(),
             durations: Durations::default(),
             late_ends: HashMap::new(),
+            unexplained_crashes: Vec::new(),
             cancelled_before_submission: HashSet::new(),
             orphan_runs_until: now + options.orphan_run_max,
             options,
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -510,6 +510,7 @@
         };
         let run = run.unwrap_or(task.run + 1);
         self.place_run(id, run, key, claim);
+        self.note_suspected_run(id);
         log::debug!(
             "event=task.place task={id} run={run} runner={} room={}",
             self.runner(key).info.id,
@@ -547,12 +548,14 @@
         let job = self.jobs.get(&id.job)?;
         let step = &job.spec.steps[usize::from(id.step)];
         let rack = self.preferred_rack(step, siblings);
-        let failed_on = self.task(id)?.failed_on;
+        let task = self.task(id)?;
+        let (failed_on, is_suspected) = (task.failed_on, task.is_suspected());
         let mut best: Option<(i64, RunnerKey)> = None;
         for (at, runner) in self.runners.iter().enumerate() {
             let key = RunnerKey(at as u32);
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
             if runner.info.service != job.service
+                || runner.has_sole_suspect
                 || !self.is_schedulable(runner, now)
                 || !runner.backoff.admits(claim.size, now)
                 || !satisfies_constraints(step, runner, sibling_count)
@@ -567,6 +570,12 @@
             if failed_on == Some(key) {
                 score -= FAILED_ON_PENALTY;
             }
+            if !runner.suspected_runs.is_empty() {
+                score -= SUSPECTED_RUN_PENALTY;
+            }
+            if is_suspected {
+                score -= SUSPECT_NEIGHBOUR_PENALTY * runner.claims.len() as i64;
+            }
             if best.is_none_or(|(best_score, _)| score > best_score) {
                 best = Some((score, key));
             }
@@ -631,6 +640,12 @@
 /// failures, so any other runner is better.
 const FAILED_ON_PENALTY: i64 = 1_000_000_000;
 
+/// Penalty on the score of a runner with a new run that may crash it.
+const SUSPECTED_RUN_PENALTY: i64 = 100_000_000;
+
+/// Penalty on the score of a runner for each run that a task which may crash it would end.
+const SUSPECT_NEIGHBOUR_PENALTY: i64 = RACK_WEIGHT;
+
 /// Scores a runner; higher is better. A task that reserves CPU goes where the least would be left
 /// free; a best-effort task goes where the most CPU is idle.
 fn score(step: &StepSpec, claim: &Claim, runner: &Runner, rack: Option<&str>) -> i64 {
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -116,6 +116,7 @@
         }
         self.requeue_unlisted(key, report, requested_at, now);
         self.credit_stable_runs(key, now);
+        self.clear_suspects(key, requested_at);
         self.process_measurements(key, &report.running, now);
     }
 
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -3,7 +3,7 @@
 use super::{Engine, Job, Stage, State};
 use crate::{
     fleet::{Claim, RunnerKey},
-    JobId, TaskId,
+    JobId, TaskId, TaskRecord,
 };
 use std::time::Instant;
 
@@ -15,6 +15,9 @@
     /// Highest number of a run that may have started, as far as answers and reports tell.
     pub(crate) started_run: u32,
     pub(crate) failures: u32,
+    /// Weight of the crashes of runners that the task may be the cause of, since a run of it was last
+    /// known to do no harm.
+    pub(crate) crash_weight: u32,
     /// The last run that was given up because its runner was not heard in time.
     pub(crate) given_up_run: Option<u32>,
     /// The runner on which its last failed run was.
@@ -27,22 +30,37 @@
 impl Task {
     /// A task that has not run.
     pub(crate) fn new() -> Self {
-        Self::restored(State::Waiting { not_before: None }, 0, 0, String::new())
-    }
-
-    pub(crate) fn restored(state: State, run: u32, failures: u32, checkpoint: String) -> Self {
         Self {
-            state,
-            run,
-            started_run: run,
-            failures,
+            state: State::Waiting { not_before: None },
+            run: 0,
+            started_run: 0,
+            failures: 0,
+            crash_weight: 0,
             given_up_run: None,
             failed_on: None,
-            checkpoint,
+            checkpoint: String::new(),
             unsaved_evictions: 0,
         }
     }
 
+    /// A task in this state, with what else its record holds.
+    pub(crate) fn restored(state: State, record: &TaskRecord) -> Self {
+        Self {
+            state,
+            run: record.run,
+            started_run: record.run,
+            failures: record.failures,
+            crash_weight: record.crash_weight,
+            checkpoint: record.checkpoint.clone(),
+            ..Self::new()
+        }
+    }
+
+    /// Returns whether the task may crash the runner that it starts on.
+    pub(crate) fn is_suspected(&self) -> bool {
+        self.crash_weight > 0
+    }
+
     /// Records the latest checkpoint that a run reports; empty for none.
     pub(crate) fn note_checkpoint(&mut self, checkpoint: &str) {
         if !checkpoint.is_empty() && checkpoint != self.checkpoint {
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -118,6 +118,11 @@
 }
 
 impl Claim {
+    /// Returns whether the run may have been placed by an earlier owner.
+    pub(crate) fn is_of_earlier_owner(&self) -> bool {
+        self.percent.is_none()
+    }
+
     /// The claim of an unthrottled run of a step whose image has this key.
     pub(crate) fn new(step: &StepSpec, image: ImageKey, placed_at: Instant) -> Self {
         let best_effort_cpu_millis = if step.best_effort {
@@ -214,6 +219,15 @@
     /// Highest sequence number of an ended run that is committed.
     pub(crate) acknowledged: u64,
     pub(crate) backoff: Backoff,
+    /// Runs of tasks that may crash the runner, while they are new.
+    pub(crate) suspected_runs: Vec<(TaskId, u32)>,
+    /// Whether another runner has taken its address.
+    pub(crate) is_replaced: bool,
+    /// Whether one of them is of a task that was the only possible cause of a crash. No other run is
+    /// placed beside it, so that none is lost or suspected with it.
+    pub(crate) has_sole_suspect: bool,
+    /// Runs that were new when the runner was last heard, if its runs were given up since.
+    pub(crate) new_runs_given_up: Vec<(TaskId, u32)>,
     pub(crate) tails: Vec<TailLatency>,
     /// Best-effort runs too recent to be reflected in measurements.
     pub(crate) unmeasured: Vec<UnmeasuredRun>,
@@ -321,6 +335,10 @@
             processed: 0,
             acknowledged: 0,
             backoff: Backoff::default(),
+            suspected_runs: Vec::new(),
+            is_replaced: false,
+            has_sole_suspect: false,
+            new_runs_given_up: Vec::new(),
             tails: Vec::new(),
             unmeasured: Vec::new(),
             unused_since: None,
@@ -354,6 +372,7 @@
                 .best_effort_cpu_millis
                 .saturating_sub(claim.best_effort_cpu_millis);
             self.unmeasured.retain(|it| it.run != (task, run));
+            self.remove_suspected_run((task, run));
             if claim.latency_critical {
                 let left = self.latency_critical_cpu_millis;
                 self.latency_critical_cpu_millis = left.saturating_sub(claim.size.cpu_millis);
@@ -361,6 +380,11 @@
         }
     }
 
+    pub(crate) fn remove_suspected_run(&mut self, run: (TaskId, u32)) {
+        self.suspected_runs.retain(|it| *it != run);
+        self.has_sole_suspect &= !self.suspected_runs.is_empty();
+    }
+
     /// Maximum share of the runner's processors used by a best-effort run.
     pub(crate) fn share(&self, claim: &Claim) -> f64 {
         let capacity = f64::from(self.info.capacity.cpu_millis.max(1));
--- a/crates/persimmon-sched/src/record.rs
+++ b/crates/persimmon-sched/src/record.rs
@@ -35,6 +35,10 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// Weight of the crashes of runners that the task may be the cause of. Encoded after all tasks,
+    /// where earlier versions ignore it.
+    #[serde(skip)]
+    pub crash_weight: u32,
     /// Latest checkpoint; empty if there is none.
     pub checkpoint: String,
 }
@@ -62,15 +66,59 @@
     }
 }
 
+/// Crashes that a task may be the cause of, as stored behind the tasks of a [`Record`].
+#[derive(Serialize, Deserialize)]
+struct CrashesWire {
+    occurrence: u32,
+    step: u16,
+    index: u16,
+    weight: u32,
+}
+
 impl Record {
     /// Encodes the record for the store.
     pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
-        Ok(postcard::to_stdvec(self)?)
+        let mut bytes = postcard::to_stdvec(self)?;
+        let crashes = self.crashes();
+        if !crashes.is_empty() {
+            bytes.extend(postcard::to_stdvec(&crashes)?);
+        }
+        Ok(bytes)
     }
 
-    /// Decodes the output of [`Self::encode`].
+    /// Decodes the output of [`Self::encode`], also that of earlier versions.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        Ok(postcard::from_bytes(bytes)?)
+        let (mut record, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            let crashes: Vec<CrashesWire> = postcard::from_bytes(rest)?;
+            crashes.iter().for_each(|it| record.add_crashes(it));
+        }
+        Ok(record)
+    }
+
+    fn crashes(&self) -> Vec<CrashesWire> {
+        let mut crashes = Vec::new();
+        for (occurrence, steps) in self.tasks.iter().enumerate() {
+            for (step, tasks) in steps.iter().enumerate() {
+                let suspected = tasks.iter().enumerate();
+                let suspected = suspected.filter(|(_, task)| task.crash_weight > 0);
+                crashes.extend(suspected.map(|(index, task)| CrashesWire {
+                    occurrence: occurrence as u32,
+                    step: step as u16,
+                    index: index as u16,
+                    weight: task.crash_weight,
+                }));
+            }
+        }
+        crashes
+    }
+
+    fn add_crashes(&mut self, crashes: &CrashesWire) {
+        let steps = self.tasks.get_mut(crashes.occurrence as usize);
+        let tasks = steps.and_then(|it| it.get_mut(usize::from(crashes.step)));
+        if let Some(task) = tasks.and_then(|it| it.get_mut(usize::from(crashes.index))) {
+            task.crash_weight = crashes.weight;
+        }
     }
 
     /// Returns the id of the runner on which the latest run of a placed task may exist.
--- a/crates/persimmon-sched/tests/all/crashes.rs
+++ b/crates/persimmon-sched/tests/all/crashes.rs
@@ -1,6 +1,6 @@
 //! Tasks that crash the runners they start on, beside other tasks.
 
-use crate::support::{job, listed, policy, report, runner, starts, step, task, TestEngine};
+use crate::support::{job, listed, policy, report, runner, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
     Answer, Engine, JobId, JobSpec, Options, Phase, Record, RunnerInfo, RunnerState, Schedule,
     StepSpec, StoredRecord, TaskId,
@@ -166,6 +166,8 @@
 
     fn report(&mut self) {
         let (now_ms, now) = (self.now_ms(), self.harness.now);
+        let runs = self.workers.iter().flat_map(|it| it.running.keys());
+        let idle: BTreeSet<_> = runs.copied().filter(|id| !self.is_at_work(*id)).collect();
         for worker in &mut self.workers {
             if worker.crashed_at_ms.is_some() {
                 if now_ms % 200 == 0 {
@@ -175,7 +177,9 @@
             }
             let mut report = report(now_ms, vec![]);
             report.incarnation_ms = worker.incarnation_ms;
-            let is_due = |id: &TaskId, since: u64| !is_lasting(id) && now_ms >= since + RUN_MS;
+            let is_due = |id: &TaskId, since: u64| {
+                !is_lasting(id) && !idle.contains(id) && now_ms >= since + RUN_MS
+            };
             for (&id, &(run, since_ms)) in &worker.running {
                 if is_due(&id, since_ms) {
                     self.next_end += 1;
@@ -205,7 +209,11 @@
             self.records.insert(job, (revision, commit.record));
             self.harness.engine.handle_commit(job, version, revision);
         }
-        for (id, task, run) in starts(&self.harness.engine.take_orders()) {
+        let orders = self.harness.engine.take_orders();
+        for (task, run) in stops(&orders) {
+            self.stop(task, run);
+        }
+        for (id, task, run) in starts(&orders) {
             self.starts.push(task);
             let now_ms = self.now_ms();
             let worker = self.workers.iter_mut().find(|it| it.id == id);
@@ -220,6 +228,27 @@
         }
     }
 
+    /// Stops a run at once; the next report does not list it.
+    fn stop(&mut self, task: TaskId, run: u32) {
+        let is_run = |it: &(u32, u64)| it.0 == run;
+        for worker in &mut self.workers {
+            if worker.running.get(&task).is_some_and(is_run) {
+                worker.running.remove(&task);
+            }
+        }
+        let now = self.harness.now;
+        self.harness.engine.handle_stop_answer(task, run, now);
+    }
+
+    /// Returns whether a run makes progress: the members of a gang do only together.
+    fn is_at_work(&self, id: TaskId) -> bool {
+        let spec = self.specs.iter().find(|it| it.id == id.job);
+        let step = &spec.expect("a submitted job").steps[usize::from(id.step)];
+        let present = self.workers.iter().flat_map(|it| it.running.keys());
+        let members = present.filter(|it| it.job == id.job && it.step == id.step);
+        !step.gang || members.count() == step.count as usize
+    }
+
     fn phase(&self, id: u64) -> Phase {
         let phase = self.harness.engine.phase(JobId(id));
         phase.expect("a known job")
@@ -367,6 +396,43 @@
     assert_eq!(fleet.phase(LASTING_JOBS), Phase::Active);
 }
 
+/// Half of the runners crash together, time and again, soon after what ran on them was started again.
+#[test]
+fn tasks_on_runners_that_crash_together_are_not_given_up() {
+    let mut fleet = Fleet::new(Return::NewId, &[]);
+    fleet.run(200);
+    fleet.submit(job(LASTING_JOBS, vec![lasting_step(40)]));
+    for wave in 0..10 {
+        fleet.run(DOWN_MS + 200);
+        let half = (0..RUNNERS).filter(|at| at % 2 == wave % 2);
+        half.for_each(|at| fleet.crash(at));
+    }
+    fleet.run(60_000);
+    assert_eq!(fleet.phase(LASTING_JOBS), Phase::Active);
+}
+
+/// The second of its runs shows that it does not crash its runners.
+#[test]
+fn crashes_before_a_run_that_stayed_do_not_count() {
+    let id = task(LASTING_JOBS, 0, 0);
+    let mut fleet = Fleet::new(Return::NewId, &[]);
+    fleet.run(200);
+    fleet.submit(job(LASTING_JOBS, vec![lasting_step(1)]));
+    for _ in 0..6 {
+        let starts = fleet.starts_of(id);
+        while fleet.starts_of(id) == starts {
+            fleet.run(TICK_MS);
+        }
+        let is_there = |it: &Worker| it.running.contains_key(&id);
+        let at = fleet.workers.iter().position(is_there).expect("it runs");
+        fleet.crash(at);
+        fleet.run(15_000);
+        let at = fleet.workers.iter().position(is_there).expect("it runs");
+        fleet.crash(at);
+    }
+    assert_eq!(fleet.phase(LASTING_JOBS), Phase::Active);
+}
+
 /// Its runs lapse again and again, without any sign of a crash.
 #[test]
 fn task_whose_runners_were_cut_off_is_not_given_up() {
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod late_ends;
 mod paused_runs;
 mod policy;
+mod record;
 mod runner_backoff;
 mod settled;
 mod simulation;
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -108,6 +108,7 @@
                 state: TaskState::Placed(0),
                 run: 1,
                 failures: 0,
+                crash_weight: 0,
                 checkpoint: String::new(),
             }]]],
         },
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -419,6 +419,7 @@
         state,
         run: 1,
         failures: 0,
+        crash_weight: 0,
         checkpoint: String::new(),
     };
     let record = Record {
