fix(sched): a start is not sent to a runner whose capacity has shrunk since

By reading: placement subtracts what is claimed from the capacity, but between it and the start stand the record's commit and the way to the relay, in a slow store seconds, and nothing looked at the capacity again. start_deadline_ms, which is asked as the order is sent, withholds a start that does not fit beside all other claims; runs that are being stopped keep theirs until their end is listed.

--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -77,7 +77,10 @@
     ) -> Result<u64, Answer> {
         let key = *self.runner_keys.get(runner).ok_or(Answer::NotSent)?;
         let is_ordered = matches!(self.stage_on(key, task, run), Some(Stage::Ordered { .. }));
-        if !is_ordered || !self.is_listing_current(now) || self.runner(key).is_leaving() {
+        let it = self.runner(key);
+        // The capacity may have shrunk since the run was placed.
+        let fits = it.fits_beside_others((task, run));
+        if !is_ordered || !self.is_listing_current(now) || it.is_leaving() || !fits {
             return Err(Answer::Withheld);
         }
         self.lease_deadline_ms(runner, now).ok_or(Answer::NotSent)
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -420,6 +420,14 @@
         self.info.capacity.saturating_sub(self.used)
     }
 
+    /// Returns whether the claim of a run fits into the capacity beside all others.
+    pub(crate) fn fits_beside_others(&self, run: (TaskId, u32)) -> bool {
+        self.claims.get(&run).is_some_and(|claim| {
+            let others = self.used.saturating_sub(claim.size);
+            claim.size.fits(self.info.capacity.saturating_sub(others))
+        })
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         self.info.labels.iter().any(|it| it == label)
     }
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod best_effort;
+mod capacity;
 mod commit_order;
 mod crashes;
 mod engine;
