fix(sched): refusals for lack of room are forgotten when the capacity grows

A runner that refuses a demand is left out for it, up to 6 s after repeated refusals. While a capacity is smaller than its entry in the instance list says, refusals repeat; when it grows again the task kept waiting though the list already told. Found by reading; demand_that_was_refused_is_placed_once_the_capacity_has_grown failed before.

--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -221,6 +221,10 @@
         let is_draining = info.state == RunnerState::Draining;
         let starts_draining =
             is_draining && (!runner.listed || runner.info.state != RunnerState::Draining);
+        if !info.capacity.fits(runner.info.capacity) {
+            // What an earlier refusal lacked may be free now.
+            runner.backoff.room_freed();
+        }
         runner.info = info;
         runner.listed = true;
         if starts_draining {
--- a/crates/persimmon-sched/tests/all/capacity.rs
+++ b/crates/persimmon-sched/tests/all/capacity.rs
@@ -97,6 +97,31 @@
     assert_eq!(starts(&harness.round()).len(), 1);
 }
 
+/// The runner may be smaller than its entry in the instance list says.
+#[test]
+fn demand_that_was_refused_is_placed_once_the_capacity_has_grown() {
+    let mut harness = TestEngine::with_runners(&["a"], 8_000);
+    harness.submit(job(1, vec![step(1)]));
+    for _ in 0..10 {
+        for (_, id, run) in starts(&harness.round()) {
+            harness.answer_start(id, run, Answer::Room);
+        }
+        harness.advance(700);
+        harness.report("a", vec![]);
+    }
+    for (_, id, run) in starts(&harness.round()) {
+        harness.answer_start(id, run, Answer::Room);
+    }
+    set_cpu(&mut harness, "a", 4_000);
+    harness.advance(100);
+    harness.report("a", vec![]);
+    assert!(harness.round().is_empty(), "it has shrunk");
+    set_cpu(&mut harness, "a", 8_000);
+    harness.advance(100);
+    harness.report("a", vec![]);
+    assert_eq!(starts(&harness.round()).len(), 1);
+}
+
 /// Memory and accelerators count like processors.
 #[test]
 fn start_is_not_sent_when_another_resource_has_shrunk() {
