fix(daemon): an odd entry of the instance list does not hide the others

The first daemon decoded the list as a whole: one entry without a field, nested too deeply or with a number too large made it keep the last list for good, with a line at debug level only, so it followed neither new nor leaving instances. Decoded as before, the list of the new test fails (old way: missing field id).

--- a/crates/persimmon-wire/src/instances.rs
+++ b/crates/persimmon-wire/src/instances.rs
@@ -2,6 +2,8 @@
 //! out of date.
 use persimmon_types::Size;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::net::{AddrParseError, SocketAddr};
 
 /// The answer to `GET /v1/instances`.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -10,6 +12,45 @@
     pub instances: Vec<Instance>,
 }
 
+/// The answer to `GET /v1/instances` as it was received. Its entries are decoded one by one, so that
+/// one of another writer does not hide the others.
+#[derive(Debug, Deserialize)]
+pub struct ReceivedList {
+    instances: Vec<Box<RawValue>>,
+}
+
+/// Why an entry of the list names no instance to use.
+#[derive(Debug, thiserror::Error)]
+pub enum InvalidInstance {
+    /// The entry can't be decoded.
+    #[error("decode the entry: {0}")]
+    Entry(#[from] serde_json::Error),
+    /// The address can't be dialled.
+    #[error("decode the address of {id}: {source}")]
+    Address {
+        /// The id of the instance.
+        id: String,
+        /// The error.
+        source: AddrParseError,
+    },
+}
+
+impl ReceivedList {
+    /// Decodes the entries, each on its own.
+    pub fn decode(&self) -> impl Iterator<Item = Result<Instance, InvalidInstance>> + '_ {
+        self.instances.iter().map(|entry| {
+            let instance: Instance = serde_json::from_str(entry.get())?;
+            match instance.address.parse::<SocketAddr>() {
+                Ok(_) => Ok(instance),
+                Err(source) => Err(InvalidInstance::Address {
+                    id: instance.id,
+                    source,
+                }),
+            }
+        })
+    }
+}
+
 /// An instance: a worker or a runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
--- /dev/null
+++ b/crates/persimmon-wire/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the wire types.
+
+mod instances;
