fix(sched): a job that its owner can't carry is rejected

A caller may ask for 4,294,967,295 occurrences without an interval in a hundred bytes, or for 1,000 steps of 10,000 tasks: owners run out of memory one after the other, as each reads the job at its takeover. As found, an engine given the first job ends with 4 GB of memory allowed (memory allocation failed, SIGABRT).

A submission of more than 40,000 tasks in all, or with a due time out of range, gets 400 with the reason; a record of more would not fit into a value of the store. A stored job of this kind, which an earlier version may have accepted, is shown as failed and logged instead of being opened.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -16,6 +16,12 @@
         if self.jobs.contains_key(&spec.id) {
             return;
         }
+        // An earlier version may have accepted it; one owner after another would end from it.
+        if let Err(err) = spec.check() {
+            log::error!("event=job.invalid job={} fault=\"{err}\"", spec.id);
+            self.add_ended_job(spec.id, Phase::Failed, now);
+            return;
+        }
         let accepted_queue = self.accepted_queues.get(&spec.queue);
         let queue = self.policy.queue(&spec.queue).or(accepted_queue).cloned();
         let queue = queue.unwrap_or_else(|| {
--- a/crates/persimmon-sched/src/spec.rs
+++ b/crates/persimmon-sched/src/spec.rs
@@ -8,6 +8,9 @@
 const STEPS_MAX: usize = 1_000;
 /// Maximum number of tasks in a step.
 const TASKS_MAX: u32 = 10_000;
+/// Maximum number of tasks in a job, over all its occurrences. The store would not take the record of
+/// more, and their owner would need too much memory.
+const JOB_TASKS_MAX: u64 = 40_000;
 
 /// A job as submitted by its client account.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +100,18 @@
         /// Number of tasks in the step.
         count: u32,
     },
+    /// The job has too many tasks.
+    #[error("the job has {tasks} tasks in all, at most {JOB_TASKS_MAX} are allowed")]
+    JobTasks {
+        /// Number of tasks of all steps and occurrences.
+        tasks: u64,
+    },
+    /// The time of an occurrence is out of range.
+    #[error("the last of {count} occurrences is due at a time out of range")]
+    Schedule {
+        /// Number of occurrences.
+        count: u32,
+    },
     /// A step depends on itself, a later step or a missing one.
     #[error("step {step} waits for step {after}, which is not an earlier one")]
     After {
@@ -119,7 +134,13 @@
             return Err(SpecError::Steps { steps });
         }
         let each = self.steps.iter().enumerate();
-        each.into_iter().try_for_each(|(step, it)| it.check(step))
+        each.into_iter().try_for_each(|(step, it)| it.check(step))?;
+        let tasks_each: u64 = self.steps.iter().map(|it| u64::from(it.count)).sum();
+        let tasks = tasks_each * u64::from(self.occurrences());
+        if tasks > JOB_TASKS_MAX {
+            return Err(SpecError::JobTasks { tasks });
+        }
+        self.schedule.map_or(Ok(()), Schedule::check)
     }
 
     /// Number of times that the steps run.
@@ -128,6 +149,17 @@
     }
 }
 
+impl Schedule {
+    fn check(self) -> Result<(), SpecError> {
+        let last = u64::from(self.count.saturating_sub(1));
+        let last_at_ms = last.checked_mul(self.interval_ms);
+        let last_at_ms = last_at_ms.and_then(|it| it.checked_add(self.first_at_ms));
+        last_at_ms
+            .map(drop)
+            .ok_or(SpecError::Schedule { count: self.count })
+    }
+}
+
 impl StepSpec {
     fn check(&self, step: usize) -> Result<(), SpecError> {
         let count = self.count;
