fix(sched): a crash that only an earlier owner saw begin counts

With an owner ended after each crash the task is started without end: crash_of_which_the_owner_saw_only_the_silence_counts failed with 8 starts.

When a runner does not answer, the records of its new runs now name it, with address and incarnation, behind what earlier versions read. Another owner learns from them what to look for, and the runs of a replaced runner are placed again at once there as well. An answer of the same incarnation takes that back, in the records too; it also clears what was kept at a lapse, which else would have been blamed for a crash long after (silence_that_passed_is_no_sign_of_a_crash).

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -118,7 +118,11 @@
             percent: None,
             ..self.claim_of_step(&spec.steps[usize::from(id.step)], now)
         };
-        self.runner_mut(key).claim(id, task.run, claim);
+        let runner = self.runner_mut(key);
+        runner.claim(id, task.run, claim);
+        if let Some(silent) = &task.crashes.silent_runner {
+            runner.restore_silence(silent, (id, task.run));
+        }
         State::Placed {
             runner: key,
             stage: Stage::Restored,
--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -207,8 +207,8 @@
 
     /// Counts a report that a runner did not deliver in time.
     pub(crate) fn count_missed_report(&mut self, key: RunnerKey, now: Instant) {
+        self.note_silence(key);
         let runner = self.runner_mut(key);
-        runner.has_missed_report = true;
         runner.backoff.report_missed(runner.last_report_at, now);
         self.log_backoff(key);
     }
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -1,7 +1,7 @@
 use super::{Commit, Engine, Job, Order, Stage, State, Task};
 use crate::{
     fleet::{KEPT_BACK_ENDS_MAX, NEVER_COMMITTED},
-    JobId, Record, TaskRecord, TaskState,
+    JobId, Record, SilentRunner, TaskCrashes, TaskRecord, TaskState,
 };
 use std::{collections::HashMap, sync::Arc};
 
@@ -61,7 +61,7 @@
                 state,
                 run: task.run,
                 failures: task.failures,
-                crash_weight: task.crash_weight,
+                crashes: self.crashes_of(task),
                 checkpoint: task.checkpoint.clone(),
             }
         };
@@ -81,6 +81,24 @@
         })
     }
 
+    /// What is known of crashes that a task may be the cause of.
+    fn crashes_of(&self, task: &Task) -> TaskCrashes {
+        let silent_runner = match task.state() {
+            State::Placed { runner, .. } if task.new_when_silent == Some(task.run) => {
+                let runner = self.runner(runner);
+                runner.incarnation_ms.map(|incarnation_ms| SilentRunner {
+                    address: runner.info.address.clone(),
+                    incarnation_ms,
+                })
+            }
+            State::Placed { .. } | State::Waiting { .. } | State::Done => None,
+        };
+        TaskCrashes {
+            weight: task.crash_weight,
+            silent_runner,
+        }
+    }
+
     /// Handles the commit of a record and orders the starts that waited for it.
     pub fn handle_commit(&mut self, id: JobId, version: u64, revision: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/crates/persimmon-sched/src/engine/crash.rs
+++ b/crates/persimmon-sched/src/engine/crash.rs
@@ -10,8 +10,11 @@
 const SHARED_CRASH_WEIGHT: u32 = 1;
 /// Weight of a crash of which only one new run may be the cause.
 const SOLE_CRASH_WEIGHT: u32 = 2;
-/// Weight of crashes from which on a task is given up. No single crash is enough.
+/// Weight of crashes from which on a task is given up, at least two.
 const CRASH_WEIGHT_MAX: u32 = 3;
+/// As [`CRASH_WEIGHT_MAX`], for a long-running task, at least three: with it a service ends that may
+/// have run for long.
+const LONG_RUNNING_CRASH_WEIGHT_MAX: u32 = 5;
 /// Runners last heard within this time of each other may have been lost together; a report may be this
 /// old.
 const LOST_TOGETHER_MAX: Duration = Duration::from_secs(1);
@@ -65,6 +68,37 @@
         new.map(|(run, _)| run).collect()
     }
 
+    /// Notes that a runner did not answer. The records of the runs that were new then say so, in case
+    /// that it has crashed and another owner learns of it.
+    pub(super) fn note_silence(&mut self, key: RunnerKey) {
+        if std::mem::replace(&mut self.runner_mut(key).has_missed_report, true) {
+            return;
+        }
+        for (id, run) in self.new_runs(key) {
+            if let Some(task) = self.task_mut(id) {
+                task.new_when_silent = Some(run);
+                self.mark_changed(id.job);
+            }
+        }
+    }
+
+    /// Notes that a runner is heard again and has not crashed.
+    pub(super) fn end_silence(&mut self, key: RunnerKey) {
+        let runner = self.runner_mut(key);
+        if !runner.has_missed_report && runner.new_runs_given_up.is_empty() {
+            return;
+        }
+        runner.new_runs_given_up.clear();
+        let runs: Vec<_> = runner.claims.keys().copied().collect();
+        for (id, run) in runs {
+            let task = self.task_mut(id);
+            if let Some(task) = task.filter(|it| it.new_when_silent == Some(run)) {
+                task.new_when_silent = None;
+                self.mark_changed(id.job);
+            }
+        }
+    }
+
     /// Keeps the new runs of a runner whose runs are given up: it may turn out to have crashed.
     pub(super) fn keep_new_runs(&mut self, key: RunnerKey) {
         let new_runs = self.new_runs(key);
@@ -148,20 +182,29 @@
             };
             task.crash_weight += weight;
             let crash_weight = task.crash_weight;
+            let crash_weight_max = self.crash_weight_max(id);
             log::warn!(
                 "event=run.crash task={id} run={run} runner={} suspects={} \
-                 crash_weight={crash_weight} crash_weight_max={CRASH_WEIGHT_MAX}",
+                 crash_weight={crash_weight} crash_weight_max={crash_weight_max}",
                 self.runner(crash.runner).info.id,
                 crash.suspects.len()
             );
             self.mark_changed(id.job);
-            if crash_weight >= CRASH_WEIGHT_MAX {
+            if crash_weight >= crash_weight_max {
                 log::warn!("event=task.give_up task={id} reason=\"it crashes its runners\"");
                 self.finish(id.job, Phase::Failed, now);
             }
         }
     }
 
+    fn crash_weight_max(&self, id: TaskId) -> u32 {
+        if self.step_of(id).is_some_and(|step| step.long_running) {
+            LONG_RUNNING_CRASH_WEIGHT_MAX
+        } else {
+            CRASH_WEIGHT_MAX
+        }
+    }
+
     /// Returns whether another runner was lost at the same time on which no run was new: the cause is
     /// then most likely none of the runs.
     fn is_common_loss(&self, crash: &Crash, now: Instant) -> bool {
--- a/crates/persimmon-sched/src/engine/lease_expiry.rs
+++ b/crates/persimmon-sched/src/engine/lease_expiry.rs
@@ -90,6 +90,9 @@
         if known.is_none() {
             self.end_replaced_runners(key, report.incarnation_ms, now);
         }
+        if known == Some(report.incarnation_ms) {
+            self.end_silence(key);
+        }
         if known.is_none_or(|known| known == report.incarnation_ms) {
             return;
         }
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -18,6 +18,8 @@
     /// Weight of the crashes of runners that the task may be the cause of, since a run of it was last
     /// known to do no harm.
     pub(crate) crash_weight: u32,
+    /// The last run that was new when its runner fell silent.
+    pub(crate) new_when_silent: Option<u32>,
     /// The last run that was given up because its runner was not heard in time.
     pub(crate) given_up_run: Option<u32>,
     /// The runner on which its last failed run was.
@@ -36,6 +38,7 @@
             started_run: 0,
             failures: 0,
             crash_weight: 0,
+            new_when_silent: None,
             given_up_run: None,
             failed_on: None,
             checkpoint: String::new(),
@@ -50,7 +53,8 @@
             run: record.run,
             started_run: record.run,
             failures: record.failures,
-            crash_weight: record.crash_weight,
+            crash_weight: record.crashes.weight,
+            new_when_silent: record.crashes.silent_runner.as_ref().map(|_| record.run),
             checkpoint: record.checkpoint.clone(),
             ..Self::new()
         }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -1,4 +1,4 @@
-use crate::{engine::Backoff, JobId, StepSpec, TaskId};
+use crate::{engine::Backoff, JobId, SilentRunner, StepSpec, TaskId};
 use persimmon_types::Size;
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -226,7 +226,8 @@
     /// Whether one of them is of a task that was the only possible cause of a crash. No other run is
     /// placed beside it, so that none is lost or suspected with it.
     pub(crate) has_sole_suspect: bool,
-    /// Runs that were new when the runner was last heard, if its runs were given up since.
+    /// Runs that were new when the runner was last heard, if its runs were given up since, or an
+    /// earlier owner found it silent.
     pub(crate) new_runs_given_up: Vec<(TaskId, u32)>,
     pub(crate) tails: Vec<TailLatency>,
     /// Best-effort runs too recent to be reflected in measurements.
@@ -380,6 +381,15 @@
         }
     }
 
+    /// Restores what an earlier owner knew of a runner that may have crashed under a new run.
+    pub(crate) fn restore_silence(&mut self, silent: &SilentRunner, run: (TaskId, u32)) {
+        if self.info.address.is_empty() {
+            self.info.address.clone_from(&silent.address);
+        }
+        self.incarnation_ms.get_or_insert(silent.incarnation_ms);
+        self.new_runs_given_up.push(run);
+    }
+
     pub(crate) fn remove_suspected_run(&mut self, run: (TaskId, u32)) {
         self.suspected_runs.retain(|it| *it != run);
         self.has_sole_suspect &= !self.suspected_runs.is_empty();
--- a/crates/persimmon-sched/src/lib.rs
+++ b/crates/persimmon-sched/src/lib.rs
@@ -21,5 +21,5 @@
 pub use fleet::{End, EndKind, Report, RunStatus, RunnerInfo, RunnerState};
 pub use id::{JobId, ParseIdError, TaskId};
 pub use policy::{Policy, Queue, Service};
-pub use record::{Phase, Record, RecordError, TaskRecord, TaskState};
+pub use record::{Phase, Record, RecordError, SilentRunner, TaskCrashes, TaskRecord, TaskState};
 pub use spec::{JobSpec, Schedule, SpecError, StepSpec};
--- a/crates/persimmon-sched/src/record.rs
+++ b/crates/persimmon-sched/src/record.rs
@@ -26,6 +26,24 @@
     Done,
 }
 
+/// Crashes of runners that a task may be the cause of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    /// Weight of those that are known.
+    pub weight: u32,
+    /// The runner of the latest run, if it has been silent since the run was new.
+    pub silent_runner: Option<SilentRunner>,
+}
+
+/// A runner that may have crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilentRunner {
+    /// Listen address, `IP:PORT`.
+    pub address: String,
+    /// The incarnation that was heard last, see [`crate::Report`].
+    pub incarnation_ms: u64,
+}
+
 /// A task in a [`Record`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRecord {
@@ -35,10 +53,10 @@
     pub run: u32,
     /// Number of failed runs.
     pub failures: u32,
-    /// Weight of the crashes of runners that the task may be the cause of. Encoded after all tasks,
-    /// where earlier versions ignore it.
+    /// What is known of crashes that the task may be the cause of. Encoded after all tasks, where
+    /// earlier versions ignore it.
     #[serde(skip)]
-    pub crash_weight: u32,
+    pub crashes: TaskCrashes,
     /// Latest checkpoint; empty if there is none.
     pub checkpoint: String,
 }
@@ -72,7 +90,7 @@
     occurrence: u32,
     step: u16,
     index: u16,
-    weight: u32,
+    crashes: TaskCrashes,
 }
 
 impl Record {
@@ -91,7 +109,7 @@
         let (mut record, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
         if !rest.is_empty() {
             let crashes: Vec<CrashesWire> = postcard::from_bytes(rest)?;
-            crashes.iter().for_each(|it| record.add_crashes(it));
+            crashes.into_iter().for_each(|it| record.add_crashes(it));
         }
         Ok(record)
     }
@@ -101,23 +119,24 @@
         for (occurrence, steps) in self.tasks.iter().enumerate() {
             for (step, tasks) in steps.iter().enumerate() {
                 let suspected = tasks.iter().enumerate();
-                let suspected = suspected.filter(|(_, task)| task.crash_weight > 0);
+                let suspected =
+                    suspected.filter(|(_, task)| task.crashes != TaskCrashes::default());
                 crashes.extend(suspected.map(|(index, task)| CrashesWire {
                     occurrence: occurrence as u32,
                     step: step as u16,
                     index: index as u16,
-                    weight: task.crash_weight,
+                    crashes: task.crashes.clone(),
                 }));
             }
         }
         crashes
     }
 
-    fn add_crashes(&mut self, crashes: &CrashesWire) {
-        let steps = self.tasks.get_mut(crashes.occurrence as usize);
-        let tasks = steps.and_then(|it| it.get_mut(usize::from(crashes.step)));
-        if let Some(task) = tasks.and_then(|it| it.get_mut(usize::from(crashes.index))) {
-            task.crash_weight = crashes.weight;
+    fn add_crashes(&mut self, wire: CrashesWire) {
+        let steps = self.tasks.get_mut(wire.occurrence as usize);
+        let tasks = steps.and_then(|it| it.get_mut(usize::from(wire.step)));
+        if let Some(task) = tasks.and_then(|it| it.get_mut(usize::from(wire.index))) {
+            task.crashes = wire.crashes;
         }
     }
 
--- a/crates/persimmon-sched/tests/all/crashes.rs
+++ b/crates/persimmon-sched/tests/all/crashes.rs
@@ -3,7 +3,7 @@
 use crate::support::{job, listed, policy, report, runner, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
     Answer, Engine, JobId, JobSpec, Options, Phase, Record, RunnerInfo, RunnerState, Schedule,
-    StepSpec, StoredRecord, TaskId,
+    StepSpec, StoredRecord, TaskCrashes, TaskId,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -254,6 +254,12 @@
         phase.expect("a known job")
     }
 
+    /// Index of the runner that a task runs on.
+    fn runner_of(&self, id: TaskId) -> usize {
+        let is_there = |it: &Worker| it.running.contains_key(&id);
+        self.workers.iter().position(is_there).expect("it runs")
+    }
+
     fn starts_of(&self, id: TaskId) -> usize {
         self.starts.iter().filter(|it| **it == id).count()
     }
@@ -350,6 +356,53 @@
     check_given_up(&fleet, crashing);
 }
 
+/// Each owner ends after the crash and before the runner is back.
+#[test]
+fn crash_of_which_the_owner_saw_only_the_silence_counts() {
+    let crashing = task(1, 0, 0);
+    let mut fleet = Fleet::new(Return::NewId, &[crashing]);
+    fleet.run(200);
+    fleet.submit(job(LASTING_JOBS, vec![lasting_step(12)]));
+    fleet.run(2_000);
+    fleet.submit(job(1, vec![step(2)]));
+    for _ in 0..8 {
+        let starts = fleet.starts_of(crashing);
+        for _ in 0..500 {
+            if fleet.starts_of(crashing) == starts {
+                fleet.run(TICK_MS);
+            }
+        }
+        fleet.run(500);
+        fleet.take_over();
+    }
+    check_given_up(&fleet, crashing);
+    assert_eq!(fleet.phase(LASTING_JOBS), Phase::Active);
+}
+
+/// Runs that were new when their runner was silent for a moment are still there when it crashes,
+/// long after.
+#[test]
+fn silence_that_passed_is_no_sign_of_a_crash() {
+    let mut fleet = Fleet::new(Return::NewId, &[]);
+    fleet.run(200);
+    for at in 0..6 {
+        let id = LASTING_JOBS + at;
+        fleet.submit(job(id, vec![lasting_step(1)]));
+        fleet.run(100);
+        let worker = &fleet.workers[fleet.runner_of(task(id, 0, 0))];
+        let (silent, now) = (worker.id.clone(), fleet.harness.now);
+        fleet.harness.engine.handle_missed_report(&silent, now);
+        fleet.place();
+        fleet.run(10_000);
+        fleet.take_over();
+        fleet.run(1_000);
+        fleet.crash(fleet.runner_of(task(id, 0, 0)));
+        fleet.run(10_000);
+        let record = &fleet.records[&JobId(id)].1;
+        assert_eq!(record.tasks[0][0][0].crashes, TaskCrashes::default());
+    }
+}
+
 /// Every tenth job has a task that crashes its runners; the others share their runners with it.
 #[test]
 fn tasks_that_start_beside_crashing_ones_are_not_given_up() {
@@ -423,12 +476,9 @@
         while fleet.starts_of(id) == starts {
             fleet.run(TICK_MS);
         }
-        let is_there = |it: &Worker| it.running.contains_key(&id);
-        let at = fleet.workers.iter().position(is_there).expect("it runs");
-        fleet.crash(at);
+        fleet.crash(fleet.runner_of(id));
         fleet.run(15_000);
-        let at = fleet.workers.iter().position(is_there).expect("it runs");
-        fleet.crash(at);
+        fleet.crash(fleet.runner_of(id));
     }
     assert_eq!(fleet.phase(LASTING_JOBS), Phase::Active);
 }
--- a/crates/persimmon-sched/tests/all/record.rs
+++ b/crates/persimmon-sched/tests/all/record.rs
@@ -1,29 +1,40 @@
 //! Records as stored.
 
-use persimmon_sched::{Phase, Record, TaskRecord, TaskState};
+use persimmon_sched::{Phase, Record, SilentRunner, TaskCrashes, TaskRecord, TaskState};
 
-fn record(crash_weight: u32) -> Record {
-    let task = |crash_weight| TaskRecord {
+fn record(weight: u32) -> Record {
+    let silent_runner = (weight > 0).then(|| SilentRunner {
+        address: "10.0.0.1:80".to_owned(),
+        incarnation_ms: 7,
+    });
+    let crashes = TaskCrashes {
+        weight,
+        silent_runner,
+    };
+    let task = |crashes| TaskRecord {
         state: TaskState::Waiting,
         run: 3,
         failures: 1,
-        crash_weight,
+        crashes,
         checkpoint: "c".to_owned(),
     };
     Record {
         phase: Phase::Active,
         runners: vec!["a".to_owned()],
-        tasks: vec![vec![vec![task(0), task(crash_weight)], vec![task(0)]]],
+        tasks: vec![vec![
+            vec![task(TaskCrashes::default()), task(crashes)],
+            vec![task(TaskCrashes::default())],
+        ]],
     }
 }
 
 #[test]
-fn crash_weights_are_kept() {
+fn crashes_are_kept() {
     let encoded = record(2).encode().expect("encoded");
     assert_eq!(Record::decode(&encoded).expect("decoded"), record(2));
 }
 
-/// Earlier versions know what precedes the crash weights, and write nothing else.
+/// Earlier versions know what precedes the crashes, and write nothing else.
 #[test]
 fn record_of_an_earlier_version_is_a_prefix() {
     let earlier = record(0).encode().expect("encoded");
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -2,7 +2,8 @@
 
 use persimmon_sched::{
     Answer, Engine, JobId, JobSpec, Options, Order, Phase, Policy, Queue, Record, Report,
-    RunStatus, RunnerInfo, RunnerState, StepSpec, StoredRecord, TaskId, TaskRecord, TaskState,
+    RunStatus, RunnerInfo, RunnerState, StepSpec, StoredRecord, TaskCrashes, TaskId, TaskRecord,
+    TaskState,
 };
 use persimmon_types::Size;
 use std::time::{Duration, Instant};
@@ -108,7 +109,7 @@
                 state: TaskState::Placed(0),
                 run: 1,
                 failures: 0,
-                crash_weight: 0,
+                crashes: TaskCrashes::default(),
                 checkpoint: String::new(),
             }]]],
         },
--- a/crates/persimmon-sched/tests/all/waiting_tasks.rs
+++ b/crates/persimmon-sched/tests/all/waiting_tasks.rs
@@ -3,7 +3,7 @@
 use crate::support::{job, listed, placed_record, report, starts, step, stops, task, TestEngine};
 use persimmon_sched::{
     Answer, End, EndKind, JobId, Options, Order, Phase, Record, Report, RunStatus, RunnerInfo,
-    RunnerState, StepSpec, StoredRecord, TaskId, TaskRecord, TaskState,
+    RunnerState, StepSpec, StoredRecord, TaskCrashes, TaskId, TaskRecord, TaskState,
 };
 use std::collections::BTreeMap;
 
@@ -419,7 +419,7 @@
         state,
         run: 1,
         failures: 0,
-        crash_weight: 0,
+        crashes: TaskCrashes::default(),
         checkpoint: String::new(),
     };
     let record = Record {
