fix(daemon): a job that crashes its workers uses up its attempts

Long attempts on workers that restart by themselves don't count (job_whose_workers_restart_later_is_not_given_up), nor those of jobs that must not be rerun, whose outcome is unknown as before. Where several attempts are new together each time none counts: they are placed elsewhere, but not apart.

--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -50,8 +50,14 @@
         worker.next_sync_at = now + interval;
         match result {
             Ok(answer) => {
+                let silent_for = now.saturating_duration_since(worker.answered_at);
                 worker.answered_at = now;
                 worker.lease.record_nonce(answer.nonce, now);
+                if worker.incarnation != Some(answer.incarnation) {
+                    let heard_unix_ms = now_unix_ms.saturating_sub(silent_for.as_millis() as u64);
+                    let current = answer.incarnation;
+                    self.handle_restart(index, current, heard_unix_ms, now_unix_ms);
+                }
                 self.handle_answer(index, &answer, now, now_unix_ms);
             }
             Err(_) => worker.lease.forget_nonce(),
@@ -165,16 +171,7 @@
     }
 
     fn handle_answer(&mut self, index: usize, answer: &SyncAnswer, now: Instant, now_unix_ms: u64) {
-        let restarted = self.workers[index].incarnation != Some(answer.incarnation);
-        self.workers[index].incarnation = Some(answer.incarnation);
         self.apply_worker_event(index, WorkerEvent::Answer);
-        if restarted {
-            self.resolve_lost_attempts_of_earlier_incarnations(
-                index,
-                answer.incarnation,
-                now_unix_ms,
-            );
-        }
         self.reserve_overuse(index, answer);
         let worker = &mut self.workers[index];
         worker.reported_attempts = answer
@@ -355,12 +352,11 @@
         }
     }
 
-    fn resolve_lost_attempts_of_earlier_incarnations(
-        &mut self,
-        index: usize,
-        current: u64,
-        now_unix_ms: u64,
-    ) {
+    /// Handles the first answer of a worker's process: the attempts of earlier ones are lost. One that
+    /// was the only new one when the worker was last heard, at `heard_unix_ms`, counts as failed, since
+    /// it may crash each worker that it starts on.
+    fn handle_restart(&mut self, index: usize, current: u64, heard_unix_ms: u64, now_unix_ms: u64) {
+        self.workers[index].incarnation = Some(current);
         let earlier = |number: &u64| {
             let job = self.jobs.try_find(*number);
             let placed =
@@ -373,11 +369,36 @@
             .copied()
             .filter(earlier)
             .collect();
+        let is_new = |number: &u64| {
+            let job = self.jobs.try_find(*number);
+            job.is_some_and(|job| heard_unix_ms < job.placed_unix_ms + NEW_ATTEMPT_AGE_MAX_MS)
+        };
+        let new: Vec<_> = lost.iter().copied().filter(is_new).collect();
         for number in lost {
-            self.resolve_lost_attempt(number, now_unix_ms);
+            if new == [number] {
+                self.fail_lost_attempt(number, now_unix_ms);
+            } else {
+                self.resolve_lost_attempt(number, now_unix_ms);
+            }
         }
     }
 
+    /// Handles the loss of an attempt that may have crashed its worker.
+    fn fail_lost_attempt(&mut self, number: u64, now_unix_ms: u64) {
+        let job = self.jobs.try_find(number);
+        let Some(job) = job.filter(|job| job.state == JobState::Placed && job.rerun == Rerun::Safe)
+        else {
+            self.resolve_lost_attempt(number, now_unix_ms);
+            return;
+        };
+        let event = if job.failures + 1 >= job.attempts_max {
+            JobEvent::Fail
+        } else {
+            JobEvent::Lose
+        };
+        self.append_step(number, event, now_unix_ms, None, true);
+    }
+
     fn resolve_lost_attempts_of_worker(&mut self, index: usize, now_unix_ms: u64) {
         let held: Vec<u64> = self.workers[index].held_jobs.iter().copied().collect();
         for number in held {
@@ -399,6 +420,9 @@
     }
 }
 
+/// An attempt counts as new for this time after its placement, which the calls to the worker take part
+/// of.
+const NEW_ATTEMPT_AGE_MAX_MS: u64 = 2_000;
 /// The delay before a call that carries commands, so that several commands share a call.
 const COMMAND_DELAY: Duration = Duration::from_millis(5);
 /// The minimum delay before a call that polls for completed tasks.
--- a/crates/persimmon-shard/src/job_table.rs
+++ b/crates/persimmon-shard/src/job_table.rs
@@ -267,6 +267,7 @@
         JobEvent::Retry if step.counts => "failed, to be tried again, on",
         JobEvent::Retry => "failed through the worker's fault on",
         JobEvent::Fail => "failed for good on",
+        JobEvent::Lose if step.counts => "lost as it crashed, to be tried again, on",
         JobEvent::Lose => "lost with its lease, to be run again, on",
         JobEvent::Doubt => "lost with its lease, may have run, on",
         JobEvent::Cancel => "cancelled; newest worker",
--- a/crates/persimmon-shard/tests/all/main.rs
+++ b/crates/persimmon-shard/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod charts;
 mod core;
+mod crashes;
 mod quarantine;
 mod record;
 mod simulation;
--- a/crates/persimmon-shard/tests/all/support.rs
+++ b/crates/persimmon-shard/tests/all/support.rs
@@ -45,6 +45,10 @@
     pub(crate) used_beside: Vec<Size>,
     /// The jobs of which every task fails.
     pub(crate) failing_jobs: Vec<u64>,
+    /// The jobs whose tasks crash their workers as they start.
+    pub(crate) crashing_jobs: Vec<u64>,
+    /// The incarnation of each worker.
+    incarnations: Vec<u64>,
     started_at: Instant,
     now_ms: u64,
     uncommitted: Option<Seq>,
@@ -98,6 +102,8 @@
             hanging_classes: Vec::new(),
             used_beside: vec![Size::ZERO; workers],
             failing_jobs: Vec::new(),
+            crashing_jobs: Vec::new(),
+            incarnations: vec![1; workers],
             started_at,
             now_ms: 0,
             uncommitted: None,
@@ -197,7 +203,19 @@
         }
     }
 
+    /// Restarts a worker, which then runs nothing.
+    pub(crate) fn crash(&mut self, index: usize) {
+        self.workers[index].clear();
+        self.incarnations[index] += 1;
+    }
+
     fn execute(&mut self, index: usize, command: &TaskCommand) {
+        if let TaskCommand::Start { number, .. } = command {
+            if self.crashing_jobs.contains(number) {
+                self.crash(index);
+                return;
+            }
+        }
         let tasks = &mut self.workers[index];
         match command {
             TaskCommand::Start {
@@ -261,7 +279,7 @@
             checkpoint: None,
         };
         SyncAnswer {
-            incarnation: 1,
+            incarnation: self.incarnations[index],
             nonce: self.now_ms + 1,
             tasks: tasks.iter().map(report).collect(),
             used,
