fix(route): a request that breaks off is sent to three endpoints at most

After the third attempt that broke off the caller is told that it may have run. Attempts that never connected, were refused or timed out are retried as before.

--- a/crates/persimmon-route/src/router.rs
+++ b/crates/persimmon-route/src/router.rs
@@ -59,6 +59,9 @@
 /// that it is probed, since its process may have been restarted.
 const ANNOUNCED_LEAVE_MAX: Duration = Duration::from_secs(30);
 
+/// Number of attempts after which a request that broke off is not sent to another endpoint.
+const INCOMPLETE_ATTEMPTS_MAX: u32 = 3;
+
 /// An endpoint's cost is multiplied by 1 plus this factor if every attempt on it fails, and by
 /// proportionally less if only some do.
 const FAILURE_COST_FACTOR: u32 = 100;
@@ -492,13 +495,19 @@
     fn verdict(&mut self, request: &Request, outcome: Outcome, now: Instant) -> Verdict {
         // Only a connection that was never established proves that no byte was sent.
         let unsent = outcome == Outcome::NotConnected;
-        let nothing_sent_before = self.attempts.get(&request.id).copied().unwrap_or(0) <= 1;
+        let attempts = self.attempts.get(&request.id).copied().unwrap_or(0);
+        let nothing_sent_before = attempts <= 1;
         let final_verdict = if unsent && nothing_sent_before {
             Verdict::NotRun
         } else {
             Verdict::Unknown
         };
-        let is_retryable = !matches!(outcome, Outcome::Answered | Outcome::Abandoned);
+        let is_retryable = match outcome {
+            Outcome::Answered | Outcome::Abandoned => false,
+            // The request may crash each endpoint that runs it.
+            Outcome::Incomplete => attempts < INCOMPLETE_ATTEMPTS_MAX,
+            Outcome::Refused { .. } | Outcome::NotConnected | Outcome::TimedOut => true,
+        };
         let safe_to_resend = request.idempotent || unsent;
         let in_time = now + self.latency < request.deadline;
         if is_retryable && safe_to_resend && in_time && self.budget.try_withdraw() {
--- a/crates/persimmon-route/tests/all/router.rs
+++ b/crates/persimmon-route/tests/all/router.rs
@@ -249,3 +249,28 @@
         "{failed} of 2000 requests were sent to endpoints that always fail"
     );
 }
+
+/// Each endpoint that it is sent to crashes and is replaced.
+#[test]
+fn router_does_not_send_a_request_that_breaks_off_to_endpoint_after_endpoint() {
+    let (mut router, now) = (router(&["a"]), Instant::now());
+    for number in 100..400 {
+        let Decision::Send(key) = router.route(request(number, now), now) else {
+            panic!("not sent")
+        };
+        router.finish(&request(number, now), key, Outcome::Answered, MS, now);
+    }
+    let mut attempts = 0;
+    loop {
+        let endpoint = format!("b{attempts}");
+        router.set_endpoints(vec![spec(&endpoint, 4)]);
+        let Decision::Send(key) = router.route(request(1, now), now) else {
+            panic!("not sent")
+        };
+        attempts += 1;
+        if router.finish(&request(1, now), key, Outcome::Incomplete, MS, now) == Verdict::Unknown {
+            break;
+        }
+    }
+    assert!(attempts <= 3, "{attempts} attempts");
+}
