fix(sched): a clock reading out of range in a report does not overflow

What answers at the address of an odd entry need not be a runner. A clock reading near the largest number overflowed when the lease's deadline was worked out: a panic with overflow checks, a wrong deadline without. report_with_numbers_out_of_range_ends_nothing failed before (attempt to add with overflow).

--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -62,7 +62,8 @@
         let lease = &mut self.runner_mut(key).lease;
         let (clock_ms, at) = lease.clock_sample?;
         let elapsed_ms = now.saturating_duration_since(at).as_millis() as u64;
-        lease.deadline_ms = lease.deadline_ms.max(clock_ms + elapsed_ms + lease_ms);
+        let deadline_ms = clock_ms.saturating_add(elapsed_ms + lease_ms);
+        lease.deadline_ms = lease.deadline_ms.max(deadline_ms);
         Some(lease.deadline_ms)
     }
 
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -289,7 +289,7 @@
     /// deadlines up to `lease_term_max` after it.
     pub(crate) fn update_clock(&mut self, clock_ms: u64, lease_term_max: Duration, now: Instant) {
         if self.clock_sample.is_none() {
-            self.earlier_deadline_ms = clock_ms + lease_term_max.as_millis() as u64;
+            self.earlier_deadline_ms = clock_ms.saturating_add(lease_term_max.as_millis() as u64);
         }
         self.clock_sample = Some((clock_ms, now));
     }
@@ -311,8 +311,8 @@
         };
         let expires_at = |deadline_ms: u64| {
             let left_ms = deadline_ms.saturating_sub(clock_ms);
-            let drift_ms = left_ms * CLOCK_DRIFT_PERMILLE / 1_000;
-            at + Duration::from_millis(left_ms + drift_ms) + LEASE_EXPIRY_MARGIN
+            let drift_ms = left_ms.saturating_mul(CLOCK_DRIFT_PERMILLE) / 1_000;
+            at + Duration::from_millis(left_ms.saturating_add(drift_ms)) + LEASE_EXPIRY_MARGIN
         };
         let earlier = expires_at(self.earlier_deadline_ms).min(self.unknown_leases_until);
         expires_at(self.deadline_ms).max(earlier)
--- a/crates/persimmon-sched/tests/all/full_reports.rs
+++ b/crates/persimmon-sched/tests/all/full_reports.rs
@@ -119,3 +119,19 @@
     }
     assert_eq!(harness.engine.acknowledged("a"), ENDS_MAX - 1);
 }
+
+/// Something else than a runner may answer at an address.
+#[test]
+fn report_with_numbers_out_of_range_ends_nothing() {
+    let mut harness = TestEngine::with_runners(&["a"], 8_000);
+    for clock_ms in [0, u64::MAX, 1, u64::MAX - 1] {
+        let mut report = report(clock_ms, vec![listed(task(7, 9, 9), u32::MAX)]);
+        report.incarnation_ms = clock_ms;
+        let now = harness.now;
+        harness.engine.handle_report("a", &report, now, now);
+        harness.engine.lease_deadline_ms("a", now);
+        harness.advance(20_000);
+        harness.miss_report("a");
+        harness.round();
+    }
+}
