--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -219,11 +219,11 @@
     /// Highest sequence number of an ended run that is committed.
     pub(crate) acknowledged: u64,
     pub(crate) backoff: Backoff,
-    /// Runs of tasks that may crash the runner, while they are new.
-    pub(crate) suspected_runs: Vec<(TaskId, u32)>,
     /// Whether another runner has taken its address.
     pub(crate) is_replaced: bool,
-    /// Whether one of them is of a task that was the only possible cause of a crash. No other run is
+    /// Runs of tasks that may crash the runner, while they are new.
+    pub(crate) suspected_runs: Vec<(TaskId, u32)>,
+    /// Whether one of [`Self::suspected_runs`] is of a task that was the only possible cause of a crash. No other run is
     /// placed beside it, so that none is lost or suspected with it.
     pub(crate) has_sole_suspect: bool,
     /// Runs that were new when the runner was last heard, if its runs were given up since, or an
