test(relay): each simulated runner has its own address

owners:: failed since a report from the address of an earlier runner proves that this one has ended ("runs twice"): its fixture gave all workers one address, which no two runners of the platform have at a time. No check is changed.

--- a/crates/persimmon-relay/tests/all/owners/worker.rs
+++ b/crates/persimmon-relay/tests/all/owners/worker.rs
@@ -59,7 +59,7 @@
     pub(super) fn info(&self) -> RunnerInfo {
         RunnerInfo {
             id: self.id.clone(),
-            address: "10.0.0.1:80".to_owned(),
+            address: format!("{}:80", self.id),
             data_centre: String::new(),
             service: SERVICE.to_owned(),
             state: self.state,
--- a/crates/persimmon-relay/tests/all/support.rs
+++ b/crates/persimmon-relay/tests/all/support.rs
@@ -18,7 +18,7 @@
 pub(crate) fn address(id: &str) -> RunnerAddress {
     RunnerAddress {
         id: id.to_owned(),
-        address: "10.0.0.1:80".to_owned(),
+        address: format!("{id}:80"),
     }
 }
 
