--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -223,8 +223,8 @@
     pub(crate) is_replaced: bool,
     /// Runs of tasks that may crash the runner, while they are new.
     pub(crate) suspected_runs: Vec<(TaskId, u32)>,
-    /// Whether one of [`Self::suspected_runs`] is of a task that was the only possible cause of a crash. No other run is
-    /// placed beside it, so that none is lost or suspected with it.
+    /// Whether one of [`Self::suspected_runs`] is of a task that was the only possible cause of a
+    /// crash. No other run is placed beside it, so that none is lost or suspected with it.
     pub(crate) has_sole_suspect: bool,
     /// Runs that were new when the runner was last heard, if its runs were given up since, or an
     /// earlier owner found it silent.
--- a/crates/persimmon-shard/src/core/sync.rs
+++ b/crates/persimmon-shard/src/core/sync.rs
@@ -391,7 +391,7 @@
             self.resolve_lost_attempt(number, now_unix_ms);
             return;
         };
-        let event = if job.failures + 1 >= job.attempts_max {
+        let event = if job.failures + 1 >= job.attempts_max.max(CRASHES_MIN) {
             JobEvent::Fail
         } else {
             JobEvent::Lose
@@ -420,6 +420,8 @@
     }
 }
 
+/// A job is not given up for fewer lost attempts: its worker may have restarted by itself.
+const CRASHES_MIN: u32 = 2;
 /// An attempt counts as new for this time after its placement, which the calls to the worker take part
 /// of.
 const NEW_ATTEMPT_AGE_MAX_MS: u64 = 2_000;
--- a/crates/persimmon-shard/tests/all/crashes.rs
+++ b/crates/persimmon-shard/tests/all/crashes.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{class, Shard};
 use persimmon_shard::JobState;
+use persimmon_ticket::BatchClass;
 use std::time::Duration;
 
 const RUN_TIME: Duration = Duration::from_secs(5);
@@ -31,6 +32,21 @@
     }
 }
 
+/// Its class allows a single attempt, and the worker restarts by itself.
+#[test]
+fn job_is_not_given_up_for_a_single_crash() {
+    let mut shard = Shard::new(2);
+    let class = BatchClass {
+        attempts_max: 1,
+        ..class("once", 1_000, RUN_TIME)
+    };
+    let number = shard.submit(class, DEADLINE);
+    shard.run_for(Duration::from_millis(500));
+    shard.crash(shard.worker_of(number));
+    shard.run_for(RUN_TIME * 3);
+    assert_eq!(shard.state(number), JobState::Done);
+}
+
 #[test]
 fn job_whose_workers_restart_later_is_not_given_up() {
     let mut shard = Shard::new(2);
