--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -210,14 +210,14 @@
         self.note_silence(key);
         let runner = self.runner_mut(key);
         runner.backoff.report_missed(runner.last_report_at, now);
-        self.log_backoff(key);
+        self.log_backoff(key, now);
     }
 
     /// Counts a start that a runner refused or did not answer.
     pub(crate) fn back_off_runner(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner_mut(key);
         runner.backoff.start_failed(runner.last_report_at, now);
-        self.log_backoff(key);
+        self.log_backoff(key, now);
     }
 
     /// Keeps tasks that demand at least as much as this run off a runner that refused it for lack of
@@ -241,7 +241,7 @@
     pub(crate) fn count_failed_run(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner_mut(key);
         runner.backoff.run_failed(runner.last_report_at, now);
-        self.log_backoff(key);
+        self.log_backoff(key, now);
     }
 
     /// Forgets the failed starts of a runner on which a long-running task has been stable since.
@@ -263,13 +263,18 @@
         }
     }
 
-    fn log_backoff(&self, key: RunnerKey) {
+    fn log_backoff(&self, key: RunnerKey, now: Instant) {
         let runner = self.runner(key);
-        log::debug!(
-            "event=runner.backoff runner={} missed_reports={} failed_starts={}",
+        let backoff = &runner.backoff;
+        let left = backoff.until.map(|it| it.saturating_duration_since(now));
+        log::info!(
+            "event=runner.backoff runner={} missed_reports={} failed_starts={} left_ms={} \
+             probation={}",
             runner.info.id,
-            runner.backoff.missed_reports.count,
-            runner.backoff.failed_starts.count
+            backoff.missed_reports.count,
+            backoff.failed_starts.count,
+            left.unwrap_or_default().as_millis(),
+            backoff.probation_since(now).is_some()
         );
     }
 }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -220,6 +220,12 @@
             }
             EndKind::Done | EndKind::Failed | EndKind::Cut | EndKind::Lapsed => {
                 if end.kind == EndKind::Failed {
+                    log::info!(
+                        "event=run.fail task={id} run={} runner={} age_ms={:?} long_running=true",
+                        end.run,
+                        self.runner(key).info.id,
+                        began_at.map(|at| now.saturating_duration_since(at).as_millis())
+                    );
                     self.avoid_runner(id, end.run, key);
                     self.count_failed_run(key, now);
                 }
