fix(sched): a job whose runs fail everywhere does not back off its runners

Cause: each failed run counted against its runner, whatever else was known of the job. avoid_runner leads a failed task to the next runner, so six tasks kept all eight at 9 failures and backoffs of 5.4 s, and the one place that probation gives afterwards went to the failing task again (Urgency::Restart).

A failure is now put down to the job if its task, or half of the started tasks of its step, failed on three runners (two where no more could take it) without a sound run in between, and if fewer other jobs fail on the runner. Runners that only this job held against are then cleared. Refused and unanswered starts are treated alike. A job at fault is restarted with a backoff of its own, of up to 3 s: a long-running task counts as lost 9 s after its last run. A runner that fails all it starts is backed off from as before, also if its first runs are of one job, and beside a failing job.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -1,7 +1,7 @@
 //! Failures of a runner, and how long it is given no new tasks because of them.
 
-use super::{Engine, Stage};
-use crate::{fleet::RunnerKey, StepSpec, TaskId};
+use super::{failure::Failed, Engine, Stage};
+use crate::{fleet::RunnerKey, JobId, StepSpec, TaskId};
 use persimmon_types::Size;
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,8 @@
 const MISSED_REPORT_BACKOFF_MAX: Duration = Duration::from_secs(4);
 /// Number of failures that leads to [`BACKOFF_MAX`]; no more are remembered.
 const FAILURES_MAX: u32 = (BACKOFF_MAX.as_millis() / BACKOFF_STEP.as_millis()) as u32;
+/// Most jobs remembered of which runs or starts failed on a runner.
+const FAILED_JOBS_MAX: usize = 16;
 /// Failures before a failed run takes a runner out of placement; a single one may be the job's own
 /// fault.
 const FAILURES_BEFORE_BACKOFF: u32 = 2;
@@ -26,7 +28,7 @@
 /// all it starts return sooner than after [`BACKOFF_MAX`].
 const FAILED_START_MEMORY: Duration = BACKOFF_MAX;
 /// Run time after which a long-running task counts as a run that succeeded.
-const STABLE_RUN_TIME: Duration = BACKOFF_MAX;
+pub(super) const STABLE_RUN_TIME: Duration = BACKOFF_MAX;
 
 /// Decides when a runner may be given new tasks.
 #[derive(Debug, Default)]
@@ -37,7 +39,12 @@
     failed_starts: Failures,
     /// Until when failed starts may be of those that were ordered before the last one that counted.
     failed_starts_until: Option<Instant>,
-    until: Option<Instant>,
+    /// The jobs that the failed runs and starts were of.
+    failed_jobs: Vec<JobId>,
+    /// Until when it is backed off from because of missed reports.
+    silent_until: Option<Instant>,
+    /// Until when it is backed off from because of failed runs and starts.
+    failing_until: Option<Instant>,
     probation: Option<Probation>,
     lack_of_room: LackOfRoom,
 }
@@ -68,7 +75,11 @@
 impl Backoff {
     /// Returns whether the runner may be given new tasks.
     pub(crate) fn is_over(&self, now: Instant) -> bool {
-        self.until.is_none_or(|until| now >= until)
+        self.until().is_none_or(|until| now >= until)
+    }
+
+    fn until(&self) -> Option<Instant> {
+        self.silent_until.max(self.failing_until)
     }
 
     /// Handles a report request without an answer; the last answered one was at `answered_at`.
@@ -76,32 +87,63 @@
         self.missed_reports
             .forget(MISSED_REPORT_MEMORY, answered_at);
         let wait = self.missed_reports.add(now).min(MISSED_REPORT_BACKOFF_MAX);
-        self.extend(now + wait);
+        self.silent_until = self.silent_until.max(Some(now + wait));
     }
 
-    /// Handles a start that was refused or not answered.
-    pub(crate) fn start_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
+    /// Handles a start of this job that was refused or not answered.
+    fn start_failed(&mut self, job: JobId, answered_at: Option<Instant>, now: Instant) {
+        self.add_failed_job(job, answered_at);
         // Starts that were on their way together count once.
         if self.failed_starts_until.is_some_and(|until| now < until) {
             return;
         }
-        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
         let wait = self.failed_starts.add(now);
         self.failed_starts_until = Some(now + wait);
-        self.extend(now + wait);
+        self.extend_failing(now + wait);
         self.set_probation(wait, now);
     }
 
-    /// Handles a run that failed.
-    fn run_failed(&mut self, answered_at: Option<Instant>, now: Instant) {
-        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
+    /// Handles a run of this job that failed.
+    fn run_failed(&mut self, job: JobId, answered_at: Option<Instant>, now: Instant) {
+        self.add_failed_job(job, answered_at);
         let wait = self.failed_starts.add(now);
         if self.failed_starts.count >= FAILURES_BEFORE_BACKOFF {
-            self.extend(now + wait);
+            self.extend_failing(now + wait);
         }
         self.set_probation(wait, now);
     }
 
+    fn add_failed_job(&mut self, job: JobId, answered_at: Option<Instant>) {
+        self.forget_failed_starts(answered_at);
+        if self.failed_jobs.len() < FAILED_JOBS_MAX && !self.failed_jobs.contains(&job) {
+            self.failed_jobs.push(job);
+        }
+    }
+
+    /// Number of other jobs of which runs or starts failed on the runner.
+    pub(super) fn other_failed_jobs(&mut self, job: JobId, answered_at: Option<Instant>) -> usize {
+        self.forget_failed_starts(answered_at);
+        self.failed_jobs.iter().filter(|&&it| it != job).count()
+    }
+
+    fn forget_failed_starts(&mut self, answered_at: Option<Instant>) {
+        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
+        if self.failed_starts.count == 0 {
+            self.failed_jobs.clear();
+        }
+    }
+
+    /// Handles that a job, and not the runner, is the cause of the job's failures.
+    pub(super) fn forget_job(&mut self, job: JobId) {
+        let failed_jobs = self.failed_jobs.len();
+        self.failed_jobs.retain(|&it| it != job);
+        if self.failed_jobs.is_empty() && failed_jobs > 0 {
+            self.run_succeeded();
+            self.failing_until = None;
+            self.failed_starts_until = None;
+        }
+    }
+
     /// Lets probation follow a backoff of this length, for as long, after many failures.
     fn set_probation(&mut self, backoff: Duration, now: Instant) {
         if self.failed_starts.count >= FAILURES_BEFORE_PROBATION {
@@ -128,6 +170,7 @@
     /// Handles a run that succeeded.
     pub(crate) fn run_succeeded(&mut self) {
         self.failed_starts.count = 0;
+        self.failed_jobs.clear();
         self.probation = None;
     }
 
@@ -151,8 +194,8 @@
         self.lack_of_room.demands.clear();
     }
 
-    fn extend(&mut self, until: Instant) {
-        self.until = self.until.max(Some(until));
+    fn extend_failing(&mut self, until: Instant) {
+        self.failing_until = self.failing_until.max(Some(until));
     }
 }
 
@@ -213,10 +256,20 @@
         self.log_backoff(key, now);
     }
 
-    /// Counts a start that a runner refused or did not answer.
-    pub(crate) fn back_off_runner(&mut self, key: RunnerKey, now: Instant) {
+    /// Counts a run or a start of a job that failed on a runner.
+    pub(super) fn back_off_runner(
+        &mut self,
+        key: RunnerKey,
+        job: JobId,
+        failed: Failed,
+        now: Instant,
+    ) {
         let runner = self.runner_mut(key);
-        runner.backoff.start_failed(runner.last_report_at, now);
+        let answered_at = runner.last_report_at;
+        match failed {
+            Failed::Run => runner.backoff.run_failed(job, answered_at, now),
+            Failed::Start => runner.backoff.start_failed(job, answered_at, now),
+        }
         self.log_backoff(key, now);
     }
 
@@ -237,13 +290,6 @@
         );
     }
 
-    /// Counts a run that failed on a runner.
-    pub(crate) fn count_failed_run(&mut self, key: RunnerKey, now: Instant) {
-        let runner = self.runner_mut(key);
-        runner.backoff.run_failed(runner.last_report_at, now);
-        self.log_backoff(key, now);
-    }
-
     /// Forgets the failed starts of a runner on which a long-running task has been stable since.
     pub(crate) fn credit_stable_runs(&mut self, key: RunnerKey, now: Instant) {
         let runner = self.runner(key);
@@ -266,7 +312,7 @@
     fn log_backoff(&self, key: RunnerKey, now: Instant) {
         let runner = self.runner(key);
         let backoff = &runner.backoff;
-        let left = backoff.until.map(|it| it.saturating_duration_since(now));
+        let left = backoff.until().map(|it| it.saturating_duration_since(now));
         log::info!(
             "event=runner.backoff runner={} missed_reports={} failed_starts={} left_ms={} \
              probation={}",
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod dirty;
 mod durations;
+mod failure;
 mod infeasible;
 mod interference;
 mod job;
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -558,7 +558,7 @@
         let step = &job.spec.steps[usize::from(id.step)];
         let rack = self.preferred_rack(step, siblings);
         let task = self.task(id)?;
-        let (failed_on, is_suspected) = (task.failed_on, task.is_suspected());
+        let is_suspected = task.is_suspected();
         let is_best_effort = claim.best_effort_cpu_millis > 0;
         let mut best: Option<(i64, RunnerKey)> = None;
         for (at, runner) in self.runners.iter().enumerate() {
@@ -578,7 +578,7 @@
                 continue;
             };
             let mut score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
-            if failed_on == Some(key) {
+            if task.failed_on == Some(key) || task.recent_failures.were_on(key) {
                 score -= FAILED_ON_PENALTY;
             }
             if !runner.suspected_runs.is_empty() {
@@ -649,7 +649,7 @@
 /// Score of the preferred rack: work on another takes several times as long.
 const RACK_WEIGHT: i64 = 1_000_000;
 
-/// Penalty on the score of the runner on which the task failed last: a task fails its job after a few
+/// Penalty on the score of a runner on which the task has failed: a task fails its job after a few
 /// failures, so any other runner is better.
 const FAILED_ON_PENALTY: i64 = 1_000_000_000;
 
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -1,4 +1,4 @@
-use super::{Engine, Stage, State};
+use super::{backoff::STABLE_RUN_TIME, failure::Failed, Engine, Stage, State};
 use crate::{
     fleet::{PendingEnd, RunnerKey, KEPT_BACK_ENDS_MAX, NEVER_COMMITTED},
     Answer, End, EndKind, Phase, Report, RunStatus, TaskId,
@@ -189,6 +189,7 @@
         task.note_checkpoint(&end.checkpoint);
         match end.kind {
             EndKind::Done if !long_running => {
+                task.recent_failures.clear();
                 self.set_state(id, State::Done);
                 // One such end stands for the whole gang.
                 for member in self.other_members(id, end.run) {
@@ -213,12 +214,16 @@
                 );
                 self.avoid_runner(id, end.run, key);
                 self.requeue(id, end.run, Some(now + FAILED_RUN_BACKOFF), now);
-                self.count_failed_run(key, now);
+                self.count_failure(key, (id, end.run), Failed::Run, now);
                 if attempts_exhausted && !self.is_final(id) {
                     self.finish(id.job, Phase::Failed, now);
                 }
             }
             EndKind::Done | EndKind::Failed | EndKind::Cut | EndKind::Lapsed => {
+                if began_at.is_some_and(|at| now >= at + STABLE_RUN_TIME) {
+                    task.recent_failures.clear();
+                }
+                let mut restart_at = None;
                 if end.kind == EndKind::Failed {
                     log::info!(
                         "event=run.fail task={id} run={} runner={} age_ms={:?} long_running=true",
@@ -227,9 +232,10 @@
                         began_at.map(|at| now.saturating_duration_since(at).as_millis())
                     );
                     self.avoid_runner(id, end.run, key);
-                    self.count_failed_run(key, now);
+                    let cause = self.count_failure(key, (id, end.run), Failed::Run, now);
+                    restart_at = self.restart_at(id, cause, now);
                 }
-                self.requeue(id, end.run, None, now);
+                self.requeue(id, end.run, restart_at, now);
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/start.rs
+++ b/crates/persimmon-sched/src/engine/start.rs
@@ -1,4 +1,7 @@
-use super::{Answer, Engine, Stage};
+use super::{
+    failure::{Cause, Failed},
+    Answer, Engine, Stage,
+};
 use crate::{fleet::RunnerKey, TaskId};
 use std::time::{Duration, Instant};
 
@@ -43,7 +46,7 @@
             }
             Answer::Unknown => {
                 self.set_stage(id, Stage::unconfirmed(now));
-                self.back_off_runner(runner, now);
+                self.count_failure(runner, (id, run), Failed::Start, now);
             }
             Answer::Fenced => {
                 self.fenced = true;
@@ -51,10 +54,14 @@
             }
             Answer::Old | Answer::Room | Answer::Refused | Answer::NotSent | Answer::Withheld => {
                 // A late answer says nothing new: the start has been counted or was stopped.
-                if matches!(stage, Stage::Ordered { .. }) {
-                    self.count_refused_start(runner, (id, run), answer, now);
-                }
-                self.requeue(id, run, Some(now + REFUSED_START_BACKOFF), now);
+                let cause = if matches!(stage, Stage::Ordered { .. }) {
+                    self.count_refused_start(runner, (id, run), answer, now)
+                } else {
+                    Cause::Runner
+                };
+                let restart_at = self.restart_at(id, cause, now);
+                let not_before = restart_at.max(Some(now + REFUSED_START_BACKOFF));
+                self.requeue(id, run, not_before, now);
                 self.settle_late_end(id, now);
             }
         }
@@ -83,13 +90,14 @@
         run: (TaskId, u32),
         answer: Answer,
         now: Instant,
-    ) {
+    ) -> Cause {
         match answer {
             Answer::Room => self.note_lack_of_room(runner, run, now),
             Answer::NotSent => self.count_missed_report(runner, now),
             Answer::Withheld => {}
-            _ => self.back_off_runner(runner, now),
+            _ => return self.count_failure(runner, run, Failed::Start, now),
         }
+        Cause::Runner
     }
 
     /// Records that a task of a job has run.
@@ -135,7 +143,7 @@
                     self.runner(runner).info.id
                 );
                 self.set_stage(id, Stage::unconfirmed(now));
-                self.back_off_runner(runner, now);
+                self.count_failure(runner, (id, run), Failed::Start, now);
             }
         }
     }
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -1,6 +1,6 @@
 //! The state of a task, and all that follows from it.
 
-use super::{Engine, Job, Stage, State};
+use super::{failure::RecentFailures, Engine, Job, Stage, State};
 use crate::{
     fleet::{Claim, RunnerKey},
     JobId, TaskId, TaskRecord,
@@ -22,8 +22,9 @@
     pub(crate) new_when_silent: Option<u32>,
     /// The last run that was given up because its runner was not heard in time.
     pub(crate) given_up_run: Option<u32>,
-    /// The runner on which its last failed run was.
+    /// The runner on which its last failed run, or that of its gang, was.
     pub(crate) failed_on: Option<RunnerKey>,
+    pub(crate) recent_failures: RecentFailures,
     pub(crate) checkpoint: String,
     /// How often its runs have been evicted since its latest checkpoint.
     pub(crate) unsaved_evictions: u32,
@@ -41,6 +42,7 @@
             new_when_silent: None,
             given_up_run: None,
             failed_on: None,
+            recent_failures: RecentFailures::default(),
             checkpoint: String::new(),
             unsaved_evictions: 0,
         }
