fix(sched): on few runners a failing job does not keep others from starting

Cause: where fewer than three runners could take a task, or several jobs fail on the same runners, nothing tells a failing job from a failing runner but other jobs, and these had no chance: the runners were backed off from for up to 6 s, and the one place after it went to the failing task, which is placed first.

Where no runner that could take a task is trusted, it may now be placed, one each second, on a runner that is backed off from because of a few other jobs, each of which failed there twice on average. If the run succeeds the backoff ends, and failures of the other jobs are put down to them until a run of theirs is sound. A demand of a job that is kept off a runner does not rule out equal demands of others any more. Trusted runners go first, so nothing changes where there is one.

Ruled out: failing tasks behind all others in the placement order. On a full deployment they would wait for ever.

--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -43,6 +43,7 @@
             attempts_max: queue.attempts_max.max(1),
             phase: Phase::Queued,
             has_run: false,
+            is_refuted: false,
             tasks: Vec::new(),
             version: 0,
             committed_version: 0,
--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -14,6 +14,11 @@
 const MISSED_REPORT_BACKOFF_MAX: Duration = Duration::from_secs(4);
 /// Number of failures that leads to [`BACKOFF_MAX`]; no more are remembered.
 const FAILURES_MAX: u32 = (BACKOFF_MAX.as_millis() / BACKOFF_STEP.as_millis()) as u32;
+/// Failures for each job that failed on a runner for which other jobs may try it before its backoff
+/// ends: if the runner were the cause, more jobs would have failed.
+const PROBE_FAILURES_PER_JOB: usize = 2;
+/// Interval between two such tasks while neither has ended.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Most jobs remembered of which runs or starts failed on a runner.
 const FAILED_JOBS_MAX: usize = 16;
 /// Failures before a failed run takes a runner out of placement; a single one may be the job's own
@@ -114,23 +119,38 @@
     }
 
     fn add_failed_job(&mut self, job: JobId, answered_at: Option<Instant>) {
-        self.forget_failed_starts(answered_at);
+        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
+        if self.failed_starts.count == 0 {
+            self.failed_jobs.clear();
+        }
         if self.failed_jobs.len() < FAILED_JOBS_MAX && !self.failed_jobs.contains(&job) {
             self.failed_jobs.push(job);
         }
     }
 
     /// Number of other jobs of which runs or starts failed on the runner.
-    pub(super) fn other_failed_jobs(&mut self, job: JobId, answered_at: Option<Instant>) -> usize {
-        self.forget_failed_starts(answered_at);
-        self.failed_jobs.iter().filter(|&&it| it != job).count()
+    pub(super) fn other_failed_jobs(&self, job: JobId, answered_at: Option<Instant>) -> usize {
+        let left = self.failed_starts.left(FAILED_START_MEMORY, answered_at);
+        let others = self.failed_jobs.iter().filter(|&&it| left > 0 && it != job);
+        others.count()
     }
 
-    fn forget_failed_starts(&mut self, answered_at: Option<Instant>) {
-        self.failed_starts.forget(FAILED_START_MEMORY, answered_at);
-        if self.failed_starts.count == 0 {
-            self.failed_jobs.clear();
+    /// Returns whether runs or starts of a job failed on the runner.
+    pub(super) fn has_failed(&self, job: JobId) -> bool {
+        self.failed_jobs.contains(&job)
+    }
+
+    /// Returns since when new tasks count towards the one with which another job may find out whether
+    /// the runner is the cause of its failures; `None` unless they are many of a few jobs.
+    pub(crate) fn probe_since(&self, job: JobId, now: Instant) -> Option<Instant> {
+        let is_silent = self.silent_until.is_some_and(|until| now < until);
+        let failures = self.failed_starts.count;
+        let is_by_few = failures as usize >= PROBE_FAILURES_PER_JOB * self.failed_jobs.len();
+        if is_silent || failures < FAILURES_BEFORE_PROBATION || !is_by_few || self.has_failed(job) {
+            return None;
         }
+        let last_at = self.failed_starts.last_at;
+        last_at.max(now.checked_sub(PROBE_INTERVAL))
     }
 
     /// Handles that a job, and not the runner, is the cause of the job's failures.
@@ -138,9 +158,8 @@
         let failed_jobs = self.failed_jobs.len();
         self.failed_jobs.retain(|&it| it != job);
         if self.failed_jobs.is_empty() && failed_jobs > 0 {
-            self.run_succeeded();
-            self.failing_until = None;
-            self.failed_starts_until = None;
+            self.end_failing();
+            self.forget_failures();
         }
     }
 
@@ -167,8 +186,27 @@
         now >= started_at + STABLE_RUN_TIME && last_at.is_some_and(|at| started_at > at)
     }
 
-    /// Handles a run that succeeded.
-    pub(crate) fn run_succeeded(&mut self) {
+    /// Handles the success of a run that began at this time, if known. If it began after the last
+    /// failure, the backoff ends, and the jobs that had failed are returned.
+    pub(super) fn run_succeeded(&mut self, began_at: Option<Instant>) -> Vec<JobId> {
+        let last_at = self.failed_starts.last_at;
+        let is_later = began_at.zip(last_at).is_some_and(|(at, last)| at >= last);
+        let failed_jobs = std::mem::take(&mut self.failed_jobs);
+        self.forget_failures();
+        if !is_later {
+            return Vec::new();
+        }
+        self.end_failing();
+        failed_jobs
+    }
+
+    /// Ends the backoff that follows failed runs and starts.
+    fn end_failing(&mut self) {
+        self.failing_until = None;
+        self.failed_starts_until = None;
+    }
+
+    fn forget_failures(&mut self) {
         self.failed_starts.count = 0;
         self.failed_jobs.clear();
         self.probation = None;
@@ -230,13 +268,18 @@
 
     /// Forgets one failure for each `memory` between the last one and `healthy_at`.
     fn forget(&mut self, memory: Duration, healthy_at: Option<Instant>) {
+        self.count = self.left(memory, healthy_at);
+    }
+
+    /// Number of failures that [`Self::forget`] leaves.
+    fn left(&self, memory: Duration, healthy_at: Option<Instant>) -> u32 {
         let (Some(last_at), Some(healthy_at)) = (self.last_at, healthy_at) else {
-            return;
+            return self.count;
         };
         let healthy = healthy_at.saturating_duration_since(last_at);
         let forgotten = healthy.as_millis() / memory.as_millis();
         let forgotten = u32::try_from(forgotten).unwrap_or(u32::MAX);
-        self.count = self.count.saturating_sub(forgotten);
+        self.count.saturating_sub(forgotten)
     }
 }
 
@@ -297,15 +340,16 @@
             return;
         }
         let is_long_running = |step: &StepSpec| step.long_running;
-        let is_stable = runner.claims.keys().any(|&(id, run)| {
+        let stable = runner.claims.keys().find_map(|&(id, run)| {
             let Some(Stage::Running(since)) = self.stage_on(key, id, run) else {
-                return false;
+                return None;
             };
-            runner.backoff.is_refuted_by(since, now)
-                && self.step_of(id).is_some_and(is_long_running)
+            let is_stable = runner.backoff.is_refuted_by(since, now)
+                && self.step_of(id).is_some_and(is_long_running);
+            is_stable.then_some((id, since))
         });
-        if is_stable {
-            self.runner_mut(key).backoff.run_succeeded();
+        if let Some((id, since)) = stable {
+            self.count_success(key, id, Some(since));
         }
     }
 
--- a/crates/persimmon-sched/src/engine/failure.rs
+++ b/crates/persimmon-sched/src/engine/failure.rs
@@ -1,7 +1,7 @@
 //! Failed runs and starts: whether the runner or the job is the cause, and what follows from it.
 
-use super::{backoff::STABLE_RUN_TIME, place::is_eligible, Engine, Stage, State, Task};
-use crate::{fleet::RunnerKey, TaskId};
+use super::{backoff::STABLE_RUN_TIME, place::could_take, Engine, Stage, State, Task};
+use crate::{fleet::RunnerKey, JobId, TaskId};
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
@@ -74,17 +74,19 @@
             task.recent_failures.add(key);
         }
         let failed_runners = self.failed_runners(id, now);
-        let runner = self.runner_mut(key);
+        let runner = self.runner(key);
         let answered_at = runner.last_report_at;
         let other_jobs = runner.backoff.other_failed_jobs(id.job, answered_at);
-        // What one job does to this runner, other jobs do as well if the runner is the cause.
-        let is_job = failed_runners.len() >= self.failed_runners_min(id)
-            && failed_runners.len() - 1 > other_jobs;
+        let is_refuted = self.jobs.get(&id.job).is_some_and(|job| job.is_refuted);
+        // If the runner is the cause, other jobs fail on it as well.
+        let is_job = (is_refuted && other_jobs == 0)
+            || (failed_runners.len() >= self.failed_runners_min(id)
+                && failed_runners.len() - 1 > other_jobs);
         let cause = if is_job { Cause::Job } else { Cause::Runner };
         log::info!(
             "event=failure.count task={id} run={run} runner={} failed={failed:?} cause={cause:?} \
              failed_runners={} other_jobs={other_jobs}",
-            self.runner(key).info.id,
+            runner.info.id,
             failed_runners.len()
         );
         match cause {
@@ -98,6 +100,20 @@
         cause
     }
 
+    /// Counts the success of a run of a task, which began at this time, for its runner. The jobs that
+    /// had failed there before are the cause of their failures.
+    pub(super) fn count_success(&mut self, key: RunnerKey, id: TaskId, began_at: Option<Instant>) {
+        let refuted = self.runner_mut(key).backoff.run_succeeded(began_at);
+        for job in refuted {
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.is_refuted = true;
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.is_refuted = false;
+        }
+    }
+
     /// When a task that failed by this cause may be placed again; `None` for at once.
     pub(super) fn restart_at(&self, id: TaskId, cause: Cause, now: Instant) -> Option<Instant> {
         let failures = self.task(id).map_or(0, |task| task.recent_failures.count);
@@ -125,19 +141,21 @@
         runners
     }
 
+    /// Returns whether a failure on any runner is put down to it and was of this job.
+    pub(super) fn has_failed_on_runners(&self, job: JobId) -> bool {
+        let mut runners = self.runners.iter();
+        runners.any(|runner| runner.backoff.has_failed(job))
+    }
+
     /// Number of runners on which a task must have failed for its job to count as the cause.
     fn failed_runners_min(&self, id: TaskId) -> usize {
         let Some((job, step)) = self.jobs.get(&id.job).zip(self.step_of(id)) else {
             return FAILED_RUNNERS_MIN;
         };
-        let could_take = self.runners.iter().filter(|runner| {
-            runner.info.service == job.service
-                && !runner.is_leaving()
-                && is_eligible(step, runner)
-                && step.claim().fits(runner.info.capacity)
-        });
-        let could_take = could_take.take(FAILED_RUNNERS_MIN).count();
-        could_take.max(FAILED_RUNNERS_MIN_OF_FEW)
+        let runners = self.runners.iter();
+        let able = runners.filter(|it| !it.is_leaving() && could_take(job, step, it));
+        let able = able.take(FAILED_RUNNERS_MIN).count();
+        able.max(FAILED_RUNNERS_MIN_OF_FEW)
     }
 }
 
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -22,6 +22,9 @@
     pub(crate) phase: Phase,
     /// Whether a task of the job is known to have run.
     pub(crate) has_run: bool,
+    /// Whether a job succeeded on a runner right after this one had failed there, and no run of this
+    /// one has been sound since.
+    pub(crate) is_refuted: bool,
     /// Tasks by occurrence, step and index.
     pub(crate) tasks: Vec<Vec<Step>>,
     /// Incremented by each change that must be committed to the store.
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -1,10 +1,10 @@
 use super::{
     infeasible::{Demand, InfeasibleDemands},
-    Engine, Rank, State, Task,
+    Engine, Job, Rank, State, Task,
 };
 use crate::{
     fleet::{Claim, Runner, RunnerKey, Trial},
-    Phase, StepSpec, TaskId,
+    JobId, Phase, StepSpec, TaskId,
 };
 use std::{
     collections::HashMap,
@@ -39,6 +39,16 @@
     Share,
 }
 
+/// How far a runner may be given tasks of a job; higher is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Trust {
+    /// Only if no runner that could take the task is trusted, and one task at a time: it is backed off
+    /// from because of a few other jobs, which may be the cause.
+    Probe,
+    /// All that fits.
+    Full,
+}
+
 /// What a placement pass has found so far.
 #[derive(Default)]
 pub(super) struct Pass {
@@ -205,7 +215,8 @@
                 });
             }
         }
-        if is_rejected && !is_ruled_out {
+        // A runner may be probed by other jobs.
+        if is_rejected && !is_ruled_out && !self.has_failed_on_runners(first.job) {
             pass.infeasible.insert(demand);
         }
         if placed > 0 {
@@ -560,14 +571,20 @@
         let task = self.task(id)?;
         let is_suspected = task.is_suspected();
         let is_best_effort = claim.best_effort_cpu_millis > 0;
-        let mut best: Option<(i64, RunnerKey)> = None;
+        let mut best: Option<(Trust, i64, RunnerKey)> = None;
+        let mut is_any_trusted = false;
         for (at, runner) in self.runners.iter().enumerate() {
             let key = RunnerKey(at as u32);
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
-            if runner.info.service != job.service
-                || runner.has_sole_suspect
+            if !could_take(job, step, runner) {
+                continue;
+            }
+            let Some(trust) = self.trust(runner, id.job, now) else {
+                continue;
+            };
+            is_any_trusted |= trust == Trust::Full;
+            if runner.has_sole_suspect
                 || (is_best_effort && self.is_kept_free(key, now))
-                || !self.is_schedulable(runner, now)
                 || !runner.backoff.admits(claim.size, now)
                 || !satisfies_constraints(step, runner, sibling_count)
             {
@@ -587,19 +604,32 @@
             if is_suspected {
                 score -= SUSPECT_NEIGHBOUR_PENALTY * runner.claims.len() as i64;
             }
-            if best.is_none_or(|(best_score, _)| score > best_score) {
-                best = Some((score, key));
+            if best.is_none_or(|it| (trust, score) > (it.0, it.1)) {
+                best = Some((trust, score, key));
             }
         }
-        best.map(|(_, key)| key)
+        let best = best.filter(|it| it.0 == Trust::Full || !is_any_trusted);
+        best.map(|(_, _, key)| key)
+    }
+
+    /// How far a runner may be given tasks of a job; `None` for not at all.
+    fn trust(&self, runner: &Runner, job: JobId, now: Instant) -> Option<Trust> {
+        if self.is_schedulable(runner, now) {
+            return Some(Trust::Full);
+        }
+        let may_probe = self.is_heard(runner, now) && runner.may_be_probed_by(job, now);
+        may_probe.then_some(Trust::Probe)
     }
 
     /// Returns whether a runner may be given new tasks.
     pub(super) fn is_schedulable(&self, runner: &Runner, now: Instant) -> bool {
+        self.is_heard(runner, now) && !runner.is_backed_off(now)
+    }
+
+    /// Returns whether a runner that does not leave has reported recently.
+    fn is_heard(&self, runner: &Runner, now: Instant) -> bool {
         let is_recent = |at: Instant| now < at + self.report_age_max();
-        !runner.is_leaving()
-            && runner.last_report_at.is_some_and(is_recent)
-            && !runner.is_backed_off(now)
+        !runner.is_leaving() && runner.last_report_at.is_some_and(is_recent)
     }
 
     /// Counts the placed tasks of the same step and occurrence, by runner.
@@ -634,6 +664,13 @@
     }
 }
 
+/// Returns whether an empty runner could take the tasks of a step.
+pub(super) fn could_take(job: &Job, step: &StepSpec, runner: &Runner) -> bool {
+    runner.info.service == job.service
+        && is_eligible(step, runner)
+        && step.claim().fits(runner.info.capacity)
+}
+
 /// Returns whether a runner has the label that a step requires.
 pub(super) fn is_eligible(step: &StepSpec, runner: &Runner) -> bool {
     let label = step.constraint.as_ref();
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -199,7 +199,7 @@
                     self.durations
                         .learn(&spec.queue, now.saturating_duration_since(at));
                 }
-                self.runner_mut(key).backoff.run_succeeded();
+                self.count_success(key, id, began_at);
                 self.advance(id, now);
             }
             EndKind::Failed if !long_running => {
@@ -222,6 +222,7 @@
             EndKind::Done | EndKind::Failed | EndKind::Cut | EndKind::Lapsed => {
                 if began_at.is_some_and(|at| now >= at + STABLE_RUN_TIME) {
                     task.recent_failures.clear();
+                    job.is_refuted = false;
                 }
                 let mut restart_at = None;
                 if end.kind == EndKind::Failed {
--- a/crates/persimmon-sched/src/engine/settled.rs
+++ b/crates/persimmon-sched/src/engine/settled.rs
@@ -25,6 +25,7 @@
             attempts_max: 1,
             phase,
             has_run: false,
+            is_refuted: false,
             tasks: Vec::new(),
             version: 0,
             committed_version: 0,
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -421,6 +421,12 @@
         !self.backoff.is_over(now) || self.backoff.probation_since(now).is_some_and(has_new_task)
     }
 
+    /// Returns whether a task of this job may find out if the runner is the cause of its failures.
+    pub(crate) fn may_be_probed_by(&self, job: JobId, now: Instant) -> bool {
+        let since = self.backoff.probe_since(job, now);
+        since.is_some_and(|since| self.claims.values().all(|claim| claim.placed_at < since))
+    }
+
     /// Returns whether the instance list says that the runner leaves or has left.
     pub(crate) fn is_leaving(&self) -> bool {
         !self.listed || self.info.state == RunnerState::Draining
--- a/crates/persimmon-sched/tests/all/failing_jobs.rs
+++ b/crates/persimmon-sched/tests/all/failing_jobs.rs
@@ -165,7 +165,11 @@
         }
         self.run(START_MAX_MS);
         let waiting = (first..first + 12).filter(|&it| self.starts_of(it).next().is_none());
-        assert_eq!(waiting.count(), 0, "of 12 jobs have not been started");
+        assert_eq!(
+            waiting.count(),
+            0,
+            "of 12 jobs from {first} on have not been started"
+        );
     }
 }
 
@@ -307,6 +311,27 @@
     fleet.check_batch_jobs_start(BATCH);
 }
 
+/// Without other runners nothing but other jobs tells whether the runner is at fault.
+#[test]
+fn failing_job_does_not_keep_others_from_starting_on_few_runners() {
+    for runner_count in [1, 2] {
+        for failing_jobs in [1, 2, 3, 5] {
+            let mut fleet = Fleet::new(runner_count, |task, _| match task.job {
+                JobId(it) if it < failing_jobs => Outcome::Ends(1_000, EndKind::Failed),
+                _ => sound(task),
+            });
+            println!("{failing_jobs} failing jobs, {runner_count} runners");
+            for number in 0..failing_jobs {
+                fleet.submit(job(number, vec![long_running(2)]));
+            }
+            fleet.run(20_000);
+            for first in [BATCH, BATCH + 100] {
+                fleet.check_batch_jobs_start(first);
+            }
+        }
+    }
+}
+
 #[test]
 fn failing_long_running_task_is_restarted_in_time_and_not_in_series() {
     let mut fleet = Fleet::new(8, |task, _| match task.job {
