fix(sched): the pass over tasks that may be the cause of failures is bounded

By reading: place_retries looked at every runner for each of its candidates; in a group with thousands of runners and many failing jobs it had no bound, as the other parts of a pass have.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -17,7 +17,7 @@
 /// Failures for each two jobs that failed on a runner from which on others may try it before its
 /// backoff ends: if the runner were the cause, more jobs would have failed.
 const PROBE_FAILURES_PER_TWO_JOBS: usize = 3;
-/// Interval between two such tasks while neither has ended.
+/// Interval between two such tasks while the first has not ended.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Most jobs remembered of which runs or starts failed on a runner.
 const FAILED_JOBS_MAX: usize = 16;
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -18,6 +18,8 @@
 /// thousands of runners and tasks would otherwise outlast the owner's session, and that of each owner
 /// after it.
 const RUNNER_CHECKS_MAX: usize = 600_000;
+/// Most runners looked at besides in a pass to place tasks that may be the cause of failures.
+const RETRY_RUNNER_CHECKS_MAX: usize = 100_000;
 /// Most runners looked at besides in a pass to place tasks on trial.
 const TRIAL_RUNNER_CHECKS_MAX: usize = 100_000;
 
@@ -129,6 +131,7 @@
         }
         let mut pass = Pass::default();
         self.place_in_order(&mut pass, wall_ms, now);
+        pass.choices_left = self.choices_max(RETRY_RUNNER_CHECKS_MAX);
         self.place_retries(&mut pass, now);
         pass.choices_left = self.choices_max(TRIAL_RUNNER_CHECKS_MAX);
         self.place_trials(&mut pass, now);
@@ -179,7 +182,14 @@
                 continue;
             };
             for id in self.ready_tasks(&candidate) {
-                if self.may_place(id, now) && !self.place(id, claim, Admission::Retry, now) {
+                if pass.choices_left == 0 {
+                    return;
+                }
+                if !self.may_place(id, now) {
+                    continue;
+                }
+                pass.choices_left -= 1;
+                if !self.place(id, claim, Admission::Retry, now) {
                     break;
                 }
             }
