test(sched): runners are cleared once a failing job is known to be the cause

Without the clearing (trial: failures put down to the job still count against the runner) all other tests of failing_jobs pass; this one fails, 16 of 48 tasks started in 1 s.

--- a/crates/persimmon-sched/tests/all/failing_jobs.rs
+++ b/crates/persimmon-sched/tests/all/failing_jobs.rs
@@ -312,6 +312,20 @@
     fleet.check_batch_jobs_start(BATCH);
 }
 
+/// The job fails a whole runner of tasks at a time; the next one needs three of the four runners.
+#[test]
+fn runners_are_not_backed_off_from_once_the_failing_job_is_known() {
+    let mut fleet = Fleet::new(4, |task, _| match task.job {
+        JobId(0) => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    fleet.submit(job(0, vec![long_running(16)]));
+    fleet.run(1_000);
+    fleet.submit(job(1, vec![long_running(48)]));
+    fleet.run(1_000);
+    assert_eq!(fleet.starts_of(1).count(), 48);
+}
+
 /// Without other runners nothing but other jobs tells whether the runner is at fault.
 #[test]
 fn failing_job_does_not_keep_others_from_starting_on_few_runners() {
