fix(sched): a few failing runners are not taken for a failing job

A job now counts as the cause only if it failed on more than half of the runners that could take it, six being enough however many there are, and if on none of these more other jobs failed than it failed on other runners. Before, three runners were enough, and other jobs counted on the last runner alone.

--- a/crates/persimmon-sched/src/engine/failure.rs
+++ b/crates/persimmon-sched/src/engine/failure.rs
@@ -7,10 +7,10 @@
     time::{Duration, Instant},
 };
 
-/// Runners on which a task must have failed for its job to count as the cause.
-const FAILED_RUNNERS_MIN: usize = 3;
-/// As [`FAILED_RUNNERS_MIN`], where no other runner could take the task.
-const FAILED_RUNNERS_MIN_OF_FEW: usize = 2;
+/// Fewest runners on which a task must have failed for its job to count as the cause.
+const FAILED_RUNNERS_LEAST: usize = 2;
+/// Number of such runners that is enough however many there are.
+const FAILED_RUNNERS_ENOUGH: usize = 6;
 /// Most runners remembered on which a task has failed.
 const FAILED_RUNNERS_MAX: usize = 16;
 /// Delay before a task that failed by its own fault is placed again, multiplied by its number of
@@ -78,19 +78,20 @@
             task.recent_failures.add(key);
         }
         let failed_runners = self.failed_runners(id, now);
-        let runner = self.runner(key);
-        let answered_at = runner.last_report_at;
-        let other_jobs = runner.backoff.other_failed_jobs(id.job, answered_at);
+        let other_jobs = failed_runners
+            .iter()
+            .map(|&it| self.other_failed_jobs(it, id));
+        let other_jobs = other_jobs.max().unwrap_or(0);
         let is_refuted = self.jobs.get(&id.job).is_some_and(|job| job.is_refuted);
-        // If the runner is the cause, other jobs fail on it as well.
-        let is_job = (is_refuted && other_jobs == 0)
+        // If a runner is the cause, other jobs fail on it as well.
+        let is_job = (is_refuted && self.other_failed_jobs(key, id) == 0)
             || (failed_runners.len() >= self.failed_runners_min(id)
                 && failed_runners.len() - 1 > other_jobs);
         let cause = if is_job { Cause::Job } else { Cause::Runner };
         log::info!(
             "event=failure.count task={id} run={run} runner={} failed={failed:?} cause={cause:?} \
              failed_runners={} other_jobs={other_jobs}",
-            runner.info.id,
+            self.runner(key).info.id,
             failed_runners.len()
         );
         match cause {
@@ -104,6 +105,13 @@
         cause
     }
 
+    /// Number of jobs other than that of a task of which runs or starts failed on a runner.
+    fn other_failed_jobs(&self, key: RunnerKey, id: TaskId) -> usize {
+        let runner = self.runner(key);
+        let answered_at = runner.last_report_at;
+        runner.backoff.other_failed_jobs(id.job, answered_at)
+    }
+
     /// Counts the success of a run of a task, which began at this time, for its runner. The jobs that
     /// had failed there before are the cause of their failures.
     pub(super) fn count_success(&mut self, key: RunnerKey, id: TaskId, began_at: Option<Instant>) {
@@ -153,28 +161,30 @@
             || runners.any(|runner| runner.backoff.keeps_off(id.job))
     }
 
-    /// Number of runners on which a task must have failed for its job to count as the cause.
+    /// Number of runners on which a task must have failed for its job to count as the cause: more than
+    /// half of those that could take it.
     fn failed_runners_min(&self, id: TaskId) -> usize {
         let Some((job, step)) = self.jobs.get(&id.job).zip(self.step_of(id)) else {
-            return FAILED_RUNNERS_MIN;
+            return FAILED_RUNNERS_ENOUGH;
         };
         let runners = self.runners.iter();
         let able = runners.filter(|it| !it.is_leaving() && could_take(job, step, it));
-        let able = able.take(FAILED_RUNNERS_MIN).count();
-        able.max(FAILED_RUNNERS_MIN_OF_FEW)
+        let able = able.take(2 * FAILED_RUNNERS_ENOUGH).count();
+        (able / 2 + 1).clamp(FAILED_RUNNERS_LEAST, FAILED_RUNNERS_ENOUGH)
     }
 }
 
 impl Task {
-    /// Returns whether the task has failed and not been at work for long since.
+    /// Returns whether the task has failed, and neither succeeded nor been at work for long since.
     fn is_failing(&self, now: Instant) -> bool {
-        let is_stable = match self.state() {
+        let is_sound = match self.state() {
             State::Placed {
                 stage: Stage::Running(since),
                 ..
             } => now >= since + STABLE_RUN_TIME,
-            State::Placed { .. } | State::Waiting { .. } | State::Done => false,
+            State::Done => true,
+            State::Placed { .. } | State::Waiting { .. } => false,
         };
-        self.recent_failures.has_any() && !is_stable
+        self.recent_failures.has_any() && !is_sound
     }
 }
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -189,7 +189,6 @@
         task.note_checkpoint(&end.checkpoint);
         match end.kind {
             EndKind::Done if !long_running => {
-                task.recent_failures.clear();
                 self.set_state(id, State::Done);
                 // One such end stands for the whole gang.
                 for member in self.other_members(id, end.run) {
--- a/crates/persimmon-sched/tests/all/failing_jobs.rs
+++ b/crates/persimmon-sched/tests/all/failing_jobs.rs
@@ -11,6 +11,8 @@
 const START_MAX_MS: u64 = 3_000;
 /// Time from the end of a run of a long-running task by which the next one must have been started.
 const RESTART_MAX_MS: u64 = 9_000;
+/// Longest time for which a failing runner is given no new task.
+const BACKOFF_MAX_MS: u64 = 6_000;
 /// Processor time of a runner, in thousandths of a core.
 const CPU_MILLIS: u32 = 16_000;
 /// Run time of the tasks that succeed.
@@ -326,6 +328,155 @@
     assert_eq!(fleet.starts_of(1).count(), 48);
 }
 
+/// Each task is on a runner of its own, so none has failed on three of them.
+#[test]
+fn failing_job_is_known_once_half_of_its_tasks_have_failed() {
+    let mut fleet = Fleet::new(8, |task, _| match task.job {
+        JobId(0) => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    let spread = StepSpec {
+        per_runner_max: 1,
+        ..long_running(8)
+    };
+    fleet.submit(job(0, vec![spread]));
+    fleet.run(400);
+    fleet.submit(job(1, vec![long_running(8 * 15)]));
+    fleet.run(400);
+    assert_eq!(fleet.starts_of(1).count(), 8 * 15);
+}
+
+#[test]
+fn failing_job_is_known_on_two_runners_where_there_are_no_more() {
+    let mut fleet = Fleet::new(2, |task, _| match task.job {
+        JobId(0) => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    fleet.submit(job(0, vec![long_running(8)]));
+    fleet.run(1_000);
+    fleet.submit(job(1, vec![long_running(24)]));
+    fleet.run(400);
+    assert_eq!(fleet.starts_of(1).count(), 24);
+}
+
+/// Starts within a second of a second job of 16 tasks, on runners that fail all, after the tasks of
+/// a first job have failed there.
+fn starts_on_failing_runners(failing_runners: &[&str], first_jobs: u64) -> usize {
+    let mut fleet = Fleet::new(8, |task, runner| {
+        if failing_runners.contains(&runner) {
+            return Outcome::Ends(100, EndKind::Failed);
+        }
+        sound(task)
+    });
+    for number in 0..first_jobs {
+        fleet.submit(job(number, vec![long_running(4)]));
+        fleet.run(100);
+    }
+    fleet.run(1_000);
+    let since_ms = fleet.now_ms();
+    fleet.submit(job(100, vec![long_running(16)]));
+    fleet.run(1_000);
+    let late = fleet.starts.iter().filter(|it| it.at_ms > since_ms);
+    late.filter(|it| failing_runners.contains(&it.runner.as_str()))
+        .count()
+}
+
+#[test]
+fn two_failing_runners_are_not_taken_for_a_failing_job() {
+    assert_eq!(starts_on_failing_runners(&["w0", "w1"], 1), 0);
+}
+
+/// Each job fails on three runners, as others do.
+#[test]
+fn several_failing_runners_are_not_taken_for_failing_jobs() {
+    assert_eq!(starts_on_failing_runners(&["w0", "w1", "w2", "w3"], 6), 0);
+}
+
+/// Twelve jobs fail on one after the other of three runners of four.
+#[test]
+fn jobs_that_fail_on_the_same_runners_are_not_taken_for_failing_jobs() {
+    let mut fleet = Fleet::new(4, |task, runner| match runner {
+        "w0" | "w1" | "w2" => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    for number in BATCH..BATCH + 12 {
+        fleet.submit(job(number, vec![step(1)]));
+    }
+    fleet.run(1_000);
+    fleet.starts.clear();
+    fleet.submit(job(0, vec![long_running(16)]));
+    fleet.run(1_000);
+    let runners = fleet.starts.iter().map(|it| it.runner.as_str());
+    assert_eq!(runners.collect::<Vec<_>>(), ["w3"; 16]);
+}
+
+/// The two failing runners fit best.
+#[test]
+fn task_does_not_return_to_runners_on_which_it_failed() {
+    let mut fleet = Fleet::new(3, |task, runner| match runner {
+        "w0" | "w1" => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    fleet.submit(job(0, vec![step(1)]));
+    fleet.run(1_000);
+    let runners: Vec<_> = fleet.starts_of(0).map(|it| it.runner.as_str()).collect();
+    assert_eq!(runners, ["w0", "w1", "w2"]);
+}
+
+/// The sound runner is full.
+#[test]
+fn failing_runner_is_not_probed_beside_a_sound_one() {
+    let mut fleet = Fleet::new(2, |task, runner| match runner {
+        "w0" => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    fleet.submit(job(0, vec![long_running(16)]));
+    fleet.run(1_000);
+    fleet.starts.clear();
+    for number in BATCH..BATCH + 12 {
+        fleet.submit(job(number, vec![step(1)]));
+    }
+    fleet.run(START_MAX_MS);
+    let starts = fleet.starts.iter().map(|it| it.runner.as_str());
+    assert_eq!(starts.collect::<Vec<_>>(), [""; 0]);
+}
+
+/// It fails on four runners, stays for long on the fifth, and fails there once.
+#[test]
+fn task_that_was_at_work_for_long_restarts_at_once() {
+    let runs = Cell::new(0);
+    let mut fleet = Fleet::new(8, |_, _| {
+        runs.set(runs.get() + 1);
+        match runs.get() {
+            1..=4 => Outcome::Ends(100, EndKind::Failed),
+            5 => Outcome::Ends(10_000, EndKind::Failed),
+            _ => Outcome::Lasts,
+        }
+    });
+    fleet.submit(job(0, vec![long_running(1)]));
+    fleet.run(11_000);
+    assert_eq!(runs.get(), 6);
+}
+
+/// So many jobs fail on the only runner that it looks like the cause. Once another job succeeded
+/// there, it does not any more.
+#[test]
+fn many_failing_jobs_on_a_runner_keep_others_waiting_for_a_backoff_at_most() {
+    let mut fleet = Fleet::new(1, |task, _| match task.job {
+        JobId(it) if it < 8 => Outcome::Ends(100, EndKind::Failed),
+        _ => sound(task),
+    });
+    for number in 0..8 {
+        fleet.submit(job(number, vec![long_running(1)]));
+    }
+    fleet.run(20_000);
+    fleet.submit(job(BATCH, vec![step(1)]));
+    fleet.run(BACKOFF_MAX_MS + RUN_MS);
+    assert_eq!(fleet.starts_of(BATCH).count(), 1);
+    fleet.run(20_000);
+    fleet.check_batch_jobs_start(BATCH + 100);
+}
+
 /// Without other runners nothing but other jobs tells whether the runner is at fault.
 #[test]
 fn failing_job_does_not_keep_others_from_starting_on_few_runners() {
