fix(sched): full runners do not keep others from being probed

The job can't fail on more than half of the runners, and the full ones, which are trusted, prevented probes, so the first backoff had to end.

A runner is now probed by a task that fits on no trusted one if at most half of those that could take it are trusted. A failing runner among three of which the sound ones are full is not probed; that test had two runners, where now one may be. Tests: failing_job_does_not_keep_others_from_starting_beside_full_ runners failed before; failing_jobs:: 27 pass.

--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -47,8 +47,8 @@
 /// How far a runner may be given a task; higher is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Trust {
-    /// Only if no runner that could take the task is trusted, and one task at a time: it is backed off
-    /// from because of a few other jobs, which may be the cause.
+    /// One task at a time, if it fits nowhere else and at most half of the runners that could take it
+    /// are trusted: this one is backed off from because of a few other jobs, which may be the cause.
     Probe,
     /// All that fits.
     Full,
@@ -607,17 +607,18 @@
         let is_suspected = task.is_suspected();
         let is_best_effort = claim.best_effort_cpu_millis > 0;
         let mut best: Option<(Trust, i64, RunnerKey)> = None;
-        let mut is_any_trusted = false;
+        let (mut able, mut trusted) = (0, 0);
         for (at, runner) in self.runners.iter().enumerate() {
             let key = RunnerKey(at as u32);
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
             if !could_take(job, step, runner) {
                 continue;
             }
+            able += 1;
             let Some(trust) = self.trust(runner, (id, task), admission, now) else {
                 continue;
             };
-            is_any_trusted |= trust == Trust::Full;
+            trusted += usize::from(trust == Trust::Full);
             if runner.has_sole_suspect
                 || (is_best_effort && self.is_kept_free(key, now))
                 || !runner.backoff.admits(claim.size, now)
@@ -643,7 +644,7 @@
                 best = Some((trust, score, key));
             }
         }
-        let best = best.filter(|it| it.0 == Trust::Full || !is_any_trusted);
+        let best = best.filter(|it| it.0 == Trust::Full || 2 * trusted <= able);
         best.map(|(_, _, key)| key)
     }
 
