feat(sched): nothing new starts in a data centre that operators evacuate

Cause: no process read the requests (grep of the sources).

The owner follows the requests like the instance list, and one check of age covers both. What runs goes on. Off where the settings name no bound for evacuations.

Three mutants (runner not closed, age of the requests not checked, start not withheld) are each killed by a test; without the code none of these compiles.

--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod commit;
+mod evacuations;
 mod inbox;
 mod learned;
 mod lease_authority;
@@ -125,6 +126,9 @@
         self.is_loaded.set(true);
         self.spawn(Rc::clone(&self).follow_inbox(revision));
         self.spawn(Rc::clone(&self).follow_runners());
+        if self.shared.options.engine.follows_evacuations {
+            self.spawn(Rc::clone(&self).follow_evacuations());
+        }
         self.spawn(Rc::clone(&self).commit());
         self.spawn(Rc::clone(&self).shorten_settled_jobs());
         self.spawn(Rc::clone(&self).write_summaries());
--- a/crates/persimmon-entry/src/group/runner_list.rs
+++ b/crates/persimmon-entry/src/group/runner_list.rs
@@ -8,10 +8,11 @@
 use persimmon_types::shard_of;
 use std::{rc::Rc, time::Duration};
 
-/// Options of the instance list watch. Runners write every second; the change that matters, a
-/// runner leaving, must be seen well within two seconds. The list counts as known as of the call, so
-/// a call takes less than [`persimmon_sched::Options::listing_age_max`] with the pause.
-const RUNNERS_WATCH: WatchOptions = WatchOptions {
+/// Options of the watches of the instance list and of evacuations. Runners write every second; the
+/// changes that matter, a runner leaving or being evacuated, must be seen well within two seconds. A
+/// list counts as known as of the call, so a call takes less than
+/// [`persimmon_sched::Options::listing_age_max`] with the pause.
+pub(super) const LISTING_WATCH: WatchOptions = WatchOptions {
     wait: Duration::from_millis(400),
     pause: Duration::from_millis(300),
     by_all_members: false,
@@ -24,7 +25,7 @@
     pub(super) async fn follow_runners(self: Rc<Self>) {
         let shared = Rc::clone(&self.shared);
         let prefix = shared.platform.runners_prefix().to_owned();
-        prefix_watch::follow(&shared, &prefix, RUNNERS_WATCH, None, |event| match event {
+        prefix_watch::follow(&shared, &prefix, LISTING_WATCH, None, |event| match event {
             WatchEvent::Changed(change) => self.handle_runner_change(&prefix, change),
             WatchEvent::UpToDate { as_of } => self.engine.borrow_mut().confirm_listing(as_of),
         })
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -238,6 +238,9 @@
     fn policy_key(&self) -> &str;
     /// Returns the prefix of the instance list.
     fn runners_prefix(&self) -> &str;
+    /// Returns the prefix of the operators' requests to evacuate data centres; the rest of a key names
+    /// the data centre.
+    fn evacuations_prefix(&self) -> &str;
     /// Decodes the policy.
     fn decode_policy(&self, value: &[u8]) -> Result<Policy, CallError>;
     /// Decodes an entry of the instance list.
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whole processes on an in-memory platform, in virtual time.
 
 mod accepted_jobs;
+mod evacuations;
 mod faults;
 mod jobs;
 mod log_lines;
--- a/crates/persimmon-entry/tests/all/platform.rs
+++ b/crates/persimmon-entry/tests/all/platform.rs
@@ -31,10 +31,14 @@
 const SERVICE: &str = "bookings";
 const POLICY: &str = "policy";
 const RUNNERS: &str = "runners/";
+/// Prefix of the requests for evacuations.
+pub(crate) const EVACUATIONS: &str = "evacuations/";
 /// Value of the key of a runner that drains.
 pub(crate) const DRAINING: &[u8] = b"draining";
 /// Prefix of the value of the key of a runner that names its rack.
 pub(crate) const RACK: &str = "rack=";
+/// Prefix of the value of the key of a runner that names its data centre.
+pub(crate) const DATA_CENTRE: &str = "dc=";
 
 /// Limits of a page.
 const PAGE_ITEMS_MAX: usize = 500;
@@ -119,6 +123,8 @@
     pub(crate) arrival_timeout: Cell<Option<Duration>>,
     /// Added to the latency of each call to the store.
     pub(crate) extra_store_latency: Cell<Duration>,
+    /// Whether processes that are started follow the requests for evacuations.
+    pub(crate) follows_evacuations: Cell<bool>,
     /// While set, reads that may be stale are older than all keys.
     pub(crate) stale_reads_find_nothing: Cell<bool>,
     /// While set, watches get no answer.
@@ -213,6 +219,13 @@
     text.strip_prefix(RACK).unwrap_or("r1").to_owned()
 }
 
+fn data_centre(value: &[u8]) -> String {
+    let text = String::from_utf8_lossy(value);
+    text.strip_prefix(DATA_CENTRE)
+        .unwrap_or_default()
+        .to_owned()
+}
+
 fn queue(name: &str) -> Queue {
     Queue {
         name: name.to_owned(),
@@ -731,6 +744,10 @@
         RUNNERS
     }
 
+    fn evacuations_prefix(&self) -> &str {
+        EVACUATIONS
+    }
+
     fn decode_policy(&self, value: &[u8]) -> Result<Policy, CallError> {
         let text = String::from_utf8_lossy(value);
         let mut words = text.split(' ');
@@ -746,13 +763,14 @@
         Ok(RunnerInfo {
             id: id.to_owned(),
             address: String::new(),
-            data_centre: String::new(),
+            data_centre: data_centre(value),
             service: SERVICE.to_owned(),
             state: if value == DRAINING {
                 RunnerState::Draining
             } else {
                 RunnerState::Ready
             },
+            cold_remaining: Duration::ZERO,
             capacity: Size {
                 cpu_millis: 8_000,
                 memory_mib: 8_000,
@@ -801,6 +819,18 @@
         fake_runners.entry(id.to_owned()).or_default();
     }
 
+    /// Requests the evacuation of a data centre.
+    pub(crate) fn evacuate(&self, data_centre: &str) {
+        let client = self.client();
+        let write = Write::unleased(format!("{EVACUATIONS}{data_centre}"), b"{}".to_vec());
+        client.put(&write, client.next_revision());
+    }
+
+    /// Takes the request back.
+    pub(crate) fn end_evacuation(&self, data_centre: &str) {
+        self.client().remove(&format!("{EVACUATIONS}{data_centre}"));
+    }
+
     /// Writes a policy with the given queues.
     pub(crate) fn write_policy(&self, version: u64, queues: &[&str]) {
         let text = format!("{version} {}", queues.join(" "));
@@ -857,7 +887,10 @@
                 .call_limits
                 .get()
                 .map_or(2_000, |it| it.reads_per_s),
-            engine: persimmon_sched::Options::default(),
+            engine: persimmon_sched::Options {
+                follows_evacuations: self.state.follows_evacuations.get(),
+                ..persimmon_sched::Options::default()
+            },
         };
         let clock = Arc::new(VirtualClock {
             started_at: self.started_at,
--- a/crates/persimmon-relay/tests/all/owners/worker.rs
+++ b/crates/persimmon-relay/tests/all/owners/worker.rs
@@ -4,7 +4,10 @@
 use persimmon_relay::{OrderCall, OrderKind, Outcome, PollCall};
 use persimmon_sched::{Answer, End, EndKind, Report, RunStatus, RunnerInfo, RunnerState, TaskId};
 use persimmon_types::Size;
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 /// Longest lease that a runner grants.
 const LEASE_MAX_MS: u64 = 10_000;
@@ -63,6 +66,7 @@
             data_centre: String::new(),
             service: SERVICE.to_owned(),
             state: self.state,
+            cold_remaining: Duration::ZERO,
             capacity: Size {
                 cpu_millis: 16_000,
                 memory_mib: 100_000,
--- a/crates/persimmon-sched/src/engine/failure.rs
+++ b/crates/persimmon-sched/src/engine/failure.rs
@@ -168,7 +168,7 @@
             return FAILED_RUNNERS_ENOUGH;
         };
         let runners = self.runners.iter();
-        let able = runners.filter(|it| !it.is_leaving() && could_take(job, step, it));
+        let able = runners.filter(|it| !it.is_closed() && could_take(job, step, it));
         let able = able.take(2 * FAILED_RUNNERS_ENOUGH).count();
         (able / 2 + 1).clamp(FAILED_RUNNERS_LEAST, FAILED_RUNNERS_ENOUGH)
     }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod dirty;
 mod durations;
+mod evacuation;
 mod failure;
 mod infeasible;
 mod interference;
@@ -31,7 +32,11 @@
 pub(crate) use job::{Job, Rank, Stage, State, Step};
 pub(crate) use task::Task;
 
-use self::{dirty::DirtyJobs, durations::Durations};
+use self::{
+    dirty::DirtyJobs,
+    durations::Durations,
+    evacuation::{Evacuations, Listings},
+};
 
 use crate::{
     fleet::{Claim, ImageKey, Runner, RunnerKey, LEASE_CLOCK_SLACK},
@@ -85,8 +90,8 @@
     orphan_runs_until: Instant,
     /// Added to the maximum age of reports in the options.
     extra_report_age: Duration,
-    /// The instance list is known as it was at this time, or later.
-    listed_as_of: Option<Instant>,
+    listings: Listings,
+    evacuations: Evacuations,
     fenced: bool,
 }
 
@@ -118,7 +123,8 @@
             orphan_runs_until: now + options.orphan_run_max,
             options,
             extra_report_age: Duration::ZERO,
-            listed_as_of: None,
+            listings: Listings::default(),
+            evacuations: Evacuations::default(),
             fenced: false,
         }
     }
@@ -221,7 +227,9 @@
     /// Adds or updates a runner from the instance list.
     pub fn update_runner(&mut self, info: RunnerInfo, now: Instant) {
         let key = self.runner_key(&info.id);
+        let is_evacuated = self.is_evacuated(&info.data_centre);
         let runner = self.runner_mut(key);
+        runner.is_evacuated = is_evacuated;
         let is_draining = info.state == RunnerState::Draining;
         let starts_draining =
             is_draining && (!runner.listed || runner.info.state != RunnerState::Draining);
@@ -229,16 +237,17 @@
             // What an earlier refusal lacked may be free now.
             runner.backoff.room_freed();
         }
-        runner.info = info;
-        runner.listed = true;
+        runner.update(info, now);
         if starts_draining {
-            self.evacuate(key, now);
+            self.move_off_draining(key, now);
+        } else if is_evacuated {
+            self.release_uncommitted(key, now);
         }
     }
 
     /// Moves long-running and checkpointing tasks off a draining runner: they would be killed when
     /// it leaves and lose nothing by moving now. Other tasks may still finish in time.
-    fn evacuate(&mut self, key: RunnerKey, now: Instant) {
+    fn move_off_draining(&mut self, key: RunnerKey, now: Instant) {
         self.release_uncommitted(key, now);
         let claims = self.runner(key).claims.keys();
         let tasks: Vec<_> = claims.map(|&(task, _)| task).collect();
@@ -277,18 +286,6 @@
         }
     }
 
-    /// Records that all changes of the instance list before `as_of` have been passed on.
-    pub fn confirm_listing(&mut self, as_of: Instant) {
-        self.listed_as_of = self.listed_as_of.max(Some(as_of));
-    }
-
-    /// Returns whether the instance list is known well enough to start tasks: a runner that leaves
-    /// is in the part that is not known yet.
-    pub(crate) fn is_listing_current(&self, now: Instant) -> bool {
-        self.listed_as_of
-            .is_some_and(|at| now < at + self.options.listing_age_max)
-    }
-
     /// Returns the orders issued since the last call.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
@@ -379,6 +376,7 @@
             data_centre: String::new(),
             service: String::new(),
             state: RunnerState::Draining,
+            cold_remaining: Duration::ZERO,
             capacity: persimmon_types::Size::ZERO,
             labels: Vec::new(),
         };
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -611,7 +611,7 @@
         for (at, runner) in self.runners.iter().enumerate() {
             let key = RunnerKey(at as u32);
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
-            if !could_take(job, step, runner) {
+            if runner.is_evacuated || !could_take(job, step, runner) {
                 continue;
             }
             able += 1;
@@ -634,6 +634,9 @@
             if task.failed_on == Some(key) || task.recent_failures.were_on(key) {
                 score -= FAILED_ON_PENALTY;
             }
+            if runner.is_cold(now) {
+                score -= COLD_PENALTY;
+            }
             if !runner.suspected_runs.is_empty() {
                 score -= SUSPECTED_RUN_PENALTY;
             }
@@ -673,10 +676,10 @@
         self.is_heard(runner, now) && !runner.is_backed_off(now)
     }
 
-    /// Returns whether a runner that does not leave has reported recently.
+    /// Returns whether a runner that is not closed has reported recently.
     fn is_heard(&self, runner: &Runner, now: Instant) -> bool {
         let is_recent = |at: Instant| now < at + self.report_age_max();
-        !runner.is_leaving() && runner.last_report_at.is_some_and(is_recent)
+        !runner.is_closed() && runner.last_report_at.is_some_and(is_recent)
     }
 
     /// Counts the placed tasks of the same step and occurrence, by runner.
@@ -705,7 +708,10 @@
         if !step.rack_local {
             return None;
         }
-        let (&key, _) = siblings.iter().max_by_key(|&(_, &count)| count)?;
+        let open = siblings
+            .iter()
+            .filter(|&(&key, _)| !self.runner(key).is_evacuated);
+        let (&key, _) = open.max_by_key(|&(_, &count)| count)?;
         // The second label of a runner is its rack.
         self.runner(key).info.labels.get(1).cloned()
     }
@@ -737,6 +743,10 @@
 /// failures, so any other runner is better.
 const FAILED_ON_PENALTY: i64 = 1_000_000_000;
 
+/// Penalty on the score of a runner that is still slow after its start: warm ones are filled first,
+/// those of the preferred rack before those of others.
+const COLD_PENALTY: i64 = RACK_WEIGHT / 2;
+
 /// Penalty on the score of a runner with a new run that may crash it.
 const SUSPECTED_RUN_PENALTY: i64 = 100_000_000;
 
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -81,7 +81,7 @@
         let it = self.runner(key);
         // The capacity may have shrunk since the run was placed.
         let fits = it.fits_beside_others((task, run));
-        if !is_ordered || !self.is_listing_current(now) || it.is_leaving() || !fits {
+        if !is_ordered || !self.is_listing_current(now) || it.is_closed() || !fits {
             return Err(Answer::Withheld);
         }
         self.lease_deadline_ms(runner, now).ok_or(Answer::NotSent)
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     fleet::{Claim, Runner},
-    RunnerState, TaskId,
+    TaskId,
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -207,8 +207,7 @@
         let fits = |(at, runner): &(usize, &Runner)| {
             let key = crate::fleet::RunnerKey(*at as u32);
             let sibling_count = siblings.get(&key).copied().unwrap_or(0);
-            runner.listed
-                && runner.info.state == RunnerState::Ready
+            !runner.is_closed()
                 && runner.info.service == job.service
                 && satisfies_constraints(step, runner, sibling_count)
                 && (idle_needed == 0 || idle_cpu_millis(runner) >= idle_needed)
--- a/crates/persimmon-sched/src/engine/types.rs
+++ b/crates/persimmon-sched/src/engine/types.rs
@@ -9,6 +9,9 @@
     /// Maximum age of what is known of the instance list for tasks to be placed and started; well
     /// below the time in which starts must stop on a runner that leaves.
     pub listing_age_max: Duration,
+    /// Whether operators may evacuate data centres; then the list of evacuations must be known as well
+    /// as the instance list.
+    pub follows_evacuations: bool,
     /// Lease term: how long a run may continue without a renewal.
     pub lease_term: Duration,
     /// Longest lease term that a runner grants; it shortens longer ones.
@@ -24,6 +27,7 @@
         Self {
             report_age_max: Duration::from_millis(1_800),
             listing_age_max: Duration::from_secs(1),
+            follows_evacuations: false,
             lease_term: Duration::from_secs(6),
             lease_term_max: Duration::from_secs(10),
             orphan_run_max: Duration::from_secs(27),
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -18,6 +18,8 @@
     pub service: String,
     /// Whether it accepts new tasks.
     pub state: RunnerState,
+    /// How much longer it is slow after its start.
+    pub cold_remaining: Duration,
     /// Total resources.
     pub capacity: Size,
     /// Labels; the first is the kind of the runner, the second its rack.
@@ -204,6 +206,10 @@
     pub(crate) info: RunnerInfo,
     /// Whether the instance list contains the runner.
     pub(crate) listed: bool,
+    /// Whether its data centre is evacuated.
+    pub(crate) is_evacuated: bool,
+    /// Until when it is slow after its start.
+    pub(crate) cold_until: Option<Instant>,
     pub(crate) incarnation_ms: Option<u64>,
     pub(crate) last_report_at: Option<Instant>,
     /// Whether a report request has gone unanswered since the last report.
@@ -324,6 +330,8 @@
         Self {
             info,
             listed: true,
+            is_evacuated: false,
+            cold_until: None,
             incarnation_ms: None,
             last_report_at: None,
             has_missed_report: false,
@@ -427,9 +435,25 @@
         since.is_some_and(|since| self.claims.values().all(|claim| claim.placed_at < since))
     }
 
-    /// Returns whether the instance list says that the runner leaves or has left.
-    pub(crate) fn is_leaving(&self) -> bool {
-        !self.listed || self.info.state == RunnerState::Draining
+    /// Updates the description of the runner by the instance list. An entry says how long the runner
+    /// stays cold as of its last change.
+    pub(crate) fn update(&mut self, info: RunnerInfo, now: Instant) {
+        let has_changed = info.cold_remaining != self.info.cold_remaining;
+        if has_changed {
+            self.cold_until = (!info.cold_remaining.is_zero()).then(|| now + info.cold_remaining);
+        }
+        self.info = info;
+        self.listed = true;
+    }
+
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether the runner is given no new tasks, whatever its state: it leaves, has left or is
+    /// evacuated.
+    pub(crate) fn is_closed(&self) -> bool {
+        !self.listed || self.is_evacuated || self.info.state == RunnerState::Draining
     }
 
     pub(crate) fn free_capacity(&self) -> Size {
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod commit_order;
 mod crashes;
 mod engine;
+mod evacuations;
 mod failing_jobs;
 mod full_reports;
 mod id;
--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation of owners and runners under faults that checks the invariants on the running tasks.
 
 mod best_effort;
+mod evacuations;
 mod gangs;
 
 use crate::support::{job, runner, step, task};
@@ -115,6 +116,7 @@
 
 struct Simulation {
     rng: ChaCha8Rng,
+    evacuations: evacuations::Evacuations,
     /// Tasks of a best-effort job.
     best_effort_tasks: u32,
     started_at: Instant,
@@ -148,6 +150,7 @@
         let workers = (0..RUNNERS).map(|at| Worker::new(at, 1));
         let mut simulation = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            evacuations: evacuations::Evacuations::default(),
             best_effort_tasks,
             started_at: Instant::now(),
             now_ms: 0,
@@ -182,7 +185,7 @@
     fn take_over(&mut self) {
         self.revision += 1;
         let fence = self.revision;
-        let mut engine = Engine::new(Options::default(), self.now());
+        let mut engine = Engine::new(self.options(), self.now());
         engine.configure(best_effort::policy_with_best_effort_queue());
         for (id, spec) in &self.specs {
             let stored = self.records.get(id).map(|(revision, record)| StoredRecord {
@@ -197,6 +200,7 @@
         for worker in &self.workers {
             worker.list(worker.presence, &mut engine, self.now());
         }
+        self.show_evacuations(&mut engine);
         self.owners.push(Owner {
             engine,
             fence,
@@ -248,6 +252,7 @@
     /// Ends all faults: from now on there is nothing but what they left behind.
     fn end_faults(&mut self) {
         self.faults_enabled = false;
+        self.end_evacuations();
         for worker in &mut self.workers {
             worker.unreachable_until_ms = 0;
         }
@@ -265,6 +270,7 @@
         self.now_ms += TICK_MS;
         self.remove_leaving_workers();
         self.deliver_list_changes();
+        self.change_evacuations();
         self.submit_gangs();
         self.submit_best_effort_jobs();
         self.settle_gangs();
@@ -510,6 +516,7 @@
         let listed_as_of = self.started_at + Duration::from_millis(self.listed_as_of_ms());
         let engine = &mut self.owners[at].engine;
         engine.confirm_listing(listed_as_of);
+        self.evacuations.confirm(engine, now, self.started_at);
         engine.tick(0, now);
         self.write_records(at);
         for order in self.owners[at].engine.take_orders() {
@@ -583,6 +590,7 @@
                     Err(answer) => return engine.handle_start_answer(task, run, answer, now),
                 };
                 self.check_drain(worker, task);
+                self.check_evacuation(worker, task);
                 let start = StartCall {
                     at_ms: self.now_ms,
                     worker,
@@ -807,7 +815,10 @@
 
     /// Shows the worker to an engine as the instance list does.
     fn list(&self, presence: Presence, engine: &mut Engine, now: Instant) {
-        let info = runner(&self.id, 4_000);
+        let info = RunnerInfo {
+            data_centre: evacuations::data_centre(&self.id).to_owned(),
+            ..runner(&self.id, 4_000)
+        };
         match presence {
             Presence::Ready => engine.update_runner(info, now),
             Presence::Draining { .. } => {
@@ -887,7 +898,10 @@
 }
 
 fn run_simulation(seed: u64, serving_tasks: u32, best_effort_tasks: u32) {
-    let mut simulation = Simulation::new(seed, best_effort_tasks);
+    run(Simulation::new(seed, best_effort_tasks), serving_tasks);
+}
+
+fn run(mut simulation: Simulation, serving_tasks: u32) {
     let mut next = 0;
     simulation.submit_lasting_jobs(serving_tasks);
     while simulation.now_ms < FAULTS_MS {
@@ -926,6 +940,11 @@
     ) {
         run_simulation(seed, RUNNERS as u32 / 2, best_effort_tasks);
     }
+
+    #[test]
+    fn no_task_starts_in_an_evacuated_data_centre_under_faults(seed in any::<u64>()) {
+        run(Simulation::with_evacuations(seed), RUNNERS as u32 / 2);
+    }
 }
 
 #[test]
--- a/crates/persimmon-sched/tests/all/support.rs
+++ b/crates/persimmon-sched/tests/all/support.rs
@@ -70,6 +70,7 @@
         data_centre: String::new(),
         service: SERVICE.to_owned(),
         state: RunnerState::Ready,
+        cold_remaining: Duration::ZERO,
         capacity: Size {
             memory_mib: 100_000,
             ..size(cpu_millis)
--- a/crates/persimmonshift-load/src/experiment/engine.rs
+++ b/crates/persimmonshift-load/src/experiment/engine.rs
@@ -312,6 +312,7 @@
         data_centre: String::new(),
         service: "bookings".to_owned(),
         state: RunnerState::Ready,
+        cold_remaining: Duration::ZERO,
         capacity: Size {
             cpu_millis: 37_000,
             memory_mib: 160_000,
