fix(sched): a runner is not avoided by a task once another run has succeeded there

Cause: failures by the job's own fault kept the task off sound runners that fit best. A runner that fails all still shows no success, so it is avoided as before (pinned test unchanged). Failing before: task_keeps_away_from_a_runner_that_another_run_has_shown_to_be_sound.

--- a/crates/persimmon-sched/src/engine/backoff.rs
+++ b/crates/persimmon-sched/src/engine/backoff.rs
@@ -44,6 +44,8 @@
     failed_starts: Failures,
     /// Until when failed starts may be of those that were ordered before the last one that counted.
     failed_starts_until: Option<Instant>,
+    /// When a run was last known to have succeeded.
+    succeeded_at: Option<Instant>,
     /// The jobs that the failed runs and starts were of.
     failed_jobs: Vec<JobId>,
     /// Until when it is backed off from because of missed reports.
@@ -135,6 +137,11 @@
         others.count()
     }
 
+    /// Returns whether a run has succeeded after this time.
+    pub(crate) fn has_succeeded_since(&self, at: Instant) -> bool {
+        self.succeeded_at.is_some_and(|succeeded| succeeded > at)
+    }
+
     /// Returns whether other jobs go first on the runner: many runs or starts failed on it, some of
     /// them of this job.
     pub(super) fn keeps_off(&self, job: JobId) -> bool {
@@ -193,7 +200,8 @@
 
     /// Handles the success of a run that began at this time, if known. If it began after the last
     /// failure, the backoff ends, and the jobs that had failed are returned.
-    pub(super) fn run_succeeded(&mut self, began_at: Option<Instant>) -> Vec<JobId> {
+    pub(super) fn run_succeeded(&mut self, began_at: Option<Instant>, now: Instant) -> Vec<JobId> {
+        self.succeeded_at = Some(now);
         let last_at = self.failed_starts.last_at;
         let is_later = began_at.zip(last_at).is_some_and(|(at, last)| at >= last);
         let failed_jobs = std::mem::take(&mut self.failed_jobs);
@@ -354,7 +362,7 @@
             is_stable.then_some((id, since))
         });
         if let Some((id, since)) = stable {
-            self.count_success(key, id, Some(since));
+            self.count_success(key, id, Some(since), now);
         }
     }
 
--- a/crates/persimmon-sched/src/engine/failure.rs
+++ b/crates/persimmon-sched/src/engine/failure.rs
@@ -24,14 +24,17 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RecentFailures {
     count: u32,
-    runners: Vec<RunnerKey>,
+    /// The runners, and when the last of them on each was.
+    runners: Vec<(RunnerKey, Instant)>,
 }
 
 impl RecentFailures {
-    fn add(&mut self, runner: RunnerKey) {
+    fn add(&mut self, runner: RunnerKey, now: Instant) {
         self.count += 1;
-        if self.runners.len() < FAILED_RUNNERS_MAX && !self.runners.contains(&runner) {
-            self.runners.push(runner);
+        if let Some((_, at)) = self.runners.iter_mut().find(|it| it.0 == runner) {
+            *at = now;
+        } else if self.runners.len() < FAILED_RUNNERS_MAX {
+            self.runners.push((runner, now));
         }
     }
 
@@ -43,9 +46,14 @@
         self.count > 0
     }
 
-    /// Returns whether one of the failures was on this runner.
-    pub(crate) fn were_on(&self, runner: RunnerKey) -> bool {
-        self.runners.contains(&runner)
+    /// When the last of the failures on this runner was.
+    pub(crate) fn last_on(&self, runner: RunnerKey) -> Option<Instant> {
+        let mut runners = self.runners.iter();
+        runners.find(|it| it.0 == runner).map(|&(_, at)| at)
+    }
+
+    fn runners(&self) -> impl Iterator<Item = RunnerKey> + '_ {
+        self.runners.iter().map(|&(runner, _)| runner)
     }
 }
 
@@ -75,7 +83,7 @@
         now: Instant,
     ) -> Cause {
         if let Some(task) = self.task_mut(id) {
-            task.recent_failures.add(key);
+            task.recent_failures.add(key, now);
         }
         let failed_runners = self.failed_runners(id, now);
         let other_jobs = failed_runners
@@ -114,8 +122,14 @@
 
     /// Counts the success of a run of a task, which began at this time, for its runner. The jobs that
     /// had failed there before are the cause of their failures.
-    pub(super) fn count_success(&mut self, key: RunnerKey, id: TaskId, began_at: Option<Instant>) {
-        let refuted = self.runner_mut(key).backoff.run_succeeded(began_at);
+    pub(super) fn count_success(
+        &mut self,
+        key: RunnerKey,
+        id: TaskId,
+        began_at: Option<Instant>,
+        now: Instant,
+    ) {
+        let refuted = self.runner_mut(key).backoff.run_succeeded(began_at, now);
         for job in refuted {
             if let Some(job) = self.jobs.get_mut(&job) {
                 job.is_refuted = true;
@@ -137,8 +151,8 @@
     /// of the started ones fail.
     fn failed_runners(&self, id: TaskId, now: Instant) -> BTreeSet<RunnerKey> {
         let own = self.task(id).into_iter();
-        let own = own.flat_map(|task| &task.recent_failures.runners);
-        let mut runners: BTreeSet<_> = own.copied().collect();
+        let own = own.flat_map(|task| task.recent_failures.runners());
+        let mut runners: BTreeSet<_> = own.collect();
         let Some(step) = self.step(id) else {
             return runners;
         };
@@ -147,7 +161,7 @@
         if failing.len() >= sound.len() {
             let of_step = failing
                 .iter()
-                .flat_map(|task| &task.recent_failures.runners);
+                .flat_map(|task| task.recent_failures.runners());
             runners.extend(of_step);
         }
         runners
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -631,7 +631,9 @@
                 continue;
             };
             let mut score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
-            if task.failed_on == Some(key) || task.recent_failures.were_on(key) {
+            let failed_at = task.recent_failures.last_on(key);
+            let seems_to_fail = failed_at.is_some_and(|at| !runner.backoff.has_succeeded_since(at));
+            if task.failed_on == Some(key) || seems_to_fail {
                 score -= FAILED_ON_PENALTY;
             }
             if runner.is_cold(now) {
@@ -739,8 +741,8 @@
 /// Score of the preferred rack: work on another takes several times as long.
 const RACK_WEIGHT: i64 = 1_000_000;
 
-/// Penalty on the score of a runner on which the task has failed: a task fails its job after a few
-/// failures, so any other runner is better.
+/// Penalty on the score of a runner on which the task has failed last, or failed and no run has succeeded
+/// since: a task fails its job after a few failures, so any other runner is better.
 const FAILED_ON_PENALTY: i64 = 1_000_000_000;
 
 /// Penalty on the score of a runner that is still slow after its start: warm ones are filled first,
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -198,7 +198,7 @@
                     self.durations
                         .learn(&spec.queue, now.saturating_duration_since(at));
                 }
-                self.count_success(key, id, began_at);
+                self.count_success(key, id, began_at, now);
                 self.advance(id, now);
             }
             EndKind::Failed if !long_running => {
--- a/crates/persimmon-sched/tests/all/failing_jobs.rs
+++ b/crates/persimmon-sched/tests/all/failing_jobs.rs
@@ -423,6 +423,23 @@
     assert_eq!(runners, ["w0", "w1", "w2"]);
 }
 
+/// Both runners on which it failed are sound, and fit best; it fails again on the first that it left.
+#[test]
+fn task_keeps_away_from_a_runner_that_another_run_has_shown_to_be_sound() {
+    let mut fleet = Fleet::new(3, |task, _| match task.job {
+        JobId(0) => Outcome::Ends(100, EndKind::Failed),
+        _ => Outcome::Ends(40, EndKind::Done),
+    });
+    fleet.submit(job(0, vec![step(1)]));
+    fleet.run(40);
+    for number in 0..8 {
+        fleet.submit(job(BATCH + number, vec![step(2)]));
+        fleet.run(60);
+    }
+    let runners: Vec<_> = fleet.starts_of(0).map(|it| it.runner.as_str()).collect();
+    assert_eq!(runners[..3], ["w0", "w1", "w0"]);
+}
+
 /// A failing runner among three, of which the sound ones are full.
 #[test]
 fn failing_runner_is_not_probed_beside_sound_ones() {
