feat(entry): a group of a killed owner that has restarted is free at once

Cause: the owner's key lived on with the session of the killed process, 1.4 s from when the store went on, though that process had started again.

A process removes owner keys that its earlier incarnation wrote: the name is the instance's, so that one has ended. Failing before: jobs_wait_for_the_end_of_the_session_of_a_killed_owner_that_has_restarted.

--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -105,6 +105,7 @@
 async fn take_free_groups<P: Platform>(shared: &Rc<Shared<P>>) {
     let mut free_since: BTreeMap<GroupId, Instant> = BTreeMap::new();
     let mut unserved: BTreeMap<GroupId, Unserved> = BTreeMap::new();
+    let mut released: BTreeMap<GroupId, u64> = BTreeMap::new();
     loop {
         tokio::time::sleep(FREE_GROUP_CHECK_INTERVAL).await;
         let now = shared.now();
@@ -123,6 +124,7 @@
                     resume_ownership(shared, group, revision).await;
                 } else {
                     unserved.remove(&group);
+                    release_of_earlier_incarnation(shared, group, &mut released).await;
                 }
                 free_since.remove(&group);
                 continue;
@@ -192,6 +194,32 @@
     }
 }
 
+/// Removes the owner's key of a group if an earlier incarnation of this process owned it. That one has
+/// ended, so nobody need wait for the end of its session. `released` holds the revisions of the keys
+/// that are removed.
+async fn release_of_earlier_incarnation<P: Platform>(
+    shared: &Shared<P>,
+    group: GroupId,
+    released: &mut BTreeMap<GroupId, u64>,
+) {
+    let Some(revision) = revision_of_earlier_incarnation(shared, group) else {
+        return;
+    };
+    let is_released = released.get(&group) == Some(&revision);
+    if !is_released && !shared.store_is_unreachable() && release(shared, group, revision).await {
+        released.insert(group, revision);
+    }
+}
+
+/// Revision of the owner's key of a group, if an earlier incarnation of this process wrote it.
+fn revision_of_earlier_incarnation<P>(shared: &Shared<P>, group: GroupId) -> Option<u64> {
+    let owners = shared.owners.borrow();
+    let owner = owners.get(&group)?;
+    let (name, _) = owner.name.rsplit_once('#')?;
+    let is_earlier = name == shared.options.name && owner.name != own_name(shared);
+    is_earlier.then_some(owner.revision)
+}
+
 /// Returns whether this process is a group's owner according to the store, and the revision of the
 /// owner's key; `None` if the group has no owner.
 fn owner_in_store<P>(shared: &Shared<P>, group: GroupId) -> Option<(bool, u64)> {
--- a/crates/persimmon-entry/tests/all/takeovers.rs
+++ b/crates/persimmon-entry/tests/all/takeovers.rs
@@ -70,6 +70,27 @@
     assert_eq!(cluster.start_count(1), 2);
 }
 
+/// All processes are killed at once, and their sessions last for up to 1.4 s longer.
+#[tokio::test(start_paused = true)]
+async fn jobs_wait_for_the_end_of_the_session_of_a_killed_owner_that_has_restarted() {
+    let mut cluster = Cluster::new(&["a"]);
+    for name in ["one", "two"] {
+        cluster.start(name);
+    }
+    cluster.advance(3 * SECOND).await;
+    cluster.kill(0);
+    cluster.kill(1);
+    let handle = cluster.start("one");
+    cluster.start("two");
+    cluster.advance(SECOND / 2).await;
+    let accepted = cluster
+        .run_until(handle.submit(request(1), spec(100)))
+        .await;
+    accepted.expect("accepted");
+    cluster.advance(SECOND / 4).await;
+    assert_eq!(cluster.start_count(1), 1);
+}
+
 /// Runs in real time, as processes call each other over sockets.
 #[tokio::test]
 async fn task_waits_long_after_its_runner_and_its_owner_are_gone_for_good() {
