--- /dev/null
+++ b/crates/persimmon-intake/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions about connections.
+
+mod account;
--- a/crates/persimmon-sched/src/lib.rs
+++ b/crates/persimmon-sched/src/lib.rs
@@ -22,4 +22,4 @@
 pub use id::{JobId, ParseIdError, TaskId};
 pub use policy::{Policy, Queue, Service};
 pub use record::{Phase, Record, RecordError, SilentRunner, TaskCrashes, TaskRecord, TaskState};
-pub use spec::{JobSpec, Schedule, SpecError, StepSpec};
+pub use spec::{JobSpec, Schedule, SpecError, StepSpec, STEPS_MAX};
--- a/crates/persimmon-sched/src/spec.rs
+++ b/crates/persimmon-sched/src/spec.rs
@@ -5,7 +5,7 @@
 /// Maximum size of a payload.
 const PAYLOAD_BYTES_MAX: usize = 4_000;
 /// Maximum number of steps in a job; [`crate::TaskId`] holds the step in 16 bits.
-const STEPS_MAX: usize = 1_000;
+pub const STEPS_MAX: usize = 1_000;
 /// Maximum number of tasks in a step.
 const TASKS_MAX: u32 = 10_000;
 /// Maximum number of tasks in a job, over all its occurrences. The store would not take the record of
