--- a/crates/persimmon-interference/tests/all/main.rs
+++ b/crates/persimmon-interference/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the interference model.
 
 mod model;
+mod relief;
