--- a/crates/persimmon-sched/src/engine/load.rs
+++ b/crates/persimmon-sched/src/engine/load.rs
@@ -22,6 +22,8 @@
     pub tails_over_target: u64,
     /// Number of tasks that wait for a runner: latency-critical, other urgent, all others.
     pub waiting: [u64; 3],
+    /// Number of runners in evacuated data centres.
+    pub evacuated_runners: usize,
 }
 
 impl fmt::Display for Load {
@@ -31,7 +33,8 @@
             out,
             "open={} capacity={} serving={} urgent={} other={} filling={} \
              tails={} over_target={} \
-             waiting_serving={serving} waiting_urgent={urgent} waiting_other={other}",
+             waiting_serving={serving} waiting_urgent={urgent} waiting_other={other} \
+             evacuated={}",
             self.schedulable_runners,
             self.capacity_millis,
             self.latency_critical_millis,
@@ -40,6 +43,7 @@
             self.best_effort_millis,
             self.tails,
             self.tails_over_target,
+            self.evacuated_runners,
         )
     }
 }
@@ -47,7 +51,11 @@
 impl Engine {
     /// Returns the load of the group at `now`.
     pub fn load(&self, now: std::time::Instant) -> Load {
-        let mut load = Load::default();
+        let evacuated = self.runners.iter().filter(|it| it.is_evacuated);
+        let mut load = Load {
+            evacuated_runners: evacuated.count(),
+            ..Load::default()
+        };
         for runner in self
             .runners
             .iter()
