--- a/crates/persimmon-interference/src/lib.rs
+++ b/crates/persimmon-interference/src/lib.rs
@@ -11,11 +11,9 @@
 mod estimate;
 mod model;
 pub mod naive;
-mod relief;
 mod sample;
 
 pub use controller::{Action, Controller, Options};
 pub use estimate::{Estimates, Pairing};
 pub use model::InterferenceModel;
-pub use relief::{relieve, Disturber};
 pub use sample::{Band, ClassKey, Sample, ServiceKey, Task, TaskKey, WorkerKey};
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -9,7 +9,7 @@
     fleet::{Claim, ImageKey, Runner, RunnerKey, TailLatency, Trial},
     RunStatus, TaskId,
 };
-use persimmon_interference::{relieve, ClassKey, Disturber, ServiceKey};
+use persimmon_interference::{ClassKey, ServiceKey};
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
@@ -293,41 +293,27 @@
         if !may_act {
             return;
         }
-        let chosen = self.least_costly(&violating, batch_runs);
-        let acted = !chosen.is_empty();
-        for at in chosen {
-            self.evict_or_pause(key, &batch_runs[at], now);
+        let mut acted = false;
+        for batch_run in batch_runs.iter().filter(|it| it.percent != Some(0)) {
+            if self.attributed_rise(&violating, batch_run) >= ATTRIBUTED_RISE_MIN {
+                acted = true;
+                self.evict_or_pause(key, batch_run, now);
+            }
         }
         if acted {
             self.runner_mut(key).throttled_at = Some(now);
         }
     }
 
-    /// Chooses the runs that are evicted or paused for tail latencies that are too high, by index:
-    /// those of which the delay costs their callers least, and no more than are needed.
-    fn least_costly(&self, tails: &[TailLatency], batch_runs: &[BestEffortRun]) -> Vec<usize> {
-        let rises = |batch_run: &BestEffortRun| {
-            let class = ClassKey(batch_run.image.0);
-            let rises = tails.iter().map(|tail| {
-                let service = ServiceKey(tail.image.0);
-                self.interference.weight(service, class) * batch_run.used
-            });
-            rises.collect::<Vec<_>>()
-        };
-        let responsible = batch_runs.iter().enumerate().filter_map(|(at, batch_run)| {
-            let rises = rises(batch_run);
-            let is_responsible = rises.iter().any(|&rise| rise >= ATTRIBUTED_RISE_MIN);
-            let disturber = Disturber {
-                cost: self.cost_of_delay(batch_run.run.0),
-                rises,
-            };
-            (is_responsible && batch_run.percent != Some(0)).then_some((at, disturber))
+    /// Returns the largest rise of the logarithm of a tail latency that the model attributes to a
+    /// run.
+    fn attributed_rise(&self, tails: &[TailLatency], batch_run: &BestEffortRun) -> f64 {
+        let class = ClassKey(batch_run.image.0);
+        let each = tails.iter().map(|tail| {
+            let service = ServiceKey(tail.image.0);
+            self.interference.weight(service, class) * batch_run.used
         });
-        let (indexes, disturbers): (Vec<_>, Vec<_>) = responsible.unzip();
-        let excess = |tail: &TailLatency| tail.ln_ratio - RELAX_RATIO_MAX.ln();
-        let excesses: Vec<_> = tails.iter().map(excess).collect();
-        let chosen = relieve(&disturbers, &excesses).into_iter();
-        chosen.map(|at| indexes[at]).collect()
+        each.fold(0.0, f64::max)
     }
 
     /// Evicts a run that can resume from a checkpoint, and pauses any other, as well as one whose
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -79,8 +79,6 @@
     image_keys: HashMap<String, ImageKey>,
     interference: InterferenceModel,
     durations: Durations,
-    /// Time of day of the last tick, in milliseconds since the Unix epoch.
-    wall_ms: u64,
     /// Ends of runs that succeeded after they were given up, while a newer run may exist; by task,
     /// those of a gang by its first one.
     late_ends: HashMap<TaskId, Vec<late_end::LateEnd>>,
@@ -119,7 +117,6 @@
             image_keys: HashMap::new(),
             interference: InterferenceModel::default(),
             durations: Durations::default(),
-            wall_ms: 0,
             late_ends: HashMap::new(),
             unexplained_crashes: Vec::new(),
             cancelled_before_submission: HashSet::new(),
@@ -297,7 +294,6 @@
     /// Opens due occurrences, requeues runs whose lease has expired, orders the stops that are due
     /// and places ready tasks.
     pub fn tick(&mut self, wall_ms: u64, now: Instant) {
-        self.wall_ms = wall_ms;
         while let Some(&(due_ms, job, _)) = self.timers.first() {
             if due_ms > wall_ms {
                 break;
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -7,7 +7,6 @@
     Phase, StepSpec, TaskId,
 };
 use std::{
-    cmp::Reverse,
     collections::HashMap,
     time::{Duration, Instant},
 };
@@ -116,14 +115,6 @@
     first: Rank,
 }
 
-/// See [`Engine::cost_of_delay`]; the derived order is that of the costs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct CostOfDelay {
-    priority: Reverse<u8>,
-    urgency: Reverse<Urgency>,
-    due_in_ms: Reverse<u64>,
-}
-
 /// Assumed processor use of latency-critical tasks, which do not report it, in percent of their
 /// claim.
 const LATENCY_CRITICAL_USE_PERCENT: i64 = 50;
@@ -403,7 +394,7 @@
                 is_long_running = self.step_of(task).is_some_and(|step| step.long_running);
                 candidates.push(Candidate {
                     priority: first.priority,
-                    urgency: self.urgency(task, wall_ms),
+                    urgency: self.urgency(&first, wall_ms),
                     first,
                 });
             }
@@ -452,14 +443,24 @@
 
     /// Ranks a task within its priority. Late tasks come after those that can still be on time,
     /// since they would make these late as well.
-    fn urgency(&self, id: TaskId, wall_ms: u64) -> Urgency {
-        if self.step_of(id).is_some_and(|step| step.long_running) {
+    fn urgency(&self, rank: &Rank, wall_ms: u64) -> Urgency {
+        if self
+            .step_of(rank.task)
+            .is_some_and(|step| step.long_running)
+        {
             return Urgency::LongRunning;
         }
-        let Some(job) = self.jobs.get(&id.job) else {
+        let Some(job) = self.jobs.get(&rank.task.job) else {
             return Urgency::Overdue;
         };
-        let waited_ms = waited_ms(job, id.occurrence, wall_ms);
+        // The time budget of an occurrence starts at its due time.
+        let requested_at_ms = job
+            .spec
+            .schedule
+            .map_or(job.spec.submitted_at_ms, |schedule| {
+                schedule.first_at_ms + u64::from(rank.task.occurrence) * schedule.interval_ms
+            });
+        let waited_ms = wall_ms.saturating_sub(requested_at_ms);
         if waited_ms <= job.time_budget_ms {
             Urgency::OnTime
         } else if waited_ms <= job.time_budget_ms * OVERDUE_FACTOR {
@@ -469,21 +470,6 @@
         }
     }
 
-    /// What it costs the caller of a task if it is delayed; the least is delayed first. In this order:
-    /// less urgent priorities, results that will be of less use, and those that are due last.
-    pub(super) fn cost_of_delay(&self, id: TaskId) -> CostOfDelay {
-        let job = self.jobs.get(&id.job);
-        let due_in_ms = job.map(|job| {
-            let waited_ms = waited_ms(job, id.occurrence, self.wall_ms);
-            job.time_budget_ms.saturating_sub(waited_ms)
-        });
-        CostOfDelay {
-            priority: Reverse(job.map_or(u8::MAX, |job| job.priority)),
-            urgency: Reverse(self.urgency(id, self.wall_ms)),
-            due_in_ms: Reverse(due_in_ms.unwrap_or(u64::MAX)),
-        }
-    }
-
     pub(super) fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
         self.jobs.get(&id.job)?.spec.steps.get(usize::from(id.step))
     }
@@ -733,16 +719,6 @@
     }
 }
 
-/// How long the caller of an occurrence of a job has waited for it. Its time budget starts at its due
-/// time.
-fn waited_ms(job: &Job, occurrence: u32, wall_ms: u64) -> u64 {
-    let submitted_at_ms = job.spec.submitted_at_ms;
-    let requested_at_ms = job.spec.schedule.map_or(submitted_at_ms, |schedule| {
-        schedule.first_at_ms + u64::from(occurrence) * schedule.interval_ms
-    });
-    wall_ms.saturating_sub(requested_at_ms)
-}
-
 /// Returns whether an empty runner could take the tasks of a step.
 pub(super) fn could_take(job: &Job, step: &StepSpec, runner: &Runner) -> bool {
     runner.info.service == job.service
