--- a/crates/persimmon-sched/tests/all/simulation.rs
+++ b/crates/persimmon-sched/tests/all/simulation.rs
@@ -6,8 +6,8 @@
 
 use crate::support::{job, runner, step, task};
 use persimmon_sched::{
-    Answer, Commit, End, EndKind, Engine, JobId, JobSpec, Options, Order, Record, Report,
-    RunStatus, RunnerInfo, RunnerState, StallCause, Stalled, StepSpec, StoredRecord, TaskId,
+    Answer, Commit, End, EndKind, Engine, JobId, JobSpec, Order, Record, Report, RunStatus,
+    RunnerInfo, RunnerState, StallCause, Stalled, StepSpec, StoredRecord, TaskId,
 };
 use proptest::prelude::{any, proptest, ProptestConfig};
 use rand::{Rng, SeedableRng};
