--- a/crates/persimmon-entry/src/handle.rs
+++ b/crates/persimmon-entry/src/handle.rs
@@ -12,7 +12,7 @@
 
 /// Calls that may be queued for the process's thread.
 const CALLS_MAX: usize = 1_024;
-/// Retry time given to callers that find the queue full.
+/// Retry time given to callers for whose request there is no room.
 const RETRY_AFTER_FULL: Duration = Duration::from_secs(1);
 
 /// A request from a caller.
@@ -67,6 +67,16 @@
     Unknown,
 }
 
+impl Rejection {
+    /// There is no room for the request now.
+    pub fn too_many_requests() -> Self {
+        Self::NotRun {
+            retry_after: RETRY_AFTER_FULL,
+            reason: "too many requests at once",
+        }
+    }
+}
+
 type ReplySender<T> = oneshot::Sender<Result<T, Rejection>>;
 
 /// A request queued for the process's thread.
@@ -156,11 +166,8 @@
         make_call: impl FnOnce(ReplySender<T>) -> Call,
     ) -> Result<T, Rejection> {
         let (reply, answer) = oneshot::channel();
-        let full = Rejection::NotRun {
-            retry_after: RETRY_AFTER_FULL,
-            reason: "too many requests at once",
-        };
-        self.calls.try_send(make_call(reply)).map_err(|_| full)?;
+        let sent = self.calls.try_send(make_call(reply));
+        sent.map_err(|_| Rejection::too_many_requests())?;
         answer.await.unwrap_or(Err(Rejection::Unknown))
     }
 }
