--- a/crates/persimmon-intake/src/serve.rs
+++ b/crates/persimmon-intake/src/serve.rs
@@ -33,6 +33,8 @@
 pub struct Options {
     /// What all connections may hold together.
     pub limits: Limits,
+    /// What each connection is held to.
+    pub bounds: Bounds,
     /// How long requests in progress may take once the server stops.
     pub stop_timeout: Duration,
 }
@@ -47,11 +49,10 @@
 }
 
 /// Serves the connections of `listener` until `stop` resolves, and then for as long as the options
-/// allow. `bounds` is asked for each connection. Must run on a [`tokio::task::LocalSet`].
+/// allow. Must run on a [`tokio::task::LocalSet`].
 pub async fn serve<H, F>(
     listener: TcpListener,
     options: Options,
-    bounds: impl Fn() -> Bounds,
     handler: H,
     stop: impl Future<Output = ()>,
 ) where
@@ -91,11 +92,11 @@
         let closer = Rc::new(Notify::new());
         shared.closers.borrow_mut().insert(key, Rc::clone(&closer));
         let (shared, handler) = (Rc::clone(&shared), handler.clone());
-        let (bounds, is_stopping) = (bounds(), is_stopping.clone());
+        let is_stopping = is_stopping.clone();
         connections.spawn_local(async move {
             tokio::select! {
                 () = closer.notified() => {}
-                () = serve_connection(stream, &shared, key, bounds, handler, is_stopping) => {}
+                () = serve_connection(stream, &shared, key, options.bounds, handler, is_stopping) => {}
             }
             shared.closers.borrow_mut().remove(&key);
             shared.account.borrow_mut().close(key);
