--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -105,6 +105,7 @@
 async fn take_free_groups<P: Platform>(shared: &Rc<Shared<P>>) {
     let mut free_since: BTreeMap<GroupId, Instant> = BTreeMap::new();
     let mut unserved: BTreeMap<GroupId, Unserved> = BTreeMap::new();
+    // Revisions of the owner keys that are removed already.
     let mut released: BTreeMap<GroupId, u64> = BTreeMap::new();
     loop {
         tokio::time::sleep(FREE_GROUP_CHECK_INTERVAL).await;
@@ -117,16 +118,23 @@
                 unserved.remove(&group);
                 continue;
             }
-            if let Some((is_own, revision)) = owner_in_store(shared, group) {
-                if is_own {
+            if let Some((holder, revision)) = owner_in_store(shared, group) {
+                free_since.remove(&group);
+                if holder == Holder::ThisProcess {
                     let since = unserved.entry(group).or_insert_with(|| Unserved::new(now));
                     since.log(group, revision, now);
                     resume_ownership(shared, group, revision).await;
-                } else {
-                    unserved.remove(&group);
-                    release_of_earlier_incarnation(shared, group, &mut released).await;
+                    continue;
+                }
+                unserved.remove(&group);
+                // An earlier incarnation has ended, so nobody need wait for the end of its session.
+                if holder == Holder::EarlierIncarnation
+                    && released.get(&group) != Some(&revision)
+                    && !shared.store_is_unreachable()
+                    && release(shared, group, revision).await
+                {
+                    released.insert(group, revision);
                 }
-                free_since.remove(&group);
                 continue;
             }
             let since = *free_since.entry(group).or_insert(now);
@@ -188,44 +196,34 @@
     let Some(predecessors) = read_predecessors(shared, group).await else {
         return;
     };
-    let is_owner = owner_in_store(shared, group) == Some((true, revision));
+    let is_owner = owner_in_store(shared, group) == Some((Holder::ThisProcess, revision));
     if is_owner && !shared.draining.get() {
         OwnedGroup::serve(Rc::clone(shared), group, revision, predecessors);
     }
 }
 
-/// Removes the owner's key of a group if an earlier incarnation of this process owned it. That one has
-/// ended, so nobody need wait for the end of its session. `released` holds the revisions of the keys
-/// that are removed.
-async fn release_of_earlier_incarnation<P: Platform>(
-    shared: &Shared<P>,
-    group: GroupId,
-    released: &mut BTreeMap<GroupId, u64>,
-) {
-    let Some(revision) = revision_of_earlier_incarnation(shared, group) else {
-        return;
-    };
-    let is_released = released.get(&group) == Some(&revision);
-    if !is_released && !shared.store_is_unreachable() && release(shared, group, revision).await {
-        released.insert(group, revision);
-    }
-}
-
-/// Revision of the owner's key of a group, if an earlier incarnation of this process wrote it.
-fn revision_of_earlier_incarnation<P>(shared: &Shared<P>, group: GroupId) -> Option<u64> {
-    let owners = shared.owners.borrow();
-    let owner = owners.get(&group)?;
-    let (name, _) = owner.name.rsplit_once('#')?;
-    let is_earlier = name == shared.options.name && owner.name != own_name(shared);
-    is_earlier.then_some(owner.revision)
+/// Whose name the owner's key of a group holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Holder {
+    ThisProcess,
+    EarlierIncarnation,
+    OtherProcess,
 }
 
-/// Returns whether this process is a group's owner according to the store, and the revision of the
-/// owner's key; `None` if the group has no owner.
-fn owner_in_store<P>(shared: &Shared<P>, group: GroupId) -> Option<(bool, u64)> {
+/// Returns who a group's owner is according to the store, and the revision of the owner's key; `None`
+/// if the group has no owner.
+fn owner_in_store<P>(shared: &Shared<P>, group: GroupId) -> Option<(Holder, u64)> {
     let owners = shared.owners.borrow();
     let owner = owners.get(&group)?;
-    Some((owner.name == own_name(shared), owner.revision))
+    let name = owner.name.rsplit_once('#').map(|(name, _)| name);
+    let holder = if owner.name == own_name(shared) {
+        Holder::ThisProcess
+    } else if name == Some(&shared.options.name) {
+        Holder::EarlierIncarnation
+    } else {
+        Holder::OtherProcess
+    };
+    Some((holder, owner.revision))
 }
 
 /// Returns the number of groups that each process owns, by the process's key.
