--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -A dead_code -o target/review-2/harness review/common-2/harness.rs
+rustc --edition 2021 -O -o target/review-2/harness review/common-2/harness.rs
--- a/review/common-2/http.rs
+++ b/review/common-2/http.rs
@@ -4,16 +4,11 @@
     collections::HashMap,
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc, Mutex,
-    },
+    sync::Arc,
     thread,
-    time::Duration,
 };
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: HashMap<String, String>,
     pub headers: HashMap<String, String>,
@@ -23,11 +18,9 @@
 /// What is answered: `None` closes the connection without an answer.
 pub type Reply = Option<(u16, String)>;
 
-/// A server that can be ended like a process that crashes: its port and its connections close.
+/// A server that runs until the process ends.
 pub struct Server {
     pub address: SocketAddr,
-    is_up: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -38,55 +31,25 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        listener.set_nonblocking(true)?;
-        let is_up = Arc::new(AtomicBool::new(true));
-        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let handler = Arc::new(handler);
-        let (up, open) = (Arc::clone(&is_up), Arc::clone(&streams));
         thread::spawn(move || {
-            while up.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
+            for stream in listener.incoming().flatten() {
                 let _ = stream.set_nodelay(true);
-                if let Ok(copy) = stream.try_clone() {
-                    open.lock().unwrap().push(copy);
-                }
-                let (handler, up) = (Arc::clone(&handler), Arc::clone(&up));
-                thread::spawn(move || serve(stream, &*handler, &up));
+                let handler = Arc::clone(&handler);
+                thread::spawn(move || serve(stream, &*handler));
             }
         });
-        Ok(Self {
-            address,
-            is_up,
-            streams,
-        })
-    }
-
-    /// Ends the server; what is in progress gets no answer.
-    pub fn stop(&self) {
-        self.is_up.store(false, Ordering::SeqCst);
-        for stream in self.streams.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-        // The listener's thread ends within a few milliseconds.
-        thread::sleep(Duration::from_millis(5));
+        Ok(Self { address })
     }
 }
 
-fn serve(stream: TcpStream, handler: &dyn Fn(Request) -> Reply, up: &AtomicBool) {
+fn serve(stream: TcpStream, handler: &dyn Fn(Request) -> Reply) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
-        if !up.load(Ordering::SeqCst) {
-            break;
-        }
-        let reply = handler(request);
-        let Some((status, body)) = reply.filter(|_| up.load(Ordering::SeqCst)) else {
+        let Some((status, body)) = handler(request) else {
             break;
         };
         let head = format!(
@@ -107,7 +70,7 @@
         return None;
     }
     let mut words = line.split_whitespace();
-    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let target = words.nth(1)?.to_owned();
     let mut headers = HashMap::new();
     loop {
         let mut line = String::new();
@@ -127,7 +90,6 @@
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     Some(Request {
-        method,
         path: path.to_owned(),
         query: pairs.map(|(k, v)| (k.to_owned(), decode(v))).collect(),
         headers,
--- a/review/common-2/runner.rs
+++ b/review/common-2/runner.rs
@@ -31,18 +31,13 @@
 /// A start that a runner has carried out.
 #[derive(Clone, Debug)]
 pub struct Start {
-    pub at_ms: u128,
     pub runner: String,
-    pub task: String,
-    pub run: u32,
 }
 
-/// The end of a run; `how` is also `lost` for a run that was lost in a crash.
+/// The end of a run.
 #[derive(Clone, Debug)]
 pub struct End {
-    pub at_ms: u128,
     pub task: String,
-    pub run: u32,
     pub how: String,
 }
 
@@ -50,6 +45,8 @@
 struct Seen {
     starts: Vec<Start>,
     ends: Vec<End>,
+    /// Gangs by step and run: the members that are present, and when all of them are done.
+    gangs: HashMap<(String, u32), (usize, Option<Instant>)>,
 }
 
 /// What the runners have seen.
@@ -75,13 +72,25 @@
         self.seen.lock().unwrap().ends.clone()
     }
 
+    /// Adds a member to a run of a gang, which works from the moment when all are present.
+    fn join_gang(&self, gang: &(String, u32), size: usize, work: Duration) {
+        let mut seen = self.seen.lock().unwrap();
+        let (present, done_at) = seen.gangs.entry(gang.clone()).or_default();
+        *present += 1;
+        if *present == size {
+            *done_at = Some(Instant::now() + work);
+        }
+    }
+
+    fn gang_done_at(&self, gang: &(String, u32)) -> Option<Instant> {
+        let seen = self.seen.lock().unwrap();
+        seen.gangs.get(gang).and_then(|it| it.1)
+    }
+
     fn start(&self, runner: &str, task: &str, run: u32) {
         self.record.note(&format!("{runner} starts {task} run {run}"));
         let start = Start {
-            at_ms: self.record.ms(),
             runner: runner.to_owned(),
-            task: task.to_owned(),
-            run,
         };
         self.seen.lock().unwrap().starts.push(start);
     }
@@ -89,9 +98,7 @@
     fn end(&self, runner: &str, task: &str, run: u32, how: &str) {
         self.record.note(&format!("{runner} ends {task} run {run}: {how}"));
         let end = End {
-            at_ms: self.record.ms(),
             task: task.to_owned(),
-            run,
             how: how.to_owned(),
         };
         self.seen.lock().unwrap().ends.push(end);
@@ -101,8 +108,12 @@
 struct Run {
     task: String,
     run: u32,
-    /// When it is done; `None` for a task that lasts.
+    /// When it is done; `None` for a task that lasts, and for a member of a gang.
     done_at: Option<Instant>,
+    /// Step and run of the gang that it belongs to.
+    gang: Option<(String, u32)>,
+    /// Tail of a task that serves, in milliseconds, or processor time in use.
+    measurement: u64,
 }
 
 /// One life of a runner.
@@ -159,7 +170,10 @@
                 self.end(0, "lapsed", log, runner);
             }
         }
-        let is_done = |run: &Run| run.done_at.is_some_and(|at| now >= at);
+        let is_done = |run: &Run| {
+            let of_gang = run.gang.as_ref().and_then(|gang| log.gang_done_at(gang));
+            run.done_at.or(of_gang).is_some_and(|at| now >= at)
+        };
         while let Some(at) = self.running.iter().position(is_done) {
             self.end(at, "done", log, runner);
         }
@@ -233,18 +247,6 @@
         Ok(())
     }
 
-    /// Ends the runner's process at once, and all that runs there with it.
-    pub fn crash(&self) {
-        let Some((life, server)) = self.life().take() else {
-            return;
-        };
-        server.stop();
-        self.log.record.note(&format!("{} crashes", self.options.id));
-        for run in life.lock().unwrap().running.drain(..) {
-            self.log.end(&self.options.id, &run.task, run.run, "lost");
-        }
-    }
-
     /// The tasks that run here.
     pub fn running(&self) -> Vec<String> {
         let life = self.life();
@@ -278,11 +280,13 @@
     }
 }
 
-/// How long a task works: the number after `work=` in its job's payload, in milliseconds.
-fn work(spec: &str) -> Option<Duration> {
-    let text = spec.split("work=").nth(1)?;
+/// The number after this name in the payload of a job, which says how its tasks behave: `work` is
+/// how long a task works, in milliseconds; `gang` the number of members; `tail` the tail that a
+/// serving task reports, in milliseconds.
+fn number(spec: &str, name: &str) -> Option<u64> {
+    let text = spec.split(name).nth(1)?;
     let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
-    digits.parse().ok().map(Duration::from_millis)
+    digits.parse().ok()
 }
 
 fn handle(life: &Life, request: &Request, log: &Log, id: &str) -> Reply {
@@ -321,11 +325,20 @@
             }
             boot.grant(deadline_ms);
             log.start(id, task, run);
-            let done_at = work(body.get("spec").str()).map(|it| Instant::now() + it);
+            let spec = body.get("spec").str();
+            let work = number(spec, "work=").map(Duration::from_millis);
+            let size = number(spec, "gang=");
+            let step = task.rsplit_once('.').map_or(task, |it| it.0);
+            let gang = size.map(|_| (step.to_owned(), run));
+            if let (Some(gang), Some(size), Some(work)) = (&gang, size, work) {
+                log.join_gang(gang, size as usize, work);
+            }
             boot.running.push(Run {
                 task: task.to_owned(),
                 run,
-                done_at,
+                done_at: work.filter(|_| gang.is_none()).map(|it| Instant::now() + it),
+                gang,
+                measurement: number(spec, "tail=").unwrap_or(1),
             });
             Some((200, Json::table([clock(&boot)]).write()))
         }
@@ -358,7 +371,7 @@
                     u64::from(it.run).into(),
                     Json::text(""),
                     100.into(),
-                    1.into(),
+                    it.measurement.into(),
                 ];
                 Json::List(row)
             });
--- a/review/common-2/scenarios.rs
+++ b/review/common-2/scenarios.rs
@@ -3,7 +3,7 @@
 use crate::{
     client,
     json::Json,
-    runner::{Log, Options, Runner, Start},
+    runner::{Log, Options, Runner},
     store::Store,
     system::{System, HOST},
     Record,
@@ -23,6 +23,7 @@
     host: &'static str,
     prefix: &'static str,
     service: &'static str,
+    priority: u64,
 }
 
 const JOBS: Queue = Queue {
@@ -30,6 +31,7 @@
     host: HOST,
     prefix: "/jobs/",
     service: "desk",
+    priority: 0,
 };
 /// `finish_s`.
 const FINISH: Duration = Duration::from_secs(14);
@@ -37,9 +39,10 @@
 
 pub fn run(name: &str, trouble: bool, record: &Record) -> Verdict {
     match name {
-        "crashes" => crashes(trouble, record),
         "cancel-first" => cancel_first(trouble, record),
         "same-id" => same_id(trouble, record),
+        "backlog" => backlog(trouble, record),
+        "held-gang" => held_gang(trouble, record),
         "large-job" => large_job(trouble, record),
         _ => Err(format!("no scenario {name}")),
     }
@@ -54,7 +57,7 @@
 }
 
 impl World {
-    /// A small deployment: processes, and for each queue runners of 32 cores, eight a rack.
+    /// A small deployment: processes, and for each service runners of 32 cores, eight a rack.
     fn start(
         processes: usize,
         runners: usize,
@@ -70,7 +73,7 @@
                 ("host", Json::text(queue.host)),
                 ("prefix", Json::text(queue.prefix)),
                 ("service", Json::text(queue.service)),
-                ("priority", 0.into()),
+                ("priority", queue.priority.into()),
                 ("maxAttempts", 2.into()),
                 ("stretch", Json::Number(1.5)),
                 ("targetDurationMs", 1_000.into()),
@@ -90,6 +93,9 @@
         store.write("op/config", &config);
         let mut all = Vec::new();
         for (at, queue) in queues.iter().enumerate() {
+            if queues[..at].iter().any(|it| it.service == queue.service) {
+                continue;
+            }
             for number in 0..runners {
                 let options = Options {
                     id: format!("r{at}-{number:02}"),
@@ -147,20 +153,6 @@
         }
     }
 
-    /// Waits for a start of a task that was not seen before.
-    fn wait_start(&self, job: &str, seen: usize, timeout: Duration) -> Option<Start> {
-        let until = Instant::now() + timeout;
-        while Instant::now() < until {
-            let starts = self.log.starts();
-            let mut of_job = starts.into_iter().filter(|it| it.task.starts_with(job));
-            if let Some(start) = of_job.nth(seen) {
-                return Some(start);
-            }
-            thread::sleep(Duration::from_millis(2));
-        }
-        None
-    }
-
     /// Waits until a job has ended; returns its last state.
     fn wait_end(&self, process: usize, queue: Queue, id: &str, timeout: Duration) -> String {
         let until = Instant::now() + timeout;
@@ -178,46 +170,6 @@
             thread::sleep(Duration::from_millis(100));
         }
     }
-
-    fn note_log(&self, text: &str) {
-        for line in self.system.log_lines(text) {
-            self.record.note(&line);
-        }
-    }
-}
-
-/// Two runners crash, one after the other, soon after the same task has started on them.
-fn crashes(trouble: bool, record: &Record) -> Verdict {
-    let world = World::start(3, 8, &[JOBS], record)?;
-    let id = "00000000000000a1";
-    let phases = "[{\"count\":1,\"cpu\":2000,\"memMb\":1024,\"estimateMs\":2000}]";
-    if world.submit(0, JOBS, id, "work=2000", phases) != 200 {
-        return Err("the job was not accepted".to_owned());
-    }
-    for crash in 0..2 {
-        let start = world.wait_start(id, crash, Duration::from_secs(20));
-        let start = start.ok_or("the task was not started")?;
-        if !trouble {
-            break;
-        }
-        thread::sleep(Duration::from_millis(300));
-        let runner = world.runners.iter().find(|it| it.options.id == start.runner);
-        let runner = runner.ok_or("no such runner")?;
-        runner.crash();
-        thread::sleep(Duration::from_millis(1_500));
-        runner.boot().map_err(|err| err.to_string())?;
-    }
-    let state = world.wait_end(1, JOBS, id, Duration::from_secs(25));
-    world.note_log("event=run.crash");
-    world.note_log("event=task.give_up");
-    let failed_ends = world.log.ends().iter().filter(|it| it.how == "failed").count();
-    match state.as_str() {
-        "completed" => Ok(None),
-        "failed" if failed_ends < 2 => Ok(Some(format!(
-            "LOST: the job is shown as failed after {failed_ends} of 2 attempts have ended failed"
-        ))),
-        other => Err(format!("the job ended as {other}")),
-    }
 }
 
 /// One large job of small tasks that last, and small jobs that could run at once.
@@ -285,18 +237,131 @@
     )))
 }
 
+/// Memory of an instance in MB, as in the settings.
+const MEMORY_MB: u64 = 260;
+
+/// Large jobs of ordinary tasks come at once, and small ones for 20 s. As the platform does, a process
+/// that exceeds the memory of its instance is killed, and started again shortly after.
+fn backlog(trouble: bool, record: &Record) -> Verdict {
+    let step = |after: &str| {
+        format!("{{\"count\":10000,\"cpu\":1000,\"memMb\":1024,\"estimateMs\":60000{after}}}")
+    };
+    let steps = [
+        step(""),
+        step(",\"after\":[0]"),
+        step(",\"after\":[1]"),
+        step(",\"after\":[2]"),
+    ];
+    let large = format!("[{}]", steps.join(","));
+    let small = "[{\"count\":1,\"cpu\":1000,\"memMb\":512,\"estimateMs\":300}]";
+    let mut world = World::start(3, 8, &[JOBS], record)?;
+    let mut guard = MemoryGuard::default();
+    let (mut accepted, mut number) = (0, 0);
+    let mut jobs = Vec::new();
+    let started = Instant::now();
+    let traffic_ends = started + Duration::from_secs(20);
+    let asked_at = traffic_ends + FINISH;
+    let mut next_job = started;
+    let (mut most_running, mut asked) = (0, false);
+    while Instant::now() < asked_at + Duration::from_millis(3_100) {
+        guard.check(&mut world)?;
+        let now = Instant::now();
+        if now >= next_job && now < traffic_ends {
+            number += 1;
+            let process = number % 3;
+            let is_large = trouble && accepted < LARGE_JOBS;
+            next_job = now + Duration::from_millis(if is_large { 80 } else { 200 });
+            if guard.restarts[process].is_some() {
+                continue;
+            }
+            let id = format!("000000000001{number:04x}");
+            if is_large {
+                accepted += usize::from(world.submit(process, JOBS, &id, "work=60000", &large) == 200);
+            } else if world.submit(process, JOBS, &id, "work=300", small) == 200 {
+                jobs.push(id);
+            }
+        }
+        if now >= asked_at {
+            if !std::mem::replace(&mut asked, true) {
+                record.note(&format!("{} s after the end of the traffic", FINISH.as_secs()));
+            }
+            let running: usize = world.runners.iter().map(|it| it.running().len()).sum();
+            most_running = running.max(most_running);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let ends = world.log.ends();
+    let is_done = |id: &&String| {
+        let mut of_job = ends.iter().filter(|it| it.task.starts_with(id.as_str()));
+        of_job.any(|it| it.how == "done")
+    };
+    let open = jobs.len() - jobs.iter().filter(is_done).count();
+    let kills = guard.kills;
+    record.note(&format!(
+        "{accepted} large jobs and {} small ones were accepted; {open} of the small ones are not done",
+        jobs.len()
+    ));
+    record.note(&format!("at most {most_running} tasks ran in the last 3 s, of 256 that fit"));
+    record.note(&format!("killed for their memory: {kills:?}; most MB: {:?}", guard.most_mb));
+    record.note(&format!("the group was taken {} times", world.store.takeovers()));
+    // Twice the room that an open job needs is free, and less than half of it is in use.
+    Ok((open + accepted > 0 && most_running < 128 && kills.iter().any(|&it| it >= 3)).then(|| {
+        format!(
+            "LOST: {open} small and {accepted} large jobs are not done and at most {most_running} of 256 tasks \
+             ran for 3 s, {} s after the end of the traffic; processes killed for their memory: {kills:?}",
+            FINISH.as_secs()
+        )
+    }))
+}
+
+/// What the platform does about memory.
+#[derive(Default)]
+struct MemoryGuard {
+    kills: [u32; 3],
+    restarts: [Option<Instant>; 3],
+    most_mb: [u64; 3],
+}
+
+impl MemoryGuard {
+    fn check(&mut self, world: &mut World) -> Result<(), String> {
+        for at in 0..3 {
+            let mb = world.system.memory_mb(at);
+            self.most_mb[at] = mb.max(self.most_mb[at]);
+            if mb > MEMORY_MB {
+                let name = &world.system.processes[at].name;
+                world.record.note(&format!("{name} has {mb} MB"));
+                world.system.kill(at);
+                self.kills[at] += 1;
+                self.restarts[at] = Some(Instant::now() + Duration::from_millis(500));
+            } else if world.system.has_ended(at) {
+                return Err("a process has ended for another reason".to_owned());
+            }
+            if self.restarts[at].is_some_and(|due| Instant::now() >= due) {
+                self.restarts[at] = None;
+                world.system.boot(at).map_err(|err| err.to_string())?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Large jobs that are handed in.
+const LARGE_JOBS: usize = 45;
+
 const TWO_QUEUES: [Queue; 2] = [
     Queue {
         name: "quotes",
         host: "quotes.example",
         prefix: "/quotes/",
         service: "quote-desk",
+        priority: 0,
     },
     Queue {
         name: "bookings",
         host: "bookings.example",
         prefix: "/bookings/",
         service: "booking-desk",
+        priority: 0,
     },
 ];
 
@@ -380,3 +445,62 @@
     }
     Ok((!broken.is_empty()).then(|| broken.join("; ")))
 }
+
+/// Tasks of two queues that fill, beside a serving task on each runner. The serving tasks are over
+/// their target by their own load. A gang of the more urgent queue comes in the middle of the others.
+fn held_gang(trouble: bool, record: &Record) -> Verdict {
+    let less_urgent = Queue {
+        name: "less-urgent",
+        prefix: "/less-urgent/",
+        priority: 2,
+        ..JOBS
+    };
+    let world = World::start(3, 8, &[JOBS, less_urgent], record)?;
+    let tail_ms = if trouble { 12 } else { 4 };
+    let serving = "[{\"count\":8,\"cpu\":12000,\"memMb\":4096,\"longRunning\":true,\"image\":\"serves\",\
+                   \"targetMs\":10,\"maxPerServer\":1}]";
+    let gang = "[{\"count\":4,\"cpu\":2000,\"memMb\":512,\"estimateMs\":1500,\"image\":\"gang\",\
+                \"fills\":true,\"gang\":true,\"maxPerServer\":1}]";
+    let other = "[{\"count\":1,\"cpu\":2000,\"memMb\":512,\"estimateMs\":1500,\"image\":\"fills\",\
+                 \"fills\":true}]";
+    let payload = format!("tail={tail_ms}");
+    if world.submit(0, JOBS, "00000000000000a1", &payload, serving) != 200 {
+        return Err("the serving tasks were not accepted".to_owned());
+    }
+    thread::sleep(Duration::from_secs(4));
+    let id = "00000000000000b1";
+    for number in 0..60 {
+        if number == 30 && world.submit(1, JOBS, id, "work=1500 gang=4", gang) != 200 {
+            return Err("the gang was not accepted".to_owned());
+        }
+        let other_id = format!("000000000001{number:04x}");
+        world.submit(number % 3, less_urgent, &other_id, "work=1500", other);
+        thread::sleep(Duration::from_millis(200));
+    }
+    record.note("the traffic ends");
+    let begun = |tasks: &[String]| tasks.iter().any(|task| task.starts_with(id));
+    thread::sleep(FINISH);
+    let mut has_run = false;
+    let until = Instant::now() + Duration::from_millis(3_100);
+    let mut most_cores = 0;
+    while Instant::now() < until {
+        let running: Vec<_> = world.runners.iter().flat_map(|it| it.running()).collect();
+        has_run |= begun(&running);
+        let serving = running.iter().filter(|task| task.starts_with("00000000000000a1")).count();
+        most_cores = (12 * serving + 2 * (running.len() - serving)).max(most_cores);
+        thread::sleep(Duration::from_millis(10));
+    }
+    let state = world.state(0, JOBS, id);
+    record.note(&format!("the gang is {state}; at most {most_cores} of 256 cores are in use"));
+    let ends = world.log.ends();
+    let others = ends.iter().filter(|it| it.how == "done" && !it.task.starts_with(id)).count();
+    record.note(&format!("{others} of the 60 less urgent jobs are done"));
+    Ok((!has_run && state != "completed" && most_cores < 128).then(|| {
+        format!(
+            "LOST: {} s after the end of the traffic a gang of the most urgent queue is {state} and has nothing \
+             running for 3 s, while at most {most_cores} of 256 cores are in use and {others} of 60 less urgent \
+             jobs are done",
+            FINISH.as_secs()
+        )
+    }))
+}
--- a/review/common-2/store.rs
+++ b/review/common-2/store.rs
@@ -111,22 +111,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes a key as the operator or the platform does.
-    pub fn remove(&self, key: &str) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.revision += 1;
-        state.remove(key);
-        self.shared.1.notify_all();
-    }
-
-    /// Name of the process that the owner's key of the only group names.
-    pub fn owner(&self) -> Option<String> {
-        let state = self.shared.0.lock().unwrap();
-        let value = from_base64(&state.items.get("ps/m/own/0")?.value);
-        let text = String::from_utf8(value).ok()?;
-        Some(text.split('#').next()?.to_owned())
-    }
-
     /// Number of times that the owner's key of the only group was written.
     pub fn takeovers(&self) -> usize {
         let state = self.shared.0.lock().unwrap();
@@ -286,18 +270,3 @@
     }
     out
 }
-
-fn from_base64(text: &str) -> Vec<u8> {
-    let digits = text.bytes().filter_map(|byte| DIGITS.iter().position(|it| *it == byte));
-    let (mut bits, mut count, mut out) = (0u32, 0, Vec::new());
-    for digit in digits {
-        bits = bits << 6 | digit as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            out.push((bits >> count) as u8);
-            bits &= (1 << count) - 1;
-        }
-    }
-    out
-}
--- a/review/common-2/system.rs
+++ b/review/common-2/system.rs
@@ -141,19 +141,6 @@
         false
     }
 
-    pub fn index(&self, name: &str) -> Option<usize> {
-        self.processes.iter().position(|it| it.name == name)
-    }
-
-    /// Sends a signal to a process that this value started.
-    pub fn signal(&self, at: usize, signal: &str) {
-        if let Some(child) = &self.processes[at].child {
-            let pid = child.id().to_string();
-            let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
-            self.record.note(&format!("{} gets SIG{signal}", self.processes[at].name));
-        }
-    }
-
     /// Kills a process.
     pub fn kill(&mut self, at: usize) {
         if let Some(mut child) = self.processes[at].child.take() {
@@ -163,6 +150,17 @@
         }
     }
 
+    /// Memory that a process has resident, in MB; 0 if it does not run.
+    pub fn memory_mb(&self, at: usize) -> u64 {
+        let Some(child) = &self.processes[at].child else {
+            return 0;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().nth(1)).and_then(|it| it.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1024
+    }
+
     /// Whether a process has ended by itself.
     pub fn has_ended(&mut self, at: usize) -> bool {
         let child = self.processes[at].child.as_mut();
