--- a/review/common-2/client.rs
+++ b/review/common-2/client.rs
@@ -24,7 +24,9 @@
         timeout.as_millis(),
         body.len()
     );
-    stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).ok()?;
+    stream
+        .write_all(&[head.as_bytes(), body.as_bytes()].concat())
+        .ok()?;
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer);
     let answer = String::from_utf8_lossy(&answer).into_owned();
--- a/review/common-2/runner.rs
+++ b/review/common-2/runner.rs
@@ -88,7 +88,8 @@
     }
 
     fn start(&self, runner: &str, task: &str, run: u32) {
-        self.record.note(&format!("{runner} starts {task} run {run}"));
+        self.record
+            .note(&format!("{runner} starts {task} run {run}"));
         let start = Start {
             runner: runner.to_owned(),
         };
@@ -96,7 +97,8 @@
     }
 
     fn end(&self, runner: &str, task: &str, run: u32, how: &str) {
-        self.record.note(&format!("{runner} ends {task} run {run}: {how}"));
+        self.record
+            .note(&format!("{runner} ends {task} run {run}: {how}"));
         let end = End {
             task: task.to_owned(),
             how: how.to_owned(),
@@ -150,7 +152,10 @@
 
     fn grant(&mut self, deadline_ms: u64) {
         let deadline_ms = deadline_ms.min(self.clock_ms() + HOLD_MAX_MS);
-        self.deadline_ms = Some(self.deadline_ms.map_or(deadline_ms, |it| it.max(deadline_ms)));
+        self.deadline_ms = Some(
+            self.deadline_ms
+                .map_or(deadline_ms, |it| it.max(deadline_ms)),
+        );
     }
 
     fn end(&mut self, at: usize, how: &'static str, log: &Log, runner: &str) {
@@ -258,11 +263,24 @@
     }
 
     fn write_entry(&self, seq: u64) {
-        let Some(born) = self.life().as_ref().map(|(life, _)| life.lock().unwrap().born) else {
+        let Some(born) = self
+            .life()
+            .as_ref()
+            .map(|(life, _)| life.lock().unwrap().born)
+        else {
             return;
         };
-        let Options { id, rack, cpu, mem_mb } = &self.options;
-        let capacity = [("cpu", (*cpu).into()), ("memMb", (*mem_mb).into()), ("gpu", 0.into())];
+        let Options {
+            id,
+            rack,
+            cpu,
+            mem_mb,
+        } = &self.options;
+        let capacity = [
+            ("cpu", (*cpu).into()),
+            ("memMb", (*mem_mb).into()),
+            ("gpu", 0.into()),
+        ];
         let entry = Json::table([
             ("service", Json::text(&self.service)),
             ("address", Json::text(&self.address.to_string())),
@@ -274,7 +292,10 @@
             ("seq", seq.into()),
             ("born", born.into()),
             ("capacity", Json::table(capacity)),
-            ("labels", Json::List(vec![Json::text("a"), Json::text(rack)])),
+            (
+                "labels",
+                Json::List(vec![Json::text("a"), Json::text(rack)]),
+            ),
         ]);
         self.store.write(&format!("servers/{id}"), &entry);
     }
@@ -309,7 +330,10 @@
     }
     boot.fence = fence;
     let (task, run) = (body.get("task").str(), body.get("run").u64() as u32);
-    let at = boot.running.iter().position(|it| it.task == task && it.run == run);
+    let at = boot
+        .running
+        .iter()
+        .position(|it| it.task == task && it.run == run);
     match call {
         "run-start" => {
             let deadline_ms = body.get("deadlineMs").u64();
@@ -336,7 +360,9 @@
             boot.running.push(Run {
                 task: task.to_owned(),
                 run,
-                done_at: work.filter(|_| gang.is_none()).map(|it| Instant::now() + it),
+                done_at: work
+                    .filter(|_| gang.is_none())
+                    .map(|it| Instant::now() + it),
                 gang,
                 measurement: number(spec, "tail=").unwrap_or(1),
             });
--- a/review/common-2/scenarios.rs
+++ b/review/common-2/scenarios.rs
@@ -122,7 +122,14 @@
     }
 
     /// Makes a call about a job; returns the status, 0 without an answer, and the body.
-    fn call(&self, process: usize, method: &str, queue: Queue, id: &str, body: &str) -> (u16, String) {
+    fn call(
+        &self,
+        process: usize,
+        method: &str,
+        queue: Queue,
+        id: &str,
+        body: &str,
+    ) -> (u16, String) {
         let to = self.system.processes[process].frontend;
         let path = format!("{}{id}", queue.prefix);
         let answer = client::call(to, method, queue.host, &path, body, CALL_TIMEOUT);
@@ -133,21 +140,31 @@
     fn submit(&self, process: usize, queue: Queue, id: &str, spec: &str, phases: &str) -> u16 {
         let body = format!("{{\"spec\":\"{spec}\",\"phases\":{phases}}}");
         let (status, _) = self.call(process, "POST", queue, id, &body);
-        self.record.note(&format!("POST {}{}{id}: {status}", queue.host, queue.prefix));
+        self.record.note(&format!(
+            "POST {}{}{id}: {status}",
+            queue.host, queue.prefix
+        ));
         status
     }
 
     /// Cancels a job at a process; returns the status.
     fn cancel(&self, process: usize, queue: Queue, id: &str) -> u16 {
         let (status, _) = self.call(process, "DELETE", queue, id, "");
-        self.record.note(&format!("DELETE {}{}{id}: {status}", queue.host, queue.prefix));
+        self.record.note(&format!(
+            "DELETE {}{}{id}: {status}",
+            queue.host, queue.prefix
+        ));
         status
     }
 
     /// The state of a job as a process tells it; the status if it is not 200.
     fn state(&self, process: usize, queue: Queue, id: &str) -> String {
         match self.call(process, "GET", queue, id, "") {
-            (200, body) => Json::parse(&body).unwrap_or(Json::Null).get("state").str().to_owned(),
+            (200, body) => Json::parse(&body)
+                .unwrap_or(Json::Null)
+                .get("state")
+                .str()
+                .to_owned(),
             (0, _) => "no answer".to_owned(),
             (status, _) => status.to_string(),
         }
@@ -160,7 +177,8 @@
         loop {
             let state = self.state(process, queue, id);
             if state != last {
-                self.record.note(&format!("GET {}{}{id}: {state}", queue.host, queue.prefix));
+                self.record
+                    .note(&format!("GET {}{}{id}: {state}", queue.host, queue.prefix));
                 last = state;
             }
             let is_final = ["completed", "failed", "cancelled"].contains(&last.as_str());
@@ -187,7 +205,9 @@
             break;
         }
         let id = "0000000000000001";
-        if trouble && number == 10 && world.submit(0, JOBS, id, "lasts", &large) != 200 {
+        // After no answer it is sent again, at the next process.
+        let accepts = |process| world.submit(process, JOBS, id, "lasts", &large) == 200;
+        if trouble && number == 10 && !(0..6).any(|attempt| accepts(attempt % 3)) {
             return Err("the large job was not accepted".to_owned());
         }
         let id = format!("000000000001{number:04x}");
@@ -196,12 +216,23 @@
         }
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
-    record.note(&format!("the traffic ends; {} small jobs were accepted", jobs.len()));
+    record.note(&format!(
+        "the traffic ends; {} small jobs were accepted",
+        jobs.len()
+    ));
     thread::sleep(FINISH);
     // For three seconds, see which jobs that are not done have a run.
     let state = |id: &String| world.state(1, JOBS, id);
-    let open: Vec<_> = jobs.iter().filter(|id| state(id) != "completed").cloned().collect();
-    record.note(&format!("{} s later {} of them are not done", FINISH.as_secs(), open.len()));
+    let open: Vec<_> = jobs
+        .iter()
+        .filter(|id| state(id) != "completed")
+        .cloned()
+        .collect();
+    record.note(&format!(
+        "{} s later {} of them are not done",
+        FINISH.as_secs(),
+        open.len()
+    ));
     let mut idle = open.clone();
     let mut most_running = 0;
     let until = Instant::now() + Duration::from_millis(3_100);
@@ -213,9 +244,14 @@
     }
     idle.retain(|id| state(id) != "completed");
     for id in &idle {
-        record.note(&format!("{id} is {} and has had nothing running for 3 s", state(id)));
+        record.note(&format!(
+            "{id} is {} and has had nothing running for 3 s",
+            state(id)
+        ));
     }
-    record.note(&format!("at most {most_running} tasks ran meanwhile, of 256 that fit"));
+    record.note(&format!(
+        "at most {most_running} tasks ran meanwhile, of 256 that fit"
+    ));
     let count = |text: &str| world.system.log_lines(text).len();
     record.note(&format!(
         "the system withheld {} starts, lost {} sessions, took its group {} times",
@@ -224,7 +260,11 @@
         world.store.takeovers()
     ));
     let rounds = world.system.log_lines("event=group.activity");
-    rounds.iter().rev().take(5).for_each(|line| record.note(line));
+    rounds
+        .iter()
+        .rev()
+        .take(5)
+        .for_each(|line| record.note(line));
     if idle.is_empty() {
         return Ok(None);
     }
@@ -276,14 +316,18 @@
             }
             let id = format!("000000000001{number:04x}");
             if is_large {
-                accepted += usize::from(world.submit(process, JOBS, &id, "work=60000", &large) == 200);
+                accepted +=
+                    usize::from(world.submit(process, JOBS, &id, "work=60000", &large) == 200);
             } else if world.submit(process, JOBS, &id, "work=300", small) == 200 {
                 jobs.push(id);
             }
         }
         if now >= asked_at {
             if !std::mem::replace(&mut asked, true) {
-                record.note(&format!("{} s after the end of the traffic", FINISH.as_secs()));
+                record.note(&format!(
+                    "{} s after the end of the traffic",
+                    FINISH.as_secs()
+                ));
             }
             let running: usize = world.runners.iter().map(|it| it.running().len()).sum();
             most_running = running.max(most_running);
@@ -301,9 +345,17 @@
         "{accepted} large jobs and {} small ones were accepted; {open} of the small ones are not done",
         jobs.len()
     ));
-    record.note(&format!("at most {most_running} tasks ran in the last 3 s, of 256 that fit"));
-    record.note(&format!("killed for their memory: {kills:?}; most MB: {:?}", guard.most_mb));
-    record.note(&format!("the group was taken {} times", world.store.takeovers()));
+    record.note(&format!(
+        "at most {most_running} tasks ran in the last 3 s, of 256 that fit"
+    ));
+    record.note(&format!(
+        "killed for their memory: {kills:?}; most MB: {:?}",
+        guard.most_mb
+    ));
+    record.note(&format!(
+        "the group was taken {} times",
+        world.store.takeovers()
+    ));
     // Twice the room that an open job needs is free, and less than half of it is in use.
     Ok((open + accepted > 0 && most_running < 128 && kills.iter().any(|&it| it >= 3)).then(|| {
         format!(
@@ -372,7 +424,13 @@
     let world = World::start(3, 4, &TWO_QUEUES, record)?;
     let [first, second] = TWO_QUEUES;
     let phases = "[{\"count\":2,\"cpu\":1000,\"memMb\":512,\"estimateMs\":500}]";
-    let of_second = |id: &str| if trouble { id.to_owned() } else { id.replace("00001", "0000a") };
+    let of_second = |id: &str| {
+        if trouble {
+            id.to_owned()
+        } else {
+            id.replace("00001", "0000a")
+        }
+    };
     let mut broken = Vec::new();
 
     let id = "0000000000000001";
@@ -384,8 +442,13 @@
     if world.submit(1, second, &of_second(id), "work=600", phases) == 200 {
         let state = world.wait_end(2, second, &of_second(id), Duration::from_secs(20));
         let starts = world.log.starts();
-        let starts = starts.iter().filter(|it| it.runner.starts_with("r1-")).count();
-        record.note(&format!("{starts} tasks were started on runners of the second queue"));
+        let starts = starts
+            .iter()
+            .filter(|it| it.runner.starts_with("r1-"))
+            .count();
+        record.note(&format!(
+            "{starts} tasks were started on runners of the second queue"
+        ));
         if starts == 0 {
             broken.push(format!(
                 "MIXED, LOST: the second queue's job was accepted and is shown as {state}, and none of \
@@ -400,14 +463,24 @@
     }
     thread::sleep(Duration::from_millis(500));
     let state = world.state(1, second, &of_second(id));
-    record.note(&format!("GET {}{}{}: {state}", second.host, second.prefix, of_second(id)));
+    record.note(&format!(
+        "GET {}{}{}: {state}",
+        second.host,
+        second.prefix,
+        of_second(id)
+    ));
     if state != "410" {
-        broken.push(format!("MIXED: a job that nobody submitted to the queue is shown as {state}"));
+        broken.push(format!(
+            "MIXED: a job that nobody submitted to the queue is shown as {state}"
+        ));
     }
     world.cancel(2, second, &of_second(id));
     let state = world.wait_end(1, first, id, Duration::from_secs(20));
     if state == "cancelled" {
-        broken.push("LOST: a job that no caller of its queue has cancelled is shown as cancelled".to_owned());
+        broken.push(
+            "LOST: a job that no caller of its queue has cancelled is shown as cancelled"
+                .to_owned(),
+        );
     }
     Ok((!broken.is_empty()).then(|| broken.join("; ")))
 }
@@ -428,7 +501,9 @@
     let state = world.state(1, JOBS, id);
     record.note(&format!("GET {id}: {state}"));
     if state != "410" {
-        broken.push(format!("MIXED: a job that nobody submitted is shown as {state}"));
+        broken.push(format!(
+            "MIXED: a job that nobody submitted is shown as {state}"
+        ));
     }
     thread::sleep(Duration::from_millis(5_000));
     // A system that refuses the job has lost nothing.
@@ -457,7 +532,8 @@
     };
     let world = World::start(3, 8, &[JOBS, less_urgent], record)?;
     let tail_ms = if trouble { 12 } else { 4 };
-    let serving = "[{\"count\":8,\"cpu\":12000,\"memMb\":4096,\"longRunning\":true,\"image\":\"serves\",\
+    let serving =
+        "[{\"count\":8,\"cpu\":12000,\"memMb\":4096,\"longRunning\":true,\"image\":\"serves\",\
                    \"targetMs\":10,\"maxPerServer\":1}]";
     let gang = "[{\"count\":4,\"cpu\":2000,\"memMb\":512,\"estimateMs\":1500,\"image\":\"gang\",\
                 \"fills\":true,\"gang\":true,\"maxPerServer\":1}]";
@@ -486,14 +562,22 @@
     while Instant::now() < until {
         let running: Vec<_> = world.runners.iter().flat_map(|it| it.running()).collect();
         has_run |= begun(&running);
-        let serving = running.iter().filter(|task| task.starts_with("00000000000000a1")).count();
+        let serving = running
+            .iter()
+            .filter(|task| task.starts_with("00000000000000a1"))
+            .count();
         most_cores = (12 * serving + 2 * (running.len() - serving)).max(most_cores);
         thread::sleep(Duration::from_millis(10));
     }
     let state = world.state(0, JOBS, id);
-    record.note(&format!("the gang is {state}; at most {most_cores} of 256 cores are in use"));
+    record.note(&format!(
+        "the gang is {state}; at most {most_cores} of 256 cores are in use"
+    ));
     let ends = world.log.ends();
-    let others = ends.iter().filter(|it| it.how == "done" && !it.task.starts_with(id)).count();
+    let others = ends
+        .iter()
+        .filter(|it| it.how == "done" && !it.task.starts_with(id))
+        .count();
     record.note(&format!("{others} of the 60 less urgent jobs are done"));
     Ok((!has_run && state != "completed" && most_cores < 128).then(|| {
         format!(
--- a/review/common-2/store.rs
+++ b/review/common-2/store.rs
@@ -138,7 +138,8 @@
         "kv-range" => {
             let (prefix, after) = (text("prefix"), text("after"));
             let items = state.items.iter();
-            let mut items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+            let mut items =
+                items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
             let page = items.by_ref().take(PAGE);
             let page: Vec<_> = page.map(|(key, it)| describe(key, it)).collect();
             let has_more = items.next().is_some();
@@ -215,7 +216,11 @@
     }
     state.revision += 1;
     for write in writes {
-        state.put(write.get("key").str(), write.get("value").str(), lease_of(write));
+        state.put(
+            write.get("key").str(),
+            write.get("value").str(),
+            lease_of(write),
+        );
     }
     for key in txn.get("remove").list() {
         state.remove(key.str());
--- a/review/common-2/system.rs
+++ b/review/common-2/system.rs
@@ -110,7 +110,10 @@
 
     pub fn boot(&mut self, at: usize) -> std::io::Result<()> {
         let process = &mut self.processes[at];
-        let log = fs::File::options().create(true).append(true).open(&process.log)?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&process.log)?;
         let child = Command::new(RUN)
             .env("PERSIMMONSHIFT_BOOT", &process.settings)
             .stdin(Stdio::null())
@@ -146,7 +149,8 @@
         if let Some(mut child) = self.processes[at].child.take() {
             let _ = child.kill();
             let _ = child.wait();
-            self.record.note(&format!("{} is killed", self.processes[at].name));
+            self.record
+                .note(&format!("{} is killed", self.processes[at].name));
         }
     }
 
@@ -157,7 +161,9 @@
         };
         let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
         let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let kb = line.and_then(|line| line.split_whitespace().nth(1)).and_then(|it| it.parse::<u64>().ok());
+        let kb = line
+            .and_then(|line| line.split_whitespace().nth(1))
+            .and_then(|it| it.parse::<u64>().ok());
         kb.unwrap_or(0) / 1024
     }
 
