feat(entry): the parts of an owner's work are timed

`longest_round_ms` told that a round of the owner had taken seconds, not what in it. `group.activity` now has the longest duration of each part of the work that is done without a pause, and a part of 200 ms or more has a line of its own, `event=group.slow part=.. duration_ms=..`. A round takes `settle` and `place` apart for that; `tick` does both as before.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -1,4 +1,4 @@
-use super::OwnedGroup;
+use super::{activity::Part, OwnedGroup};
 use crate::{
     handle::Rejection,
     keys,
@@ -58,7 +58,9 @@
             self.commit_wake.notified().await;
             let mut bytes = 0;
             while self.commits_in_flight.get() < TXNS_IN_FLIGHT_MAX {
-                let commits = self.engine.borrow_mut().take_commits(RECORDS_PER_TXN_MAX);
+                let commits = self.timed(Part::Record, || {
+                    self.engine.borrow_mut().take_commits(RECORDS_PER_TXN_MAX)
+                });
                 if commits.is_empty() {
                     break;
                 }
@@ -115,7 +117,7 @@
     /// Writes records in one transaction and tells the engine. Fails if the store rejects the
     /// transaction for its contents.
     async fn write_records(&self, commits: &[Commit]) -> Result<(), CallError> {
-        let Some(txn) = self.commit_txn(commits) else {
+        let Some(txn) = self.timed(Part::Record, || self.commit_txn(commits)) else {
             self.stop_serving("a record can't be encoded");
             return Ok(());
         };
@@ -125,7 +127,7 @@
                 let duration = self.shared.now().saturating_duration_since(sent_at);
                 let bytes = txn.writes.iter().map(|write| write.value.len()).sum();
                 self.record(|it| it.add_write(commits.len(), bytes, duration));
-                self.handle_written(commits, &revisions);
+                self.timed(Part::Written, || self.handle_written(commits, &revisions));
             }
             Written::Rejected(err) => return Err(err),
             Written::Stopped => {}
--- a/crates/persimmon-entry/src/group/mod.rs
+++ b/crates/persimmon-entry/src/group/mod.rs
@@ -11,7 +11,11 @@
 
 pub(crate) use self::{inbox::LOADING_LOG_INTERVAL, lease_authority::Predecessors};
 
-use self::{activity::Activity, lease_authority::LeaseAuthority, relays::Relays};
+use self::{
+    activity::{Activity, Part},
+    lease_authority::LeaseAuthority,
+    relays::Relays,
+};
 use crate::{
     keys::{self, GroupId},
     platform::{Lease, Platform, Precondition, Txn},
@@ -37,6 +41,9 @@
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(120);
 /// Longest wait for an event after the pause: leases expire and backoffs end without one.
 const IDLE_WAIT_MAX: Duration = Duration::from_millis(60);
+/// A part of the owner's work that takes this long without a pause is logged: renewals of the session
+/// wait meanwhile.
+const SLOW_PART: Duration = Duration::from_millis(200);
 /// Interval at which the group's load is logged.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// A task that has not run for this long is logged.
@@ -149,18 +156,25 @@
             let started_at = self.shared.now();
             self.configure();
             self.check_predecessors();
-            let orders = {
-                let mut engine = self.engine.borrow_mut();
-                engine.tick(self.shared.wall_ms(), self.shared.now());
-                engine.take_orders()
-            };
+            let wall_ms = self.shared.wall_ms();
+            self.timed(Part::Settle, || {
+                let now = self.shared.now();
+                self.engine.borrow_mut().settle(wall_ms, now);
+            });
+            self.timed(Part::Place, || {
+                let now = self.shared.now();
+                self.engine.borrow_mut().place(wall_ms, now);
+            });
+            let orders = self.engine.borrow_mut().take_orders();
             if self.engine.borrow().is_fenced() {
                 self.stop_serving("a runner has seen a higher fencing token");
             }
-            self.assign_runners();
-            for order in orders {
-                self.send_order(order);
-            }
+            self.timed(Part::Assign, || self.assign_runners());
+            self.timed(Part::Order, || {
+                for order in orders {
+                    self.send_order(order);
+                }
+            });
             self.commit_wake.notify_one();
             while self.background_tasks.borrow_mut().try_join_next().is_some() {}
             let duration = self.shared.now().saturating_duration_since(started_at);
@@ -194,8 +208,11 @@
     async fn log_load(self: Rc<Self>) {
         loop {
             tokio::time::sleep(LOAD_LOG_INTERVAL).await;
-            let load = self.engine.borrow().load(self.shared.now());
-            log::info!("event=group.load group={} {load}", self.id.0);
+            self.timed(Part::Describe, || {
+                let load = self.engine.borrow().load(self.shared.now());
+                log::info!("event=group.load group={} {load}", self.id.0);
+                self.log_stalled();
+            });
             let runners = self.relays.runner_count();
             let relays = self.relays.relay_count();
             let activity = self.activity.take();
@@ -205,7 +222,6 @@
                 self.id.0,
                 self.peer_bytes()
             );
-            self.log_stalled();
         }
     }
 
@@ -254,6 +270,23 @@
         }
     }
 
+    /// Does a part of the owner's work, and notes how long it takes.
+    fn timed<T>(&self, part: Part, work: impl FnOnce() -> T) -> T {
+        let started_at = self.shared.now();
+        let result = work();
+        let duration = self.shared.now().saturating_duration_since(started_at);
+        self.record(|it| it.add_part(part, duration));
+        if duration >= SLOW_PART {
+            log::warn!(
+                "event=group.slow group={} part={} duration_ms={}",
+                self.id.0,
+                part.name(),
+                duration.as_millis()
+            );
+        }
+        result
+    }
+
     fn record(&self, change: impl FnOnce(&mut Activity)) {
         let mut activity = self.activity.get();
         change(&mut activity);
--- a/crates/persimmon-entry/src/group/relays.rs
+++ b/crates/persimmon-entry/src/group/relays.rs
@@ -1,6 +1,6 @@
 //! The owner's relays: which members call which runners, and the exchanges with them.
 
-use super::OwnedGroup;
+use super::{activity::Part, OwnedGroup};
 use crate::{
     keys,
     peers::{PeerReply, PeerRequest},
@@ -278,8 +278,10 @@
             let is_leaving = matches!(reply, Ok(RelayReply::Leaving(_)));
             match reply {
                 Ok(RelayReply::News(news) | RelayReply::Leaving(news)) => {
-                    let events = connection.link.borrow_mut().handle_news(news);
-                    self.handle_events(events);
+                    self.timed(Part::News, || {
+                        let events = connection.link.borrow_mut().handle_news(news);
+                        self.handle_events(events);
+                    });
                 }
                 Ok(RelayReply::Superseded(token)) => self.handle_superseded(token),
                 Ok(RelayReply::Acknowledged | RelayReply::SessionLost) => {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -291,9 +291,14 @@
         std::mem::take(&mut self.orders)
     }
 
-    /// Opens due occurrences, requeues runs whose lease has expired, orders the stops that are due
-    /// and places ready tasks.
+    /// Does what [`Self::settle`] and [`Self::place`] do.
     pub fn tick(&mut self, wall_ms: u64, now: Instant) {
+        self.settle(wall_ms, now);
+        self.place(wall_ms, now);
+    }
+
+    /// Opens due occurrences, requeues runs whose lease has expired and orders the stops that are due.
+    pub fn settle(&mut self, wall_ms: u64, now: Instant) {
         while let Some(&(due_ms, job, _)) = self.timers.first() {
             if due_ms > wall_ms {
                 break;
@@ -303,6 +308,10 @@
         }
         self.expire_leases(now);
         self.settle_runs(now);
+    }
+
+    /// Places ready tasks.
+    pub fn place(&mut self, wall_ms: u64, now: Instant) {
         self.place_ready(wall_ms, now);
     }
 
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -189,7 +189,7 @@
                     continue;
                 }
                 pass.choices_left -= 1;
-                if !self.place(id, claim, Admission::Retry, now) {
+                if !self.place_task(id, claim, Admission::Retry, now) {
                     break;
                 }
             }
@@ -225,7 +225,7 @@
                 continue;
             }
             pass.choices_left -= 1;
-            let fits = self.place(id, claim, Admission::Predicted, now);
+            let fits = self.place_task(id, claim, Admission::Predicted, now);
             placed += usize::from(fits);
             is_rejected = !fits;
             is_retry = is_rejected && self.is_kept_off_runners(id);
@@ -334,7 +334,7 @@
             return false;
         }
         pass.choices_left -= 1;
-        if !self.place(id, claim, admission, now) {
+        if !self.place_task(id, claim, admission, now) {
             pass.infeasible(admission).insert(demand.clone());
             return false;
         }
@@ -483,7 +483,7 @@
     }
 
     /// Places one task, or all tasks of a gang; `false` if it fits on no runner.
-    fn place(&mut self, id: TaskId, claim: Claim, admission: Admission, now: Instant) -> bool {
+    fn place_task(&mut self, id: TaskId, claim: Claim, admission: Admission, now: Instant) -> bool {
         if self.step_of(id).is_some_and(|step| step.gang) {
             return self.place_gang(id, claim, admission, now);
         }
