fix(sched): a look at a runner takes the same time whatever runs there

Callers saw: after one job of 30,000 small tasks that last, with a target, no task of any job started any more; each owner in turn lost its session in one pass.

Cause: for each task and runner a pass went through the claims of the runner (shares of best-effort images, other latency-critical images; on trial also processors in use, on probation also times of placement), so n tasks that fit on one runner took n * n / 2 steps. The same in reports: each tail latency was sought among all of the last report and compared with each best-effort run, in learning and in throttling, and a run that ended was sought among all that are not measured yet, or suspected.

The runner now keeps what these went through as sums: claims and tail latencies by image, processors in use, times of placement, unmeasured processor time by image. What a look costs depends on the number of images on the runner.

--- a/crates/persimmon-interference/src/model.rs
+++ b/crates/persimmon-interference/src/model.rs
@@ -56,21 +56,42 @@
     /// Updates the model with a sample: the tail latency of `service` was `ratio` times its target
     /// while each class used the given share of the worker's processors.
     pub fn learn(&mut self, service: ServiceKey, ratio: f64, shares: &[(ClassKey, f64)]) {
+        self.learn_all([(service, ratio)], shares);
+    }
+
+    /// Updates the model with samples that were taken at the same time, see [`Self::learn`].
+    pub fn learn_all(
+        &mut self,
+        samples: impl IntoIterator<Item = (ServiceKey, f64)>,
+        shares: &[(ClassKey, f64)],
+    ) {
+        let shares = shares.iter().filter(|(_, share)| *share >= SHARE_MIN);
+        let shares: Vec<_> = shares.copied().collect();
+        let squares: f64 = shares.iter().map(|(_, share)| share * share).sum();
+        for (service, ratio) in samples {
+            self.learn_sample(service, ratio, &shares, squares);
+        }
+    }
+
+    fn learn_sample(
+        &mut self,
+        service: ServiceKey,
+        ratio: f64,
+        shares: &[(ClassKey, f64)],
+        squares: f64,
+    ) {
         let ln_ratio = ratio
             .max(f64::MIN_POSITIVE)
             .ln()
             .clamp(LN_RATIO_MIN, LN_RATIO_MAX);
         let model = self.services.get(service.0 as usize);
         let baseline = model.and_then(|it| it.baseline).unwrap_or(DEFAULT_BASELINE);
-        let shares = shares.iter().filter(|(_, share)| *share >= SHARE_MIN);
-        let shares: Vec<_> = shares.copied().collect();
-        let predicted = baseline + self.predicted_rise(service, &shares);
-        let squares: f64 = shares.iter().map(|(_, share)| share * share).sum();
+        let predicted = baseline + self.predicted_rise(service, shares);
         let step =
             LEARNING_RATE * (ln_ratio - predicted) / (BASELINE_INPUT * BASELINE_INPUT + squares);
         let model = self.service_mut(service);
         model.baseline = Some(baseline + step * BASELINE_INPUT * BASELINE_INPUT);
-        for (class, share) in shares {
+        for &(class, share) in shares {
             let weight = model.weight_mut(class);
             let current = weight.unwrap_or(DEFAULT_WEIGHT);
             *weight = Some((current + step * share).clamp(0.0, WEIGHT_MAX));
--- a/crates/persimmon-sched/src/engine/crash.rs
+++ b/crates/persimmon-sched/src/engine/crash.rs
@@ -258,7 +258,7 @@
         let (run, is_sole) = (task.run, task.crash_weight >= SOLE_CRASH_WEIGHT);
         if let State::Placed { runner, .. } = task.state() {
             let runner = self.runner_mut(runner);
-            runner.suspected_runs.push((id, run));
+            runner.suspected_runs.insert((id, run));
             runner.has_sole_suspect |= is_sole;
         }
     }
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -11,7 +11,7 @@
 };
 use persimmon_interference::{ClassKey, ServiceKey};
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -139,20 +139,20 @@
             .iter()
             .map(|batch_run| (ClassKey(batch_run.image.0), batch_run.used))
             .collect();
-        for tail in &tails {
-            let service = ServiceKey(tail.image.0);
-            self.interference.learn(service, tail.ratio, &used);
-        }
+        let samples = tails
+            .iter()
+            .map(|tail| (ServiceKey(tail.image.0), tail.ratio));
+        self.interference.learn_all(samples, &used);
         let runner = self.runner_mut(key);
         for batch_run in &batch_runs {
             if let Some(claim) = runner.claims.get_mut(&batch_run.run) {
                 claim.idle_since = batch_run.idle_since;
             }
         }
-        runner.tails = tails;
-        runner
-            .unmeasured
-            .retain(|it| it.placed_at + MEASUREMENT_DELAY > now);
+        runner.set_tails(tails);
+        if let Some(measured_since) = now.checked_sub(MEASUREMENT_DELAY) {
+            runner.unmeasured.drop_placed_by(measured_since);
+        }
         self.settle_trial(key, now);
         if !batch_runs.is_empty() {
             self.repeat_throttles(key, &batch_runs, now);
@@ -167,7 +167,7 @@
         let Some(mut trial) = runner.trial else {
             return;
         };
-        let is_over_threshold = worst_tail_ratio(runner) >= THROTTLE_RATIO;
+        let is_over_threshold = runner.worst_tail_ratio() >= THROTTLE_RATIO;
         trial.has_done_harm |= is_over_threshold;
         let (id, run) = trial.run;
         let stage = self.stage_on(key, id, run);
@@ -187,14 +187,15 @@
         let runner = self.runner_mut(key);
         let mut best_effort_millis = 0;
         for status in running {
-            if let Some(claim) = runner.claims.get_mut(&(status.task, status.run)) {
+            let run = (status.task, status.run);
+            if let Some(claim) = runner.claims.get(&run) {
                 let is_measured =
                     !claim.latency_critical && claim.placed_at + MEASUREMENT_DELAY <= now;
                 let cpu_millis = u32::try_from(status.measurement).unwrap_or(u32::MAX);
-                claim.measured_cpu_millis = is_measured.then_some(cpu_millis);
                 if claim.best_effort_cpu_millis > 0 {
                     best_effort_millis += status.measurement;
                 }
+                runner.set_measured(run, is_measured.then_some(cpu_millis));
             }
         }
         let capacity = f64::from(runner.info.capacity.cpu_millis.max(1));
@@ -210,6 +211,8 @@
     ) -> (Vec<TailLatency>, Vec<BestEffortRun>) {
         let runner = self.runner(key);
         let capacity = f64::from(runner.info.capacity.cpu_millis.max(1));
+        let known = runner.tails().iter();
+        let violating_since: HashMap<_, _> = known.map(|it| (it.run, it.violating_since)).collect();
         let (mut tails, mut batch_runs) = (Vec::new(), Vec::new());
         for status in running {
             let run = (status.task, status.run);
@@ -231,7 +234,8 @@
             }
             // A latency-critical task that is still starting reports no tail latency.
             if claim.latency_critical && status.measurement > 0 {
-                tails.push(self.tail(runner, claim, status, now));
+                let since = violating_since.get(&run).copied().flatten();
+                tails.push(self.tail(runner, claim, status, since.unwrap_or(now), now));
             }
         }
         (tails, batch_runs)
@@ -242,6 +246,7 @@
         runner: &Runner,
         claim: &Claim,
         status: &RunStatus,
+        violating_since: Instant,
         now: Instant,
     ) -> TailLatency {
         let run = (status.task, status.run);
@@ -249,18 +254,16 @@
             job.spec.steps[usize::from(status.task.step)].tail_target_ms
         });
         let ratio = status.measurement as f64 / target_ms.max(1) as f64;
-        let known = runner.tails.iter().find(|tail| tail.run == run);
         let is_without_best_effort = runner
             .unused_since
             .is_some_and(|at| now >= at + MEASUREMENT_DELAY);
-        let violating_since = known.and_then(|tail| tail.violating_since).or(Some(now));
         TailLatency {
             run,
             image: claim.image,
             ratio,
             ln_ratio: ratio.ln(),
-            violating_since: violating_since
-                .filter(|_| ratio >= THROTTLE_RATIO && !is_without_best_effort),
+            violating_since: (ratio >= THROTTLE_RATIO && !is_without_best_effort)
+                .then_some(violating_since),
         }
     }
 
@@ -270,23 +273,16 @@
         let may_act = runner
             .throttled_at
             .is_none_or(|at| now >= at + ACTION_INTERVAL_MIN);
-        let violating: Vec<_> = runner
-            .tails
-            .iter()
-            .filter(|it| it.violating_since.is_some())
-            .copied()
-            .collect();
-        if violating.is_empty() {
+        let violating = runner.tails().iter();
+        let violating = violating.filter_map(|tail| Some((tail.violating_since?, tail.image)));
+        let (since, images): (Vec<_>, BTreeSet<_>) = violating.unzip();
+        let Some(since) = since.into_iter().min() else {
             if may_act {
                 self.raise_cpu_limits(key, batch_runs, now);
             }
             return;
-        }
-        let since = violating
-            .iter()
-            .filter_map(|tail| tail.violating_since)
-            .min();
-        if since.is_some_and(|since| now >= since + PAUSE_ALL_AFTER) {
+        };
+        if now >= since + PAUSE_ALL_AFTER {
             self.throttle_all(key, batch_runs, 0, now);
             return;
         }
@@ -295,7 +291,7 @@
         }
         let mut acted = false;
         for batch_run in batch_runs.iter().filter(|it| it.percent != Some(0)) {
-            if self.attributed_rise(&violating, batch_run) >= ATTRIBUTED_RISE_MIN {
+            if self.attributed_rise(&images, batch_run) >= ATTRIBUTED_RISE_MIN {
                 acted = true;
                 self.evict_or_pause(key, batch_run, now);
             }
@@ -305,12 +301,12 @@
         }
     }
 
-    /// Returns the largest rise of the logarithm of a tail latency that the model attributes to a
-    /// run.
-    fn attributed_rise(&self, tails: &[TailLatency], batch_run: &BestEffortRun) -> f64 {
+    /// Returns the largest rise of the logarithm of a tail latency of these images that the model
+    /// attributes to a run.
+    fn attributed_rise(&self, images: &BTreeSet<ImageKey>, batch_run: &BestEffortRun) -> f64 {
         let class = ClassKey(batch_run.image.0);
-        let each = tails.iter().map(|tail| {
-            let service = ServiceKey(tail.image.0);
+        let each = images.iter().map(|image| {
+            let service = ServiceKey(image.0);
             self.interference.weight(service, class) * batch_run.used
         });
         each.fold(0.0, f64::max)
@@ -341,7 +337,7 @@
     /// tail latency is over the threshold without any of them.
     fn raise_cpu_limits(&mut self, key: RunnerKey, batch_runs: &[BestEffortRun], now: Instant) {
         let runner = self.runner(key);
-        let worst = worst_tail_ratio(runner);
+        let worst = runner.worst_tail_ratio();
         let is_long_ago = |at: Instant| now >= at + PAUSE_MAX;
         let limits_max = if worst < THROTTLE_RATIO {
             batch_runs.len()
@@ -451,8 +447,8 @@
         let rise = self
             .interference
             .predicted_rise(ServiceKey(claim.image.0), &used);
-        let other_images = count_other_images(runner, claim.image);
-        Some((rise * RISE_PENALTY) as i64 + other_images * OTHER_IMAGE_PENALTY)
+        let other_images = runner.other_latency_critical_images(claim.image);
+        Some((rise * RISE_PENALTY) as i64 + i64::from(other_images) * OTHER_IMAGE_PENALTY)
     }
 
     /// Penalty for the predicted effect of a best-effort run on the tail latencies of a runner;
@@ -462,17 +458,17 @@
         if idle_cpu_millis(runner) < i64::from(claim.best_effort_cpu_millis) {
             return None;
         }
-        if runner.tails.iter().any(|tail| tail.ratio >= THROTTLE_RATIO) {
+        if runner.worst_tail_ratio() >= THROTTLE_RATIO {
             return None;
         }
         let ln_safe = PLACEMENT_RATIO_MAX.ln();
         let mut total = 0.0;
-        for tail in &runner.tails {
-            let (rise, all) = self.predicted_rises(runner, tail, claim);
-            if all >= ATTRIBUTED_RISE_MIN && tail.ln_ratio + all >= ln_safe {
+        for tails in runner.image_tails() {
+            let (rise, all) = self.predicted_rises(runner, tails.image, claim);
+            if all >= ATTRIBUTED_RISE_MIN && tails.worst_ln_ratio + all >= ln_safe {
                 return None;
             }
-            total += rise;
+            total += rise * f64::from(tails.runs);
         }
         Some((total * RISE_PENALTY) as i64)
     }
@@ -487,44 +483,47 @@
         admission: Admission,
         now: Instant,
     ) -> Option<i64> {
-        if worst_tail_ratio(runner) >= THROTTLE_RATIO && !is_unused(runner, now) {
+        if runner.worst_tail_ratio() >= THROTTLE_RATIO && !is_unused(runner, now) {
             return None;
         }
         let is_shared = admission == Admission::Share;
         let is_recent = |trial: Trial| {
             now < trial.placed_at + TRIAL_INTERVAL_MIN && !(is_shared && trial.has_ended)
         };
-        if !runner.tails.is_empty() && runner.trial.is_some_and(is_recent) {
+        if !runner.tails().is_empty() && runner.trial.is_some_and(is_recent) {
             return None;
         }
         let ln_safe = PLACEMENT_RATIO_MAX.ln();
         let (mut total, mut excess) = (0.0, 0.0_f64);
-        for tail in &runner.tails {
-            let (rise, all) = self.predicted_rises(runner, tail, claim);
-            excess = excess.max(tail.ln_ratio + all - ln_safe);
-            total += rise;
+        for tails in runner.image_tails() {
+            let (rise, all) = self.predicted_rises(runner, tails.image, claim);
+            excess = excess.max(tails.worst_ln_ratio + all - ln_safe);
+            total += rise * f64::from(tails.runs);
         }
         Some((total * RISE_PENALTY + excess * TRIAL_EXCESS_PENALTY) as i64)
     }
 
-    /// Predicted rise of the logarithm of a tail latency by a best-effort run, and by that run and
-    /// all that are not reflected in measurements yet.
-    fn predicted_rises(&self, runner: &Runner, tail: &TailLatency, claim: &Claim) -> (f64, f64) {
-        let service = ServiceKey(tail.image.0);
+    /// Predicted rise of the logarithm of a tail latency of a latency-critical image by a best-effort
+    /// run, and by that run and all that are not reflected in measurements yet.
+    fn predicted_rises(&self, runner: &Runner, image: ImageKey, claim: &Claim) -> (f64, f64) {
+        let service = ServiceKey(image.0);
         let weight = |image: ImageKey| self.interference.weight(service, ClassKey(image.0));
-        let rise = weight(claim.image) * runner.share(claim);
-        let unmeasured = runner.unmeasured.iter();
-        let unmeasured = unmeasured.map(|it| weight(it.image) * it.share);
+        let own_share = runner.share(u64::from(claim.best_effort_cpu_millis));
+        let rise = weight(claim.image) * own_share;
+        let unmeasured = runner.unmeasured.by_image().iter();
+        let unmeasured = unmeasured.map(|(&image, &millis)| weight(image) * runner.share(millis));
         (rise, rise + unmeasured.sum::<f64>())
     }
 
-    /// Maximum processor shares of the best-effort runs on a runner.
+    /// Maximum processor shares of the best-effort runs on a runner, by image.
     fn best_effort_shares(runner: &Runner) -> Vec<(ClassKey, f64)> {
-        let claims = runner.claims.values();
-        let batch_runs = claims.filter(|claim| claim.best_effort_cpu_millis > 0);
-        batch_runs
-            .map(|claim| (ClassKey(claim.image.0), runner.share(claim)))
-            .collect()
+        let images = runner.image_claims().iter();
+        let used = images.filter(|(_, claims)| claims.best_effort_runs > 0);
+        used.map(|(image, claims)| {
+            let share = runner.share(claims.best_effort_cpu_millis);
+            (ClassKey(image.0), share)
+        })
+        .collect()
     }
 }
 
@@ -534,29 +533,8 @@
     measured_idle_cpu_millis(runner) >= half.min(i64::from(claim.best_effort_cpu_millis))
 }
 
-/// Counts the other latency-critical images on a runner.
-fn count_other_images(runner: &Runner, image: ImageKey) -> i64 {
-    let latency_critical = runner
-        .claims
-        .values()
-        .filter(|claim| claim.latency_critical);
-    let others: BTreeSet<_> = latency_critical
-        .map(|it| it.image)
-        .filter(|&it| it != image)
-        .collect();
-    others.len() as i64
-}
-
 /// Returns whether no best-effort run has used a runner for so long that its tail latencies don't
 /// depend on any.
 fn is_unused(runner: &Runner, now: Instant) -> bool {
     runner.unused_since.is_some_and(|at| now >= at + PAUSE_MAX)
 }
-
-fn worst_tail_ratio(runner: &Runner) -> f64 {
-    runner
-        .tails
-        .iter()
-        .map(|tail| tail.ratio)
-        .fold(0.0, f64::max)
-}
--- a/crates/persimmon-sched/src/engine/load.rs
+++ b/crates/persimmon-sched/src/engine/load.rs
@@ -63,9 +63,9 @@
         {
             load.schedulable_runners += 1;
             load.capacity_millis += u64::from(runner.info.capacity.cpu_millis);
-            load.tails += runner.tails.len() as u64;
+            load.tails += runner.tails().len() as u64;
             load.tails_over_target +=
-                runner.tails.iter().filter(|it| it.ratio > 1.0).count() as u64;
+                runner.tails().iter().filter(|it| it.ratio > 1.0).count() as u64;
             load.best_effort_millis += u64::from(runner.best_effort_cpu_millis);
             for ((task, _), claim) in &runner.claims {
                 let millis = u64::from(claim.size.cpu_millis);
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -3,7 +3,7 @@
     Engine, Job, Rank, State, Task,
 };
 use crate::{
-    fleet::{Claim, Runner, RunnerKey, Trial},
+    fleet::{Claim, Runner, RunnerKey, Trial, LATENCY_CRITICAL_USE_PERCENT},
     Phase, StepSpec, TaskId,
 };
 use std::{
@@ -115,10 +115,6 @@
     first: Rank,
 }
 
-/// Assumed processor use of latency-critical tasks, which do not report it, in percent of their
-/// claim.
-const LATENCY_CRITICAL_USE_PERCENT: i64 = 50;
-
 impl Engine {
     /// Places ready tasks in placement order. Once a demand did not fit, the rest of the step and
     /// all steps that demand at least as much are skipped in this pass. A fenced engine no longer
@@ -776,13 +772,5 @@
 
 /// As [`idle_cpu_millis`], by what the runs used in the last report rather than by what they may use.
 pub(super) fn measured_idle_cpu_millis(runner: &Runner) -> i64 {
-    let busy = |claim: &Claim| {
-        if claim.latency_critical {
-            return i64::from(claim.size.cpu_millis) * LATENCY_CRITICAL_USE_PERCENT / 100;
-        }
-        let most = claim.size.cpu_millis + claim.best_effort_cpu_millis;
-        i64::from(claim.measured_cpu_millis.unwrap_or(most))
-    };
-    let busy: i64 = runner.claims.values().map(busy).sum();
-    i64::from(runner.info.capacity.cpu_millis) - busy
+    i64::from(runner.info.capacity.cpu_millis) - runner.busy_cpu_millis()
 }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -1,7 +1,7 @@
 use crate::{engine::Backoff, JobId, SilentRunner, StepSpec, TaskId};
 use persimmon_types::Size;
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -125,6 +125,16 @@
         self.percent.is_none()
     }
 
+    /// Processor time by what the run used in the last report, in thousandths of a core; before the
+    /// first one by what it may use.
+    fn busy_cpu_millis(&self) -> i64 {
+        if self.latency_critical {
+            return i64::from(self.size.cpu_millis) * LATENCY_CRITICAL_USE_PERCENT / 100;
+        }
+        let most = self.size.cpu_millis + self.best_effort_cpu_millis;
+        i64::from(self.measured_cpu_millis.unwrap_or(most))
+    }
+
     /// The claim of an unthrottled run of a step whose image has this key.
     pub(crate) fn new(step: &StepSpec, image: ImageKey, placed_at: Instant) -> Self {
         let best_effort_cpu_millis = if step.best_effort {
@@ -150,6 +160,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct ImageKey(pub(crate) u32);
 
+/// What the runs of one image claim of a runner.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct ImageClaims {
+    pub(crate) latency_critical_runs: u32,
+    pub(crate) best_effort_runs: u32,
+    pub(crate) best_effort_cpu_millis: u64,
+}
+
 /// Tail latency of a latency-critical run, as last reported.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TailLatency {
@@ -164,14 +182,67 @@
     pub(crate) violating_since: Option<Instant>,
 }
 
-/// A best-effort run too recent to be reflected in measurements.
+/// Tail latencies of the latency-critical runs of one image on a runner.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct UnmeasuredRun {
-    pub(crate) run: (TaskId, u32),
+pub(crate) struct ImageTails {
     pub(crate) image: ImageKey,
-    /// Maximum share of the runner's processors that it uses.
-    pub(crate) share: f64,
-    pub(crate) placed_at: Instant,
+    pub(crate) runs: u32,
+    /// The highest [`TailLatency::ratio`], and its natural logarithm.
+    pub(crate) worst_ratio: f64,
+    pub(crate) worst_ln_ratio: f64,
+}
+
+/// Best-effort runs too recent to be reflected in measurements.
+#[derive(Debug, Default)]
+pub(crate) struct UnmeasuredRuns {
+    runs: BTreeMap<(TaskId, u32), UnmeasuredRun>,
+    /// Maximum processor time of the runs of each image.
+    cpu_millis: BTreeMap<ImageKey, u64>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct UnmeasuredRun {
+    image: ImageKey,
+    cpu_millis: u32,
+    placed_at: Instant,
+}
+
+impl UnmeasuredRuns {
+    fn insert(&mut self, run: (TaskId, u32), claim: &Claim) {
+        let unmeasured = UnmeasuredRun {
+            image: claim.image,
+            cpu_millis: claim.best_effort_cpu_millis,
+            placed_at: claim.placed_at,
+        };
+        if self.runs.insert(run, unmeasured).is_none() {
+            *self.cpu_millis.entry(claim.image).or_default() +=
+                u64::from(claim.best_effort_cpu_millis);
+        }
+    }
+
+    fn remove(&mut self, run: (TaskId, u32)) {
+        let Some(removed) = self.runs.remove(&run) else {
+            return;
+        };
+        if let Some(cpu_millis) = self.cpu_millis.get_mut(&removed.image) {
+            *cpu_millis = cpu_millis.saturating_sub(u64::from(removed.cpu_millis));
+            if *cpu_millis == 0 {
+                self.cpu_millis.remove(&removed.image);
+            }
+        }
+    }
+
+    /// Drops the runs that were placed by this time.
+    pub(crate) fn drop_placed_by(&mut self, at: Instant) {
+        let measured = self.runs.iter().filter(|(_, it)| it.placed_at <= at);
+        let measured: Vec<_> = measured.map(|(&run, _)| run).collect();
+        measured.into_iter().for_each(|run| self.remove(run));
+    }
+
+    /// Maximum processor time of the runs of each image, in thousandths of a core.
+    pub(crate) fn by_image(&self) -> &BTreeMap<ImageKey, u64> {
+        &self.cpu_millis
+    }
 }
 
 /// A best-effort run that was placed to measure its effect.
@@ -193,6 +264,9 @@
     pub(crate) version: u64,
 }
 
+/// Assumed processor use of latency-critical runs, which do not report it, in percent of their claim.
+pub(crate) const LATENCY_CRITICAL_USE_PERCENT: i64 = 50;
+
 /// Most ends of a runner that wait behind one that is kept back, half of those that fit in a report:
 /// a run whose end does not fit would be taken for lost.
 pub(crate) const KEPT_BACK_ENDS_MAX: usize = 250;
@@ -215,7 +289,17 @@
     /// Whether a report request has gone unanswered since the last report.
     pub(crate) has_missed_report: bool,
     pub(crate) lease: Lease,
+    /// Changed by [`Self::claim`], [`Self::release`] and [`Self::set_measured`] alone, but for fields
+    /// that no sum below depends on.
     pub(crate) claims: BTreeMap<(TaskId, u32), Claim>,
+    /// Sums of the claims by image, without those that are neither latency-critical nor best-effort.
+    image_claims: BTreeMap<ImageKey, ImageClaims>,
+    /// Number of images with latency-critical claims.
+    latency_critical_images: u32,
+    /// Number of claims by [`Claim::placed_at`].
+    placement_times: BTreeMap<Instant, u32>,
+    /// Sum of [`Claim::busy_cpu_millis`].
+    busy_cpu_millis: i64,
     pub(crate) used: Size,
     pub(crate) best_effort_cpu_millis: u32,
     pub(crate) latency_critical_cpu_millis: u32,
@@ -228,16 +312,17 @@
     /// Whether another runner has taken its address.
     pub(crate) is_replaced: bool,
     /// Runs of tasks that may crash the runner, while they are new.
-    pub(crate) suspected_runs: Vec<(TaskId, u32)>,
+    pub(crate) suspected_runs: BTreeSet<(TaskId, u32)>,
     /// Whether one of [`Self::suspected_runs`] is of a task that was the only possible cause of a
     /// crash. No other run is placed beside it, so that none is lost or suspected with it.
     pub(crate) has_sole_suspect: bool,
     /// Runs that were new when the runner was last heard, if its runs were given up since, or an
     /// earlier owner found it silent.
     pub(crate) new_runs_given_up: Vec<(TaskId, u32)>,
-    pub(crate) tails: Vec<TailLatency>,
-    /// Best-effort runs too recent to be reflected in measurements.
-    pub(crate) unmeasured: Vec<UnmeasuredRun>,
+    /// Set by [`Self::set_tails`].
+    tails: Vec<TailLatency>,
+    image_tails: Vec<ImageTails>,
+    pub(crate) unmeasured: UnmeasuredRuns,
     /// Since when reports have shown no processor use by best-effort runs.
     pub(crate) unused_since: Option<Instant>,
     /// The latest best-effort run on trial, unless its effect is measured and did no harm.
@@ -337,6 +422,10 @@
             has_missed_report: false,
             lease: Lease::new(unknown_leases_until),
             claims: BTreeMap::new(),
+            image_claims: BTreeMap::new(),
+            latency_critical_images: 0,
+            placement_times: BTreeMap::new(),
+            busy_cpu_millis: 0,
             used: Size::ZERO,
             best_effort_cpu_millis: 0,
             latency_critical_cpu_millis: 0,
@@ -344,12 +433,13 @@
             processed: 0,
             acknowledged: 0,
             backoff: Backoff::default(),
-            suspected_runs: Vec::new(),
+            suspected_runs: BTreeSet::new(),
             is_replaced: false,
             has_sole_suspect: false,
             new_runs_given_up: Vec::new(),
             tails: Vec::new(),
-            unmeasured: Vec::new(),
+            image_tails: Vec::new(),
+            unmeasured: UnmeasuredRuns::default(),
             unused_since: None,
             trial: None,
             throttled_at: None,
@@ -357,36 +447,124 @@
     }
 
     pub(crate) fn claim(&mut self, task: TaskId, run: u32, claim: Claim) {
-        if self.claims.insert((task, run), claim).is_none() {
-            self.used = self.used.checked_add(claim.size).unwrap_or(self.used);
-            self.best_effort_cpu_millis += claim.best_effort_cpu_millis;
-            if claim.best_effort_cpu_millis > 0 {
-                self.unmeasured.push(UnmeasuredRun {
-                    run: (task, run),
-                    image: claim.image,
-                    share: self.share(&claim),
-                    placed_at: claim.placed_at,
-                });
-            }
-            if claim.latency_critical {
-                self.latency_critical_cpu_millis += claim.size.cpu_millis;
-            }
+        match self.claims.insert((task, run), claim) {
+            Some(replaced) => self.subtract(&replaced),
+            None if claim.best_effort_cpu_millis > 0 => self.unmeasured.insert((task, run), &claim),
+            None => {}
         }
+        self.add(&claim);
     }
 
     pub(crate) fn release(&mut self, task: TaskId, run: u32) {
         if let Some(claim) = self.claims.remove(&(task, run)) {
-            self.used = self.used.saturating_sub(claim.size);
-            self.best_effort_cpu_millis = self
-                .best_effort_cpu_millis
-                .saturating_sub(claim.best_effort_cpu_millis);
-            self.unmeasured.retain(|it| it.run != (task, run));
+            self.subtract(&claim);
+            self.unmeasured.remove((task, run));
             self.remove_suspected_run((task, run));
-            if claim.latency_critical {
-                let left = self.latency_critical_cpu_millis;
-                self.latency_critical_cpu_millis = left.saturating_sub(claim.size.cpu_millis);
+        }
+    }
+
+    /// Sets [`Claim::measured_cpu_millis`] of a run.
+    pub(crate) fn set_measured(&mut self, run: (TaskId, u32), cpu_millis: Option<u32>) {
+        if let Some(claim) = self.claims.get_mut(&run) {
+            self.busy_cpu_millis -= claim.busy_cpu_millis();
+            claim.measured_cpu_millis = cpu_millis;
+            self.busy_cpu_millis += claim.busy_cpu_millis();
+        }
+    }
+
+    fn add(&mut self, claim: &Claim) {
+        self.used = self.used.checked_add(claim.size).unwrap_or(self.used);
+        self.best_effort_cpu_millis += claim.best_effort_cpu_millis;
+        self.busy_cpu_millis += claim.busy_cpu_millis();
+        *self.placement_times.entry(claim.placed_at).or_default() += 1;
+        if claim.latency_critical {
+            self.latency_critical_cpu_millis += claim.size.cpu_millis;
+            let image = self.image_claims.entry(claim.image).or_default();
+            image.latency_critical_runs += 1;
+            self.latency_critical_images += u32::from(image.latency_critical_runs == 1);
+        }
+        if claim.best_effort_cpu_millis > 0 {
+            let image = self.image_claims.entry(claim.image).or_default();
+            image.best_effort_runs += 1;
+            image.best_effort_cpu_millis += u64::from(claim.best_effort_cpu_millis);
+        }
+    }
+
+    fn subtract(&mut self, claim: &Claim) {
+        self.used = self.used.saturating_sub(claim.size);
+        let best_effort_left = self.best_effort_cpu_millis;
+        self.best_effort_cpu_millis = best_effort_left.saturating_sub(claim.best_effort_cpu_millis);
+        self.busy_cpu_millis -= claim.busy_cpu_millis();
+        if let Some(count) = self.placement_times.get_mut(&claim.placed_at) {
+            *count -= 1;
+            if *count == 0 {
+                self.placement_times.remove(&claim.placed_at);
             }
         }
+        let Some(image) = self.image_claims.get_mut(&claim.image) else {
+            return;
+        };
+        if claim.latency_critical {
+            let left = self.latency_critical_cpu_millis;
+            self.latency_critical_cpu_millis = left.saturating_sub(claim.size.cpu_millis);
+            image.latency_critical_runs -= 1;
+            self.latency_critical_images -= u32::from(image.latency_critical_runs == 0);
+        }
+        if claim.best_effort_cpu_millis > 0 {
+            image.best_effort_runs -= 1;
+            image.best_effort_cpu_millis -= u64::from(claim.best_effort_cpu_millis);
+        }
+        if image.latency_critical_runs == 0 && image.best_effort_runs == 0 {
+            self.image_claims.remove(&claim.image);
+        }
+    }
+
+    /// Sums of the latency-critical and best-effort claims by image.
+    pub(crate) fn image_claims(&self) -> &BTreeMap<ImageKey, ImageClaims> {
+        &self.image_claims
+    }
+
+    /// Number of latency-critical images on the runner other than this one.
+    pub(crate) fn other_latency_critical_images(&self, image: ImageKey) -> u32 {
+        let own = self.image_claims.get(&image);
+        let has_own = own.is_some_and(|it| it.latency_critical_runs > 0);
+        self.latency_critical_images - u32::from(has_own)
+    }
+
+    /// Processor time in use by the last report, in thousandths of a core.
+    pub(crate) fn busy_cpu_millis(&self) -> i64 {
+        self.busy_cpu_millis
+    }
+
+    pub(crate) fn tails(&self) -> &[TailLatency] {
+        &self.tails
+    }
+
+    pub(crate) fn image_tails(&self) -> &[ImageTails] {
+        &self.image_tails
+    }
+
+    /// The highest ratio of a tail latency to its target; 0 for none.
+    pub(crate) fn worst_tail_ratio(&self) -> f64 {
+        let images = self.image_tails.iter();
+        images.map(|it| it.worst_ratio).fold(0.0, f64::max)
+    }
+
+    pub(crate) fn set_tails(&mut self, tails: Vec<TailLatency>) {
+        let mut images: BTreeMap<ImageKey, ImageTails> = BTreeMap::new();
+        for tail in &tails {
+            let image = images.entry(tail.image).or_insert(ImageTails {
+                image: tail.image,
+                runs: 0,
+                worst_ratio: tail.ratio,
+                worst_ln_ratio: tail.ln_ratio,
+            });
+            image.runs += 1;
+            image.worst_ratio = image.worst_ratio.max(tail.ratio);
+            image.worst_ln_ratio = image.worst_ln_ratio.max(tail.ln_ratio);
+        }
+        self.tails = tails;
+        self.image_tails = images.into_values().collect();
     }
 
     /// Restores what an earlier owner knew of a runner that may have crashed under a new run.
@@ -399,14 +577,13 @@
     }
 
     pub(crate) fn remove_suspected_run(&mut self, run: (TaskId, u32)) {
-        self.suspected_runs.retain(|it| *it != run);
+        self.suspected_runs.remove(&run);
         self.has_sole_suspect &= !self.suspected_runs.is_empty();
     }
 
-    /// Maximum share of the runner's processors used by a best-effort run.
-    pub(crate) fn share(&self, claim: &Claim) -> f64 {
-        let capacity = f64::from(self.info.capacity.cpu_millis.max(1));
-        f64::from(claim.best_effort_cpu_millis) / capacity
+    /// Share of the runner's processors that this time is, in thousandths of a core.
+    pub(crate) fn share(&self, cpu_millis: u64) -> f64 {
+        cpu_millis as f64 / f64::from(self.info.capacity.cpu_millis.max(1))
     }
 
     /// Returns whether the lease has expired on a runner that is not listed or does not answer, or
@@ -424,15 +601,19 @@
     /// Returns whether failures keep new tasks off the runner: it is backed off from, or on probation
     /// with a new task.
     pub(crate) fn is_backed_off(&self, now: Instant) -> bool {
-        let has_new_task =
-            |since: Instant| self.claims.values().any(|claim| claim.placed_at >= since);
+        let has_new_task = |since: Instant| self.last_placed_at().is_some_and(|at| at >= since);
         !self.backoff.is_over(now) || self.backoff.probation_since(now).is_some_and(has_new_task)
     }
 
     /// Returns whether a task of this job may find out if the runner is the cause of its failures.
     pub(crate) fn may_be_probed_by(&self, job: JobId, now: Instant) -> bool {
         let since = self.backoff.probe_since(job, now);
-        since.is_some_and(|since| self.claims.values().all(|claim| claim.placed_at < since))
+        since.is_some_and(|since| self.last_placed_at().is_none_or(|at| at < since))
+    }
+
+    /// When the newest of its claims was placed.
+    fn last_placed_at(&self) -> Option<Instant> {
+        self.placement_times.keys().next_back().copied()
     }
 
     /// Updates the description of the runner by the instance list. An entry says how long the runner
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod id;
 mod instance_list;
 mod interference;
+mod large_jobs;
 mod late_ends;
 mod paused_runs;
 mod policy;
