--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -2,7 +2,7 @@
 
 use super::{Engine, Job, Stage, State, Step, StoredRecord, Task};
 use crate::{fleet::Claim, JobId, JobSpec, Phase, Queue, Record, TaskId, TaskRecord, TaskState};
-use std::{sync::Arc, time::Instant};
+use std::{collections::VecDeque, sync::Arc, time::Instant};
 
 impl Engine {
     /// Adds a job, restored from its record if there is one. Does nothing for a known job.
@@ -45,6 +45,9 @@
             has_run: false,
             is_refuted: false,
             tasks: Vec::new(),
+            placed_batch_tasks: Vec::new(),
+            done_steps: 0,
+            committing: VecDeque::new(),
             version: 0,
             committed_version: 0,
             final_version: 0,
@@ -73,6 +76,10 @@
         if self.cancelled_before_submission.remove(&id) {
             self.cancel(id, now);
         }
+        let restored = self.jobs.get(&id).map_or(0, |job| job.tasks.len());
+        for occurrence in 0..restored {
+            self.open_steps(id, occurrence as u32);
+        }
         self.open_occurrences(id, wall_ms);
     }
 
@@ -95,7 +102,7 @@
                 }
                 restored.push(into);
             }
-            job.tasks.push(restored);
+            job.add_occurrence(restored);
         }
     }
 
@@ -130,23 +137,6 @@
         }
     }
 
-    /// Stops the members of a gang that are placed in a run which another member has left: an
-    /// earlier owner may have ended before it stopped them.
-    fn stop_incomplete_gangs(&mut self, id: JobId, now: Instant) {
-        for task in self.task_ids(id) {
-            let Some(run) = self
-                .task(task)
-                .filter(|it| it.is_waiting())
-                .map(|it| it.run)
-            else {
-                continue;
-            };
-            for member in self.other_members(task, run) {
-                self.release_or_stop(member, now);
-            }
-        }
-    }
-
     /// Opens the occurrences that are due and sets a timer for the next one.
     pub(super) fn open_occurrences(&mut self, id: JobId, wall_ms: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -156,6 +146,7 @@
             return;
         }
         let spec = Arc::clone(&job.spec);
+        let known = job.tasks.len();
         while (job.tasks.len() as u32) < spec.occurrences() {
             let next = job.tasks.len() as u32;
             let due_ms = spec.schedule.map_or(0, |schedule| {
@@ -166,11 +157,10 @@
                 break;
             }
             let steps = spec.steps.iter();
-            job.tasks
-                .push(steps.map(|it| Step::new(it.count as usize)).collect());
+            job.add_occurrence(steps.map(|it| Step::new(it.count as usize)).collect());
         }
-        for occurrence in 0..job.tasks.len() as u32 {
-            self.open_steps(id, occurrence);
+        for occurrence in known..job.tasks.len() {
+            self.open_steps(id, occurrence as u32);
         }
     }
 
--- a/crates/persimmon-sched/src/engine/commit.rs
+++ b/crates/persimmon-sched/src/engine/commit.rs
@@ -110,13 +110,20 @@
         if job.version > version {
             self.dirty.insert(id);
         }
-        for task in self.task_ids(id) {
+        while let Some(task) = self.next_committed(id, version) {
             self.order_start(task, version);
         }
         self.acknowledge();
         self.remember_settled(id);
     }
 
+    /// Takes the next task of a job that waited for this version.
+    fn next_committed(&mut self, id: JobId, version: u64) -> Option<crate::TaskId> {
+        let committing = &mut self.jobs.get_mut(&id)?.committing;
+        committing.front().filter(|it| it.0 <= version)?;
+        committing.pop_front().map(|it| it.1)
+    }
+
     fn order_start(&mut self, id: crate::TaskId, version: u64) {
         let Some(task) = self.task(id) else {
             return;
--- a/crates/persimmon-sched/src/engine/failure.rs
+++ b/crates/persimmon-sched/src/engine/failure.rs
@@ -13,6 +13,8 @@
 const FAILED_RUNNERS_ENOUGH: usize = 6;
 /// Most runners remembered on which a task has failed.
 const FAILED_RUNNERS_MAX: usize = 16;
+/// Most tasks of a step that are looked at to tell whether its tasks fail.
+const COMPARED_TASKS_MAX: usize = 256;
 /// Delay before a task that failed by its own fault is placed again, multiplied by its number of
 /// failures.
 const RESTART_BACKOFF_STEP: Duration = Duration::from_millis(300);
@@ -148,7 +150,7 @@
     }
 
     /// Lists the runners on which a task has failed, and those of the other tasks of its step if half
-    /// of the started ones fail.
+    /// of the started ones fail. Of a large step it looks at the tasks near this one.
     fn failed_runners(&self, id: TaskId, now: Instant) -> BTreeSet<RunnerKey> {
         let own = self.task(id).into_iter();
         let own = own.flat_map(|task| task.recent_failures.runners());
@@ -156,7 +158,10 @@
         let Some(step) = self.step(id) else {
             return runners;
         };
-        let started = step.tasks.iter().filter(|task| task.run > 0);
+        let before = usize::from(id.index).saturating_sub(COMPARED_TASKS_MAX / 2);
+        let first = before.min(step.tasks.len().saturating_sub(COMPARED_TASKS_MAX));
+        let near = step.tasks.iter().skip(first).take(COMPARED_TASKS_MAX);
+        let started = near.filter(|task| task.run > 0);
         let (failing, sound): (Vec<_>, Vec<_>) = started.partition(|task| task.is_failing(now));
         if failing.len() >= sound.len() {
             let of_step = failing
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -443,10 +443,13 @@
         if !claim.latency_critical {
             return Some(0);
         }
-        let used = Self::best_effort_shares(runner);
-        let rise = self
-            .interference
-            .predicted_rise(ServiceKey(claim.image.0), &used);
+        let service = ServiceKey(claim.image.0);
+        let images = runner.image_claims().iter();
+        let rises = images.map(|(image, claims)| {
+            let share = runner.share(claims.best_effort_cpu_millis);
+            self.interference.weight(service, ClassKey(image.0)) * share
+        });
+        let rise: f64 = rises.sum();
         let other_images = runner.other_latency_critical_images(claim.image);
         Some((rise * RISE_PENALTY) as i64 + i64::from(other_images) * OTHER_IMAGE_PENALTY)
     }
@@ -514,17 +517,21 @@
         let unmeasured = unmeasured.map(|(&image, &millis)| weight(image) * runner.share(millis));
         (rise, rise + unmeasured.sum::<f64>())
     }
+}
 
-    /// Maximum processor shares of the best-effort runs on a runner, by image.
-    fn best_effort_shares(runner: &Runner) -> Vec<(ClassKey, f64)> {
-        let images = runner.image_claims().iter();
-        let used = images.filter(|(_, claims)| claims.best_effort_runs > 0);
-        used.map(|(image, claims)| {
-            let share = runner.share(claims.best_effort_cpu_millis);
-            (ClassKey(image.0), share)
-        })
-        .collect()
-    }
+/// Images whose interference takes as long to work out as a look at a runner.
+const IMAGES_PER_LOOK: usize = 4;
+
+/// What it takes to work out the interference of a claim on a runner, in looks at runners.
+pub(super) fn interference_looks(runner: &Runner, claim: &Claim) -> usize {
+    let images = if claim.best_effort_cpu_millis > 0 {
+        runner.image_tails().len() * (1 + runner.unmeasured.by_image().len())
+    } else if claim.latency_critical {
+        runner.image_claims().len()
+    } else {
+        0
+    };
+    images / IMAGES_PER_LOOK
 }
 
 /// Returns whether measured use leaves a best-effort run what it asks for, or half of the runner.
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -1,9 +1,9 @@
 use super::Task;
 use crate::{fleet::RunnerKey, JobSpec, Phase, TaskId};
-use std::{sync::Arc, time::Instant};
+use std::{collections::VecDeque, sync::Arc, time::Instant};
 
 /// Key of the ready queue; orders tasks for placement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Rank {
     pub(crate) priority: u8,
     pub(crate) deadline_ms: u64,
@@ -27,6 +27,12 @@
     pub(crate) is_refuted: bool,
     /// Tasks by occurrence, step and index.
     pub(crate) tasks: Vec<Vec<Step>>,
+    /// Number of placed tasks of each occurrence that are not long-running.
+    pub(crate) placed_batch_tasks: Vec<u32>,
+    /// Number of steps of all occurrences whose tasks are done.
+    pub(crate) done_steps: usize,
+    /// Tasks that were placed, with the version of the job that they wait for, in placement order.
+    pub(crate) committing: VecDeque<(u64, TaskId)>,
     /// Incremented by each change that must be committed to the store.
     pub(crate) version: u64,
     pub(crate) committed_version: u64,
@@ -82,7 +88,48 @@
     },
 }
 
+impl Rank {
+    /// Lower than the ranks of this priority with this deadline or a later one.
+    pub(crate) fn before(priority: u8, deadline_ms: u64) -> Self {
+        Self {
+            priority,
+            deadline_ms: deadline_ms.saturating_sub(1),
+            task: TaskId::MAX,
+        }
+    }
+
+    /// Not lower than any rank of this priority.
+    pub(crate) fn last_of(priority: u8) -> Self {
+        Self {
+            priority,
+            deadline_ms: u64::MAX,
+            task: TaskId::MAX,
+        }
+    }
+
+    /// Not lower than the rank of any task of the same step.
+    pub(crate) fn last_of_step(self) -> Self {
+        let task = TaskId {
+            index: u16::MAX,
+            ..self.task
+        };
+        Self { task, ..self }
+    }
+}
+
 impl Job {
+    /// Adds the tasks of the next occurrence.
+    pub(crate) fn add_occurrence(&mut self, steps: Vec<Step>) {
+        let spec = Arc::clone(&self.spec);
+        self.done_steps += steps.iter().filter(|step| step.is_done()).count();
+        let batch_steps = steps.iter().zip(&spec.steps);
+        let batch_steps = batch_steps.filter(|(_, spec)| !spec.long_running);
+        let tasks = batch_steps.flat_map(|(step, _)| &step.tasks);
+        let placed = tasks.filter(|task| matches!(task.state(), State::Placed { .. }));
+        self.placed_batch_tasks.push(placed.count() as u32);
+        self.tasks.push(steps);
+    }
+
     pub(crate) fn rank(&self, task: TaskId) -> Rank {
         Rank {
             priority: self.priority,
--- a/crates/persimmon-sched/src/engine/load.rs
+++ b/crates/persimmon-sched/src/engine/load.rs
@@ -67,33 +67,49 @@
             load.tails_over_target +=
                 runner.tails().iter().filter(|it| it.ratio > 1.0).count() as u64;
             load.best_effort_millis += u64::from(runner.best_effort_cpu_millis);
+            let mut job_of_last = None;
             for ((task, _), claim) in &runner.claims {
                 let millis = u64::from(claim.size.cpu_millis);
                 if claim.latency_critical {
                     load.latency_critical_millis += millis;
-                } else if self.is_urgent(task.job) {
+                    continue;
+                }
+                // Claims of a job are adjacent.
+                let (_, is_urgent) = job_of_last
+                    .filter(|(job, _)| *job == task.job)
+                    .unwrap_or_else(|| (task.job, self.is_urgent(task.job)));
+                job_of_last = Some((task.job, is_urgent));
+                if is_urgent {
                     load.urgent_millis += millis;
                 } else {
                     load.other_millis += millis;
                 }
             }
         }
-        for Rank { priority, task, .. } in &self.ready {
-            let latency_critical = self
-                .step_of(*task)
-                .is_some_and(crate::StepSpec::is_latency_critical);
-            let kind = if latency_critical {
-                0
-            } else if *priority == 0 {
-                1
-            } else {
-                2
-            };
+        let mut kind_of_last = None;
+        for &rank in &self.ready {
+            let step = rank.last_of_step();
+            let (_, kind) = kind_of_last
+                .filter(|(last, _)| *last == step)
+                .unwrap_or_else(|| (step, self.waiting_kind(rank)));
+            kind_of_last = Some((step, kind));
             load.waiting[kind] += 1;
         }
         load
     }
 
+    /// Index into [`Load::waiting`] of a task.
+    fn waiting_kind(&self, rank: Rank) -> usize {
+        let step = self.step_of(rank.task);
+        if step.is_some_and(crate::StepSpec::is_latency_critical) {
+            0
+        } else if rank.priority == 0 {
+            1
+        } else {
+            2
+        }
+    }
+
     fn is_urgent(&self, job: crate::JobId) -> bool {
         self.jobs.get(&job).is_some_and(|job| job.priority == 0)
     }
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -1,11 +1,13 @@
 mod add_job;
 mod backoff;
+mod candidates;
 mod commit;
 mod crash;
 mod dirty;
 mod durations;
 mod evacuation;
 mod failure;
+mod gang;
 mod infeasible;
 mod interference;
 mod job;
@@ -19,8 +21,10 @@
 mod settled;
 mod stalled;
 mod start;
+mod start_window;
 mod task;
 mod types;
+mod work;
 
 pub use learned::Learned;
 pub use load::Load;
@@ -60,13 +64,20 @@
     runners: Vec<Runner>,
     runner_keys: HashMap<String, RunnerKey>,
     ready: BTreeSet<Rank>,
+    /// Those of [`Self::ready`] that are long-running and have run before.
+    restarts: BTreeSet<Rank>,
     /// Each scheduled job's next occurrence, while it is not due: due time in milliseconds since
     /// the Unix epoch, job and number of the occurrence, counted from 0. An occurrence is one
     /// repetition of a scheduled job; other jobs have a single one.
     timers: BTreeSet<(u64, JobId, u32)>,
     dirty: DirtyJobs,
-    /// Where the placement pass that looked at its most runners goes on.
-    resume_at: Option<place::Candidate>,
+    /// Where the next pass goes on with the steps that others keep from their turn, and with those
+    /// among them whose jobs have nothing running.
+    resume_at: Option<candidates::Candidate>,
+    resume_idle_at: Option<candidates::Candidate>,
+    /// The last step that was considered in turn while there were too many for one pass.
+    listed_until: Option<Rank>,
+    start_window: start_window::StartWindow,
     kept_free: Option<kept_free::KeptFree>,
     /// Whether the next trial is of the step that has waited for longest.
     is_next_trial_by_wait: bool,
@@ -105,9 +116,13 @@
             runners: Vec::new(),
             runner_keys: HashMap::new(),
             ready: BTreeSet::new(),
+            restarts: BTreeSet::new(),
             timers: BTreeSet::new(),
             dirty: DirtyJobs::default(),
             resume_at: None,
+            resume_idle_at: None,
+            listed_until: None,
+            start_window: start_window::StartWindow::default(),
             kept_free: None,
             is_next_trial_by_wait: true,
             settled: VecDeque::new(),
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -1,28 +1,30 @@
 use super::{
+    candidates::Candidate,
     infeasible::{Demand, InfeasibleDemands},
-    Engine, Job, Rank, State, Task,
+    interference::interference_looks,
+    work::Work,
+    Engine, Job, State, Task,
 };
 use crate::{
     fleet::{Claim, Runner, RunnerKey, Trial, LATENCY_CRITICAL_USE_PERCENT},
     Phase, StepSpec, TaskId,
 };
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
-/// A result is worthless to its caller after this multiple of the time budget.
-const OVERDUE_FACTOR: u64 = 3;
-
-/// Most runners looked at in a pass, half of them from the first task in order. A pass of a group with
-/// thousands of runners and tasks would otherwise outlast the owner's session, and that of each owner
-/// after it.
-const RUNNER_CHECKS_MAX: usize = 600_000;
-/// Most runners looked at besides in a pass to place tasks that may be the cause of failures.
-const RETRY_RUNNER_CHECKS_MAX: usize = 100_000;
-/// Most runners looked at besides in a pass to place tasks on trial.
-const TRIAL_RUNNER_CHECKS_MAX: usize = 100_000;
-
+/// Most work in a pass, in looks at runners. A pass of a group with thousands of runners and tasks would
+/// otherwise outlast the owner's session, and that of each owner after it.
+const PASS_WORK_MAX: usize = 600_000;
+/// Most work besides in a pass to place tasks that may be the cause of failures.
+const RETRY_WORK_MAX: usize = 100_000;
+/// Most work besides in a pass to place tasks on trial.
+const TRIAL_WORK_MAX: usize = 100_000;
+/// Part of the runs that may be on their way which is left to steps that others keep from their turn.
+const SHARED_STARTS_DIVISOR: usize = 4;
+/// Most tasks of a step that are placed in its share of a pass.
+const SHARED_STEP_TASKS_MAX: usize = 8;
 /// Time for which a best-effort step is held back by estimates before one of its tasks is placed on
 /// trial, and between two trials of a step; a task counts as lost after 3 s, and its commit and start
 /// take part of them.
@@ -46,7 +48,7 @@
 
 /// How far a runner may be given a task; higher is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Trust {
+pub(super) enum Trust {
     /// One task at a time, if it fits nowhere else and at most half of the runners that could take it
     /// are trusted: this one is backed off from because of a few other jobs, which may be the cause.
     Probe,
@@ -64,23 +66,52 @@
     held: Vec<HeldStep>,
     /// Steps of tasks that may be the cause of failures and fit nowhere, in placement order.
     retries: Vec<Candidate>,
-    choices_left: usize,
+    /// Steps of best-effort tasks that were held back in the pass.
+    seen_held: HashSet<Candidate>,
+    work: Work,
+    /// Number of runs that may still be placed.
+    starts_left: usize,
+    /// Most tasks of a step to place at a time.
+    step_tasks_max: usize,
     /// Whether a runner to be kept free was looked for.
     pub(super) has_sought_runner: bool,
 }
 
+/// How many tasks of a step are on each runner.
+pub(super) type Siblings = HashMap<RunnerKey, u32>;
+
+/// What is placed, and where it may be.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Placement {
+    pub(super) claim: Claim,
+    pub(super) admission: Admission,
+}
+
 /// A best-effort step that estimates have held back for [`TRIAL_AFTER`].
 struct HeldStep {
     /// See [`Engine::has_placed_tasks`].
     has_placed_tasks: bool,
     /// When it was first held back, or last placed on trial.
     waits_since: Instant,
-    ready: Vec<TaskId>,
+    candidate: Candidate,
     claim: Claim,
     demand: Demand,
 }
 
+/// What became of an attempt to place the tasks of a step.
+#[derive(Default)]
+struct Tried {
+    placed: usize,
+    /// The task that fits on no runner.
+    rejected: Option<TaskId>,
+}
+
 impl Pass {
+    /// Returns whether no more tasks are placed in this part of the pass.
+    fn is_over(&self) -> bool {
+        self.work.is_spent() || self.starts_left == 0
+    }
+
     /// Demands that fit on no runner which this admission allows.
     fn infeasible(&mut self, admission: Admission) -> &mut InfeasibleDemands {
         match admission {
@@ -91,72 +122,71 @@
     }
 }
 
-/// Placement order within a priority, first to last.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Urgency {
-    /// A long-running task that has run before: its service lacks capacity until it runs again.
-    Restart,
-    /// A task still within its job's time budget, which it may miss if it is placed later.
-    OnTime,
-    /// Any other long-running task: no time budget applies to it.
-    LongRunning,
-    /// A task past its job's time budget, placed only after those that it could make late.
-    Late,
-    /// A task whose result is worthless to its caller, see [`OVERDUE_FACTOR`].
-    Overdue,
-}
-
-/// A step with ready tasks; the derived order is the placement order. A long-running task to be
-/// restarted is a candidate of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Candidate {
-    priority: u8,
-    urgency: Urgency,
-    first: Rank,
-}
-
 impl Engine {
     /// Places ready tasks in placement order. Once a demand did not fit, the rest of the step and
     /// all steps that demand at least as much are skipped in this pass. A fenced engine no longer
-    /// owns its group and places nothing, nor does one that knows only an old instance list. Half of
-    /// a pass begins with the first in order, and half where the one before it ended, so that demands
-    /// which fit nowhere don't keep it from those behind them.
+    /// owns its group and places nothing, nor does one that knows only an old instance list.
     pub(crate) fn place_ready(&mut self, wall_ms: u64, now: Instant) {
         if self.fenced || !self.is_listing_current(now) {
             return;
         }
         let mut pass = Pass::default();
         self.place_in_order(&mut pass, wall_ms, now);
-        pass.choices_left = self.choices_max(RETRY_RUNNER_CHECKS_MAX);
+        pass.starts_left = usize::MAX;
+        pass.work = Work::new(RETRY_WORK_MAX);
         self.place_retries(&mut pass, now);
-        pass.choices_left = self.choices_max(TRIAL_RUNNER_CHECKS_MAX);
+        pass.work = Work::new(TRIAL_WORK_MAX);
         self.place_trials(&mut pass, now);
     }
 
-    /// Number of tasks for which a runner may be chosen by this number of looks at runners.
-    fn choices_max(&self, runner_checks_max: usize) -> usize {
-        (runner_checks_max / self.runners.len().max(1)).max(1)
-    }
-
-    /// Places ready tasks in placement order, as far as predictions admit them.
+    /// Places ready tasks in placement order, as far as predictions admit them. Where the work or the
+    /// starts that are left don't suffice for all, half of the work and a part of the starts are for
+    /// the steps behind: first one task of each whose job has nothing running, then a few tasks of
+    /// each in turn. Otherwise one large job, or demands that fit nowhere, would keep the others
+    /// waiting while there is room for them.
     fn place_in_order(&mut self, pass: &mut Pass, wall_ms: u64, now: Instant) {
-        let choices_max = self.choices_max(RUNNER_CHECKS_MAX / 2);
-        pass.choices_left = choices_max;
         let candidates = self.candidates(wall_ms);
+        let window = self.start_window.size(now);
+        let on_their_way = self.start_window.on_their_way();
+        pass.work = Work::new(PASS_WORK_MAX / 2);
+        pass.step_tasks_max = usize::MAX;
+        let shared = window / SHARED_STARTS_DIVISOR;
+        pass.starts_left = (window - shared).saturating_sub(on_their_way);
         let Some(ended_at) = self.place_candidates(&candidates, pass, now) else {
-            self.resume_at = None;
+            (self.resume_at, self.resume_idle_at) = (None, None);
             return;
         };
+        pass.starts_left = window.saturating_sub(self.start_window.on_their_way());
         let rest = &candidates[ended_at..];
-        let is_before = |at: Candidate| rest.partition_point(|it| *it < at);
-        let rest = &rest[self.resume_at.map_or(0, is_before)..];
-        pass.choices_left = choices_max;
-        let ended_at = self.place_candidates(rest, pass, now);
-        self.resume_at = ended_at.map(|at| rest[at]);
+        let idle = rest
+            .iter()
+            .filter(|it| !self.has_placed_tasks(it.first.task));
+        let idle: Vec<_> = idle.copied().collect();
+        pass.work = Work::new(PASS_WORK_MAX / 4);
+        pass.step_tasks_max = 1;
+        self.resume_idle_at = self.place_in_turn(&idle, self.resume_idle_at, pass, now);
+        pass.work.add(PASS_WORK_MAX / 4);
+        pass.step_tasks_max = SHARED_STEP_TASKS_MAX;
+        self.resume_at = self.place_in_turn(rest, self.resume_at, pass, now);
+    }
+
+    /// Places tasks of candidates from the one at which the pass before ended; returns the one at which
+    /// this one does.
+    fn place_in_turn(
+        &mut self,
+        candidates: &[Candidate],
+        resume_at: Option<Candidate>,
+        pass: &mut Pass,
+        now: Instant,
+    ) -> Option<Candidate> {
+        let is_before = |at: Candidate| candidates.partition_point(|it| *it < at);
+        let candidates = &candidates[resume_at.map_or(0, is_before)..];
+        let ended_at = self.place_candidates(candidates, pass, now);
+        ended_at.map(|at| candidates[at])
     }
 
     /// Places the tasks of candidates while they fit; returns the index of the candidate at which
-    /// the pass had looked at its most runners.
+    /// no work or start was left.
     fn place_candidates(
         &mut self,
         candidates: &[Candidate],
@@ -164,8 +194,10 @@
         now: Instant,
     ) -> Option<usize> {
         candidates.iter().position(|candidate| {
-            self.place_candidate(candidate, pass, now);
-            pass.choices_left == 0
+            if !pass.is_over() {
+                self.place_candidate(candidate, pass, now);
+            }
+            pass.is_over()
         })
     }
 
@@ -173,27 +205,24 @@
     /// runner is given shows more if it is another one.
     fn place_retries(&mut self, pass: &mut Pass, now: Instant) {
         for candidate in std::mem::take(&mut pass.retries) {
-            let first = candidate.first.task;
-            let Some(claim) = self.claim_of(first, now) else {
+            let Some(claim) = self.claim_of(candidate.first.task, now) else {
                 continue;
             };
-            for id in self.ready_tasks(&candidate) {
-                if pass.choices_left == 0 {
-                    return;
-                }
-                if !self.may_place(id, now) {
-                    continue;
-                }
-                pass.choices_left -= 1;
-                if !self.place_task(id, claim, Admission::Retry, now) {
-                    break;
-                }
+            let placement = Placement {
+                claim,
+                admission: Admission::Retry,
+            };
+            pass.step_tasks_max = usize::MAX;
+            self.place_tasks(&candidate, &placement, pass, now);
+            if pass.work.is_spent() {
+                return;
             }
         }
     }
 
     /// Places the tasks of a candidate while they fit.
     fn place_candidate(&mut self, candidate: &Candidate, pass: &mut Pass, now: Instant) {
+        pass.work.spend(1);
         // All tasks of a step have the same demand.
         let first = candidate.first.task;
         let Some(claim) = self.claim_of(first, now) else {
@@ -203,67 +232,90 @@
             return;
         };
         let is_best_effort = demand.best_effort_cpu_millis > 0;
-        let mut is_rejected = pass.infeasible.rules_out(&demand);
-        if is_rejected && !is_best_effort {
+        let is_ruled_out = pass.infeasible.rules_out(&demand, &mut pass.work);
+        if is_ruled_out && !is_best_effort {
             self.keep_runner_free(first, &claim, pass, now);
             return;
         }
-        let is_ruled_out = is_rejected;
-        let ready = self.ready_tasks(candidate);
-        let ready_count = ready.len();
-        let mut placed = 0;
-        let mut is_retry = false;
-        for &id in &ready {
-            if pass.choices_left == 0 || is_rejected {
-                break;
-            }
-            if !self.may_place(id, now) {
-                continue;
-            }
-            pass.choices_left -= 1;
-            let fits = self.place_task(id, claim, Admission::Predicted, now);
-            placed += usize::from(fits);
-            is_rejected = !fits;
-            is_retry = is_rejected && self.is_kept_off_runners(id);
-        }
-        if is_rejected && !is_best_effort {
-            let waiting = ready.iter().find(|&&id| self.may_place(id, now));
-            if let Some(&waiting) = waiting {
-                self.keep_runner_free(waiting, &claim, pass, now);
-            }
+        let placement = Placement {
+            claim,
+            admission: Admission::Predicted,
+        };
+        let tried = if is_ruled_out {
+            Tried::default()
+        } else {
+            self.place_tasks(candidate, &placement, pass, now)
+        };
+        let is_rejected = is_ruled_out || tried.rejected.is_some();
+        if let Some(waiting) = tried.rejected.filter(|_| !is_best_effort) {
+            self.keep_runner_free(waiting, &claim, pass, now);
         }
         if is_best_effort {
-            let was_held_since = self.hold_step(first, placed > 0, is_rejected, now);
-            if let Some(since) = was_held_since.filter(|&at| now >= at + TRIAL_AFTER) {
+            let was_held_since = self.hold_step(first, tried.placed > 0, is_rejected, now);
+            let since = was_held_since.filter(|&at| now >= at + TRIAL_AFTER);
+            if let Some(since) = since.filter(|_| pass.seen_held.insert(*candidate)) {
                 let tried_at = self.step(first).and_then(|step| step.tried_at);
                 pass.held.push(HeldStep {
                     has_placed_tasks: self.has_placed_tasks(first),
                     waits_since: tried_at.map_or(since, |at| at.max(since)),
-                    ready,
+                    candidate: *candidate,
                     claim,
                     demand: demand.clone(),
                 });
             }
         }
+        let is_retry = tried
+            .rejected
+            .is_some_and(|id| self.is_kept_off_runners(id));
         if is_retry {
             pass.retries.push(*candidate);
         } else if is_rejected && !is_ruled_out {
             pass.infeasible.insert(demand);
         }
-        if placed > 0 {
+        if tried.placed > 0 {
             log::info!(
                 "event=step.place job={} occurrence={} step={} priority={} urgency={:?} \
-                 placed={placed} ready={ready_count} policy={}",
+                 placed={} ready={} policy={}",
                 first.job,
                 first.occurrence,
                 first.step,
                 candidate.priority,
                 candidate.urgency,
+                tried.placed,
+                self.ready_count(candidate),
                 self.policy.version
             );
         }
     }
 
+    /// Places the tasks of a candidate while they fit, at most so many as the pass allows.
+    fn place_tasks(
+        &mut self,
+        candidate: &Candidate,
+        placement: &Placement,
+        pass: &mut Pass,
+        now: Instant,
+    ) -> Tried {
+        let mut tried = Tried::default();
+        let mut siblings = self.siblings(candidate.first.task, &mut pass.work);
+        let mut from = candidate.first;
+        while !pass.is_over() && tried.placed < pass.step_tasks_max {
+            let (next, seen) = self.next_placeable(candidate, from, |task| task.may_place(now));
+            pass.work.spend_on_entries(seen);
+            let Some(id) = next else {
+                break;
+            };
+            if !self.place_task(&mut siblings, id, placement, &mut pass.work, now) {
+                tried.rejected = Some(id);
+                break;
+            }
+            tried.placed += 1;
+            pass.starts_left = pass.starts_left.saturating_sub(1);
+            from.task = id;
+        }
+        tried
+    }
+
     /// Notes whether ready tasks of a best-effort step fit nowhere; returns since when that has been
     /// so without a task placed by prediction.
     fn hold_step(
@@ -292,7 +344,7 @@
         by_wait.sort_by_key(|&at| (held[at].has_placed_tasks, held[at].waits_since));
         let (mut in_order, mut by_wait) = (0..held.len(), by_wait.into_iter());
         let mut is_tried = vec![false; held.len()];
-        while pass.choices_left > 0 {
+        while !pass.work.is_spent() {
             let next = if self.is_next_trial_by_wait {
                 by_wait.find(|&at| !is_tried[at])
             } else {
@@ -313,8 +365,10 @@
     /// whether it did.
     fn place_on_trial(&mut self, step: &HeldStep, pass: &mut Pass, now: Instant) -> bool {
         let (claim, demand) = (step.claim, &step.demand);
-        let mut ready = step.ready.iter();
-        let Some(&id) = ready.find(|&&id| self.may_place(id, now)) else {
+        let first = step.candidate.first;
+        let (next, seen) = self.next_placeable(&step.candidate, first, |task| task.may_place(now));
+        pass.work.spend_on_entries(seen);
+        let Some(id) = next else {
             return false;
         };
         let is_recent = |at: Instant| now < at + TRIAL_AFTER;
@@ -326,11 +380,17 @@
         } else {
             Admission::Trial
         };
-        if pass.infeasible(admission).rules_out(demand) {
+        let mut work = pass.work;
+        let is_ruled_out = pass.infeasible(admission).rules_out(demand, &mut work);
+        let mut siblings = self.siblings(id, &mut work);
+        let placement = Placement { claim, admission };
+        let is_placed =
+            !is_ruled_out && self.place_task(&mut siblings, id, &placement, &mut work, now);
+        pass.work = work;
+        if is_ruled_out {
             return false;
         }
-        pass.choices_left -= 1;
-        if !self.place_task(id, claim, admission, now) {
+        if !is_placed {
             pass.infeasible(admission).insert(demand.clone());
             return false;
         }
@@ -366,61 +426,9 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
-        let specs = &job.spec.steps;
-        if specs[usize::from(id.step)].long_running {
-            return false;
-        }
-        let steps = job.tasks.get(id.occurrence as usize).into_iter().flatten();
-        let steps = steps.zip(specs).filter(|(_, spec)| !spec.long_running);
-        let mut tasks = steps.flat_map(|(step, _)| &step.tasks);
-        tasks.any(|task| matches!(task.state(), State::Placed { .. }))
-    }
-
-    /// Lists the steps with ready tasks in placement order.
-    fn candidates(&self, wall_ms: u64) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        let mut current = None;
-        let mut is_long_running = false;
-        for &first in &self.ready {
-            let task = first.task;
-            let step = (task.job, task.occurrence, task.step);
-            // Tasks of a step are adjacent, since their ranks differ in the index alone.
-            if current != Some(step) {
-                current = Some(step);
-                is_long_running = self.step_of(task).is_some_and(|step| step.long_running);
-                candidates.push(Candidate {
-                    priority: first.priority,
-                    urgency: self.urgency(&first, wall_ms),
-                    first,
-                });
-            }
-            if is_long_running && self.task(task).is_some_and(|task| task.run > 0) {
-                candidates.push(Candidate {
-                    priority: first.priority,
-                    urgency: Urgency::Restart,
-                    first,
-                });
-            }
-        }
-        candidates.sort_unstable();
-        candidates
-    }
-
-    /// Lists the ready tasks of a candidate.
-    fn ready_tasks(&self, candidate: &Candidate) -> Vec<TaskId> {
-        let first = candidate.first;
-        if candidate.urgency == Urgency::Restart {
-            return vec![first.task];
-        }
-        let last = Rank {
-            task: TaskId {
-                index: u16::MAX,
-                ..first.task
-            },
-            ..first
-        };
-        let ranks = self.ready.range(first..=last);
-        ranks.map(|rank| rank.task).collect()
+        let is_long_running = job.spec.steps[usize::from(id.step)].long_running;
+        let placed = job.placed_batch_tasks.get(id.occurrence as usize);
+        !is_long_running && placed.is_some_and(|&count| count > 0)
     }
 
     /// Demand of a task with this claim.
@@ -437,129 +445,38 @@
         })
     }
 
-    /// Ranks a task within its priority. Late tasks come after those that can still be on time,
-    /// since they would make these late as well.
-    fn urgency(&self, rank: &Rank, wall_ms: u64) -> Urgency {
-        if self
-            .step_of(rank.task)
-            .is_some_and(|step| step.long_running)
-        {
-            return Urgency::LongRunning;
-        }
-        let Some(job) = self.jobs.get(&rank.task.job) else {
-            return Urgency::Overdue;
-        };
-        // The time budget of an occurrence starts at its due time.
-        let requested_at_ms = job
-            .spec
-            .schedule
-            .map_or(job.spec.submitted_at_ms, |schedule| {
-                schedule.first_at_ms + u64::from(rank.task.occurrence) * schedule.interval_ms
-            });
-        let waited_ms = wall_ms.saturating_sub(requested_at_ms);
-        if waited_ms <= job.time_budget_ms {
-            Urgency::OnTime
-        } else if waited_ms <= job.time_budget_ms * OVERDUE_FACTOR {
-            Urgency::Late
-        } else {
-            Urgency::Overdue
-        }
-    }
-
     pub(super) fn step_of(&self, id: TaskId) -> Option<&StepSpec> {
         self.jobs.get(&id.job)?.spec.steps.get(usize::from(id.step))
     }
 
-    fn may_place(&self, id: TaskId, now: Instant) -> bool {
-        let state = self.task(id).map(Task::state);
-        match state {
-            Some(State::Waiting { not_before }) => not_before.is_none_or(|at| now >= at),
-            _ => false,
-        }
-    }
-
     /// Places one task, or all tasks of a gang; `false` if it fits on no runner.
-    fn place_task(&mut self, id: TaskId, claim: Claim, admission: Admission, now: Instant) -> bool {
-        if self.step_of(id).is_some_and(|step| step.gang) {
-            return self.place_gang(id, claim, admission, now);
-        }
-        let Some(key) = self.choose(id, &claim, admission, now) else {
-            return false;
-        };
-        self.assign(id, key, None, claim);
-        true
-    }
-
-    /// Places all tasks of a gang or none. They share the run number and the checkpoint.
-    fn place_gang(&mut self, id: TaskId, claim: Claim, admission: Admission, now: Instant) -> bool {
-        let job = &self.jobs[&id.job];
-        let tasks = &job.tasks[id.occurrence as usize][usize::from(id.step)].tasks;
-        let waiting = |state| matches!(state, State::Waiting { .. });
-        if !tasks.iter().all(|task| waiting(task.state())) {
-            return false;
+    fn place_task(
+        &mut self,
+        siblings: &mut Siblings,
+        id: TaskId,
+        placement: &Placement,
+        work: &mut Work,
+        now: Instant,
+    ) -> bool {
+        if self.is_gang(id) {
+            return self.place_gang(id, placement, work, now);
         }
-        let run = tasks.iter().map(|task| task.run).max().unwrap_or(0) + 1;
-        let checkpoint = tasks.iter().map(|task| task.checkpoint.clone()).max();
-        let checkpoint = checkpoint.unwrap_or_default();
-        let members: Vec<_> = (0..tasks.len())
-            .map(|index| TaskId {
-                index: index as u16,
-                ..id
-            })
-            .collect();
-        let Some(runners) = self.claim_for_gang(&members, run, claim, admission, now) else {
+        let Some(key) = self.choose(siblings, id, placement, work, now) else {
             return false;
         };
-        for (member, key) in members.into_iter().zip(runners) {
-            if let Some(task) = self.task_mut(member) {
-                task.checkpoint.clone_from(&checkpoint);
-            }
-            self.assign(member, key, Some(run), claim);
-        }
+        let run = self.task(id).map_or(0, |task| task.run) + 1;
+        self.assign(id, key, run, placement.claim);
+        *siblings.entry(key).or_default() += 1;
         true
     }
 
-    /// Chooses a runner for each member of a gang and claims it; `None`, without claims, if a member
-    /// fits on none.
-    fn claim_for_gang(
-        &mut self,
-        members: &[TaskId],
-        run: u32,
-        claim: Claim,
-        admission: Admission,
-        now: Instant,
-    ) -> Option<Vec<RunnerKey>> {
-        let mut siblings = HashMap::new();
-        let mut runners = Vec::with_capacity(members.len());
-        for &member in members {
-            let chosen = self.choose_beside(&siblings, member, &claim, admission, now);
-            let Some(key) = chosen else {
-                break;
-            };
-            self.runner_mut(key).claim(member, run, claim);
-            *siblings.entry(key).or_default() += 1;
-            runners.push(key);
-        }
-        if runners.len() == members.len() {
-            return Some(runners);
-        }
-        for (&member, key) in members.iter().zip(runners) {
-            self.runner_mut(key).release(member, run);
-        }
-        None
-    }
-
-    fn assign(&mut self, id: TaskId, key: RunnerKey, run: Option<u32>, claim: Claim) {
+    pub(super) fn assign(&mut self, id: TaskId, key: RunnerKey, run: u32, claim: Claim) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
         if job.phase == Phase::Queued {
             job.phase = Phase::Active;
         }
-        let Some(task) = self.task(id) else {
-            return;
-        };
-        let run = run.unwrap_or(task.run + 1);
         self.place_run(id, run, key, claim);
         self.note_suspected_run(id);
         log::debug!(
@@ -569,84 +486,144 @@
         );
     }
 
-    /// Chooses the best runner for a task; `None` if it fits on none.
-    fn choose(
+    /// Chooses the best runner for a task while its step has this number of tasks on each; `None` if it
+    /// fits on none.
+    pub(super) fn choose(
         &self,
+        siblings: &Siblings,
         id: TaskId,
-        claim: &Claim,
-        admission: Admission,
+        placement: &Placement,
+        work: &mut Work,
         now: Instant,
     ) -> Option<RunnerKey> {
-        let step = self.step_of(id)?;
-        let needs_siblings = step.rack_local || step.per_runner_max > 0;
-        let siblings = if needs_siblings {
-            self.siblings(id)
-        } else {
-            HashMap::new()
-        };
-        self.choose_beside(&siblings, id, claim, admission, now)
+        let mut best: Option<(Trust, i64, RunnerKey)> = None;
+        self.compare_runners(siblings, id, placement, work, now, |trust, score, key| {
+            if best.is_none_or(|it| (trust, score) > (it.0, it.1)) {
+                best = Some((trust, score, key));
+            }
+        });
+        best.map(|(_, _, key)| key)
     }
 
-    /// Chooses the best runner for a task while its step has this number of tasks on each.
-    fn choose_beside(
+    /// Passes trust, score and key of each runner that a task may be placed on to `found`, while its
+    /// step has this number of tasks on each.
+    pub(super) fn compare_runners(
         &self,
-        siblings: &HashMap<RunnerKey, u32>,
+        siblings: &Siblings,
         id: TaskId,
-        claim: &Claim,
-        admission: Admission,
+        placement: &Placement,
+        work: &mut Work,
         now: Instant,
-    ) -> Option<RunnerKey> {
-        let job = self.jobs.get(&id.job)?;
-        let step = &job.spec.steps[usize::from(id.step)];
-        let rack = self.preferred_rack(step, siblings);
-        let task = self.task(id)?;
-        let is_suspected = task.is_suspected();
-        let is_best_effort = claim.best_effort_cpu_millis > 0;
-        let mut best: Option<(Trust, i64, RunnerKey)> = None;
+        mut found: impl FnMut(Trust, i64, RunnerKey),
+    ) {
+        let Some(compared) = self.compared(siblings, id, placement) else {
+            return;
+        };
         let (mut able, mut trusted) = (0, 0);
+        let mut probes = Vec::new();
         for (at, runner) in self.runners.iter().enumerate() {
+            work.spend(1);
             let key = RunnerKey(at as u32);
-            let sibling_count = siblings.get(&key).copied().unwrap_or(0);
-            if runner.is_evacuated || !could_take(job, step, runner) {
+            if runner.is_evacuated || !could_take(compared.job, compared.step, runner) {
                 continue;
             }
             able += 1;
-            let Some(trust) = self.trust(runner, (id, task), admission, now) else {
+            let Some(trust) = self.trust(runner, (id, compared.task), placement.admission, now)
+            else {
                 continue;
             };
             trusted += usize::from(trust == Trust::Full);
-            if runner.has_sole_suspect
-                || (is_best_effort && self.is_kept_free(key, now))
-                || !runner.backoff.admits(claim.size, now)
-                || !satisfies_constraints(step, runner, sibling_count)
-            {
-                continue;
-            }
-            let interference_penalty = self.interference_penalty(runner, claim, admission, now);
-            let Some(interference_penalty) = interference_penalty else {
-                continue;
-            };
-            let mut score = score(step, claim, runner, rack.as_deref()) - interference_penalty;
-            let failed_at = task.recent_failures.last_on(key);
-            let seems_to_fail = failed_at.is_some_and(|at| !runner.backoff.has_succeeded_since(at));
-            if task.failed_on == Some(key) || seems_to_fail {
-                score -= FAILED_ON_PENALTY;
-            }
-            if runner.is_cold(now) {
-                score -= COLD_PENALTY;
-            }
-            if !runner.suspected_runs.is_empty() {
-                score -= SUSPECTED_RUN_PENALTY;
-            }
-            if is_suspected {
-                score -= SUSPECT_NEIGHBOUR_PENALTY * runner.claims.len() as i64;
+            work.spend(interference_looks(runner, &placement.claim));
+            let sibling_count = siblings.get(&key).copied().unwrap_or(0);
+            let score = self.score_on(key, sibling_count, &compared, now);
+            match (score, trust) {
+                (Some(score), Trust::Full) => found(trust, score, key),
+                (Some(score), Trust::Probe) => probes.push((score, key)),
+                (None, _) => {}
             }
-            if best.is_none_or(|it| (trust, score) > (it.0, it.1)) {
-                best = Some((trust, score, key));
+        }
+        if 2 * trusted <= able {
+            for (score, key) in probes {
+                found(Trust::Probe, score, key);
             }
         }
-        let best = best.filter(|it| it.0 == Trust::Full || 2 * trusted <= able);
-        best.map(|(_, _, key)| key)
+    }
+
+    /// Trust and score of a runner for a task, as in [`Self::compare_runners`].
+    pub(super) fn rank_runner(
+        &self,
+        key: RunnerKey,
+        sibling_count: u32,
+        id: TaskId,
+        placement: &Placement,
+        now: Instant,
+    ) -> Option<(Trust, i64)> {
+        let siblings = HashMap::from([(key, sibling_count)]);
+        let compared = self.compared(&siblings, id, placement)?;
+        let trust = self.trust(
+            self.runner(key),
+            (id, compared.task),
+            placement.admission,
+            now,
+        )?;
+        let score = self.score_on(key, sibling_count, &compared, now)?;
+        Some((trust, score))
+    }
+
+    fn compared<'a>(
+        &'a self,
+        siblings: &Siblings,
+        id: TaskId,
+        placement: &'a Placement,
+    ) -> Option<Compared<'a>> {
+        let job = self.jobs.get(&id.job)?;
+        let step = &job.spec.steps[usize::from(id.step)];
+        Some(Compared {
+            job,
+            step,
+            task: self.task(id)?,
+            rack: self.preferred_rack(step, siblings),
+            placement,
+        })
+    }
+
+    /// Scores a runner that could take a task and is trusted with it; `None` if it does not fit there.
+    fn score_on(
+        &self,
+        key: RunnerKey,
+        sibling_count: u32,
+        compared: &Compared<'_>,
+        now: Instant,
+    ) -> Option<i64> {
+        let runner = self.runner(key);
+        let (step, task) = (compared.step, compared.task);
+        let Placement { claim, admission } = compared.placement;
+        let is_best_effort = claim.best_effort_cpu_millis > 0;
+        if runner.has_sole_suspect
+            || (is_best_effort && self.is_kept_free(key, now))
+            || !runner.backoff.admits(claim.size, now)
+            || !satisfies_constraints(step, runner, sibling_count)
+        {
+            return None;
+        }
+        let interference_penalty = self.interference_penalty(runner, claim, *admission, now)?;
+        let rack = compared.rack.as_deref();
+        let mut score = score(step, claim, runner, rack) - interference_penalty;
+        let failed_at = task.recent_failures.last_on(key);
+        let seems_to_fail = failed_at.is_some_and(|at| !runner.backoff.has_succeeded_since(at));
+        if task.failed_on == Some(key) || seems_to_fail {
+            score -= FAILED_ON_PENALTY;
+        }
+        if runner.is_cold(now) {
+            score -= COLD_PENALTY;
+        }
+        if !runner.suspected_runs.is_empty() {
+            score -= SUSPECTED_RUN_PENALTY;
+        }
+        if task.is_suspected() {
+            score -= SUSPECT_NEIGHBOUR_PENALTY * runner.claims.len() as i64;
+        }
+        Some(score)
     }
 
     /// How far a runner may be given a task; `None` for not at all.
@@ -680,13 +657,16 @@
         !runner.is_closed() && runner.last_report_at.is_some_and(is_recent)
     }
 
-    /// Counts the placed tasks of the same step and occurrence, by runner.
-    pub(super) fn siblings(&self, id: TaskId) -> HashMap<RunnerKey, u32> {
-        let mut counts = HashMap::new();
-        let Some(job) = self.jobs.get(&id.job) else {
+    /// Counts the placed tasks of the same step and occurrence, by runner, if it matters for the choice
+    /// of one.
+    pub(super) fn siblings(&self, id: TaskId, work: &mut Work) -> Siblings {
+        let mut counts = Siblings::new();
+        let needs_siblings = |step: &&StepSpec| step.rack_local || step.per_runner_max > 0;
+        let step = self.step(id).zip(self.step_of(id).filter(needs_siblings));
+        let Some((step, _)) = step else {
             return counts;
         };
-        let step = &job.tasks[id.occurrence as usize][usize::from(id.step)];
+        work.spend_on_entries(step.tasks.len());
         for task in &step.tasks {
             if let State::Placed { runner, .. } = task.state() {
                 *counts.entry(runner).or_default() += 1;
@@ -695,11 +675,7 @@
         counts
     }
 
-    fn preferred_rack(
-        &self,
-        step: &StepSpec,
-        siblings: &HashMap<RunnerKey, u32>,
-    ) -> Option<String> {
+    fn preferred_rack(&self, step: &StepSpec, siblings: &Siblings) -> Option<String> {
         if let Some(rack) = &step.affinity {
             return Some(rack.clone());
         }
@@ -715,6 +691,16 @@
     }
 }
 
+/// A task for which runners are compared, with what it needs.
+struct Compared<'a> {
+    job: &'a Job,
+    step: &'a StepSpec,
+    task: &'a Task,
+    /// The preferred rack.
+    rack: Option<String>,
+    placement: &'a Placement,
+}
+
 /// Returns whether an empty runner could take the tasks of a step.
 pub(super) fn could_take(job: &Job, step: &StepSpec, runner: &Runner) -> bool {
     runner.info.service == job.service
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -258,15 +258,17 @@
             .is_none_or(|job| job.phase.is_final())
     }
 
-    /// Opens the steps that depended on a finished task, or completes the job.
+    /// Opens the steps that depended on the step of a finished task, or completes the job.
     pub(super) fn advance(&mut self, id: TaskId, now: Instant) {
+        if !self.step(id).is_some_and(super::Step::is_done) {
+            return;
+        }
         self.open_steps(id.job, id.occurrence);
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        let all = job.tasks.len() as u32 == job.spec.occurrences();
-        let done = all && job.tasks.iter().flatten().all(super::Step::is_done);
-        if done && !job.phase.is_final() {
+        let steps = job.spec.occurrences() as usize * job.spec.steps.len();
+        if job.done_steps == steps && !job.phase.is_final() {
             self.finish(id.job, Phase::Completed, now);
         }
     }
--- a/crates/persimmon-sched/src/engine/settled.rs
+++ b/crates/persimmon-sched/src/engine/settled.rs
@@ -3,7 +3,7 @@
 
 use super::{Engine, Job, State};
 use crate::{JobId, JobSpec, Phase};
-use std::{sync::Arc, time::Instant};
+use std::{collections::VecDeque, sync::Arc, time::Instant};
 
 impl Engine {
     /// Adds a job of which only the phase that it ended in is known. Does nothing for a known job.
@@ -27,6 +27,9 @@
             has_run: false,
             is_refuted: false,
             tasks: Vec::new(),
+            placed_batch_tasks: Vec::new(),
+            done_steps: 0,
+            committing: VecDeque::new(),
             version: 0,
             committed_version: 0,
             final_version: 0,
--- a/crates/persimmon-sched/src/engine/stalled.rs
+++ b/crates/persimmon-sched/src/engine/stalled.rs
@@ -2,6 +2,7 @@
 
 use super::{
     place::{idle_cpu_millis, satisfies_constraints, Admission},
+    work::Work,
     Engine, Job, Stage, State, Step,
 };
 use crate::{
@@ -20,6 +21,11 @@
 /// Maximum number of queued tasks for which runners with free capacity are sought in one call.
 const SEARCHES_MAX: usize = 64;
 
+/// Most tasks of a step, and of all, that are looked at. They are alike, and the tasks of all jobs may be
+/// more than the memory holds twice.
+const STEP_TASKS_MAX: usize = 16;
+const TASKS_MAX: usize = 10_000;
+
 /// A task that does not run.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Idle {
@@ -151,7 +157,7 @@
         }
     }
 
-    /// Tasks of open steps that neither run nor are done, with their run.
+    /// Tasks of open steps that neither run nor are done, with their run, up to [`TASKS_MAX`].
     fn idle_tasks(&self) -> HashMap<TaskId, u32> {
         let mut idle = HashMap::new();
         for (&id, job) in self.jobs.iter().filter(|(_, job)| !job.phase.is_final()) {
@@ -163,7 +169,11 @@
                         step: step as u16,
                         index,
                     };
-                    idle.extend(idle_tasks_of(state).map(|(at, run)| (task_id(at), run)));
+                    let of_step = idle_tasks_of(state).take(STEP_TASKS_MAX);
+                    idle.extend(of_step.map(|(at, run)| (task_id(at), run)));
+                    if idle.len() >= TASKS_MAX {
+                        return idle;
+                    }
                 }
             }
         }
@@ -200,7 +210,7 @@
     /// Counts the ready runners with free capacity for a task; `None` if there are none.
     fn not_placed(&self, job: &Job, id: TaskId, now: Instant) -> Option<StallCause> {
         let step = &job.spec.steps[usize::from(id.step)];
-        let siblings = self.siblings(id);
+        let siblings = self.siblings(id, &mut Work::default());
         let image = self.image_keys.get(&step.image);
         let claim = image.map(|&image| Claim::new(step, image, now));
         let idle_needed = claim.map_or(0, |it| i64::from(it.best_effort_cpu_millis));
--- a/crates/persimmon-sched/src/engine/task.rs
+++ b/crates/persimmon-sched/src/engine/task.rs
@@ -82,6 +82,14 @@
     pub(crate) fn is_waiting(&self) -> bool {
         matches!(self.state, State::Waiting { .. })
     }
+
+    /// Returns whether the task waits and may be placed now.
+    pub(crate) fn may_place(&self, now: Instant) -> bool {
+        match self.state {
+            State::Waiting { not_before } => not_before.is_none_or(|at| now >= at),
+            State::Placed { .. } | State::Done => false,
+        }
+    }
 }
 
 impl State {
@@ -116,6 +124,31 @@
         }
     }
 
+    /// Returns whether the run is on its way: it is placed, and its start is not answered.
+    fn is_on_its_way(self) -> bool {
+        match self {
+            Self::Placed { stage, .. } => match stage {
+                Stage::Committing(_) | Stage::Ordered { .. } => true,
+                Stage::Restored
+                | Stage::Running(_)
+                | Stage::Unconfirmed { .. }
+                | Stage::Stopping { .. } => false,
+            },
+            Self::Waiting { .. } | Self::Done => false,
+        }
+    }
+
+    /// When the run is known to have started.
+    fn running_since(self) -> Option<Instant> {
+        match self {
+            Self::Placed {
+                stage: Stage::Running(since),
+                ..
+            } => Some(since),
+            Self::Placed { .. } | Self::Waiting { .. } | Self::Done => None,
+        }
+    }
+
     /// Returns whether the run must be settled by time if neither an answer nor a report does.
     fn is_unsettled(self) -> bool {
         match self {
@@ -151,6 +184,7 @@
         if !state.is_recorded_as(old) {
             self.mark_changed(id.job);
         }
+        self.count_placed(id, old, state);
         self.count_done(id, old, state);
         self.update_ready(id);
         debug_assert!(
@@ -182,15 +216,17 @@
 
     /// Places a waiting task with a new run, which starts once the placement is committed.
     pub(super) fn place_run(&mut self, id: TaskId, run: u32, runner: RunnerKey, claim: Claim) {
-        let failures = self.failed_runs(id);
         let Some(task) = self.task_mut(id) else {
             return;
         };
         task.run = run;
-        task.failures = failures;
         self.runner_mut(runner).claim(id, run, claim);
         // The change of the state makes this version.
-        let version = self.jobs.get(&id.job).map_or(0, |job| job.version) + 1;
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        let version = job.version + 1;
+        job.committing.push_back((version, id));
         let stage = Stage::Committing(version);
         self.set_state(id, State::Placed { runner, stage });
     }
@@ -209,10 +245,41 @@
             return;
         };
         let rank = job.rank(id);
-        if is_ready(job, id) {
-            self.ready.insert(rank);
-        } else {
+        if !is_ready(job, id) {
             self.ready.remove(&rank);
+            self.restarts.remove(&rank);
+            return;
+        }
+        self.ready.insert(rank);
+        let is_long_running = job.spec.steps[usize::from(id.step)].long_running;
+        if is_long_running && self.task(id).is_some_and(|task| task.run > 0) {
+            self.restarts.insert(rank);
+        }
+    }
+
+    /// Updates the numbers of placed runs.
+    fn count_placed(&mut self, id: TaskId, old: State, state: State) {
+        match (old.is_on_its_way(), state.is_on_its_way()) {
+            (false, true) => self.start_window.run_placed(),
+            (true, false) => self.start_window.run_settled(state.running_since()),
+            _ => {}
+        }
+        let (was_placed, is_placed) = (old.runner().is_some(), state.runner().is_some());
+        let Some(job) = self
+            .jobs
+            .get_mut(&id.job)
+            .filter(|_| was_placed != is_placed)
+        else {
+            return;
+        };
+        let is_long_running = job.spec.steps[usize::from(id.step)].long_running;
+        let placed = job.placed_batch_tasks.get_mut(id.occurrence as usize);
+        if let Some(placed) = placed.filter(|_| !is_long_running) {
+            *placed = if is_placed {
+                *placed + 1
+            } else {
+                placed.saturating_sub(1)
+            };
         }
     }
 
@@ -220,8 +287,15 @@
         if old == State::Done || state != State::Done {
             return;
         }
-        if let Some(step) = self.step_mut(id) {
-            step.done += 1;
+        let Some(step) = self.step_mut(id) else {
+            return;
+        };
+        step.done += 1;
+        if !step.is_done() {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.done_steps += 1;
         }
     }
 
@@ -308,15 +382,6 @@
             .collect()
     }
 
-    /// Number of failed runs of a task, or of its gang. Members start each run with the same number,
-    /// so those that fail in one run count it once.
-    fn failed_runs(&self, id: TaskId) -> u32 {
-        let own = self.task(id).map(|task| task.failures);
-        let gang = self.step(id).filter(|_| self.is_gang(id));
-        let members = gang.into_iter().flat_map(|step| &step.tasks);
-        members.map(|task| task.failures).max().or(own).unwrap_or(0)
-    }
-
     pub(super) fn is_gang(&self, id: TaskId) -> bool {
         self.step_of(id).is_some_and(|step| step.gang)
     }
--- a/crates/persimmon-sched/src/id.rs
+++ b/crates/persimmon-sched/src/id.rs
@@ -53,6 +53,16 @@
     }
 }
 
+impl TaskId {
+    /// The highest id.
+    pub(crate) const MAX: Self = Self {
+        job: JobId(u64::MAX),
+        occurrence: u32::MAX,
+        step: u16::MAX,
+        index: u16::MAX,
+    };
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/persimmon-types/src/size.rs
+++ b/crates/persimmon-types/src/size.rs
@@ -29,6 +29,14 @@
             && self.accelerators <= available.accelerators
     }
 
+    /// Returns how often `self` fits into `available`; [`u32::MAX`] if it is zero.
+    pub fn count_in(self, available: Self) -> u32 {
+        let count = |each: u32, all: u32| all.checked_div(each).unwrap_or(u32::MAX);
+        count(self.cpu_millis, available.cpu_millis)
+            .min(count(self.memory_mib, available.memory_mib))
+            .min(count(self.accelerators, available.accelerators))
+    }
+
     /// Adds in each dimension; `None` on overflow.
     pub fn checked_add(self, other: Self) -> Option<Self> {
         Some(Self {
