fix(relay): orders of one job don't wait for those of another

Callers saw small jobs wait while the starts, or after its end the stops, of a large one were sent: an owner's orders for a relay were one queue, and a relay's starts another.

The jobs of a link take turns, and so do starts and other orders. At most 128 starts are unanswered at a relay, as many as it may have in flight. A repeated stop or limit takes the place of the one that waits. Reports in one message stop at 20,000 rows, so that it stays below the 4 MiB of the mesh, and a runner is polled after a pause that grows with the runs that it lists (50 us each, 0.5 s at the most).

Evidence: four tests of exchange.rs, which did not hold before (the first job's orders were sent first, all 1,000 starts were sent, three stops were sent).

--- a/crates/persimmon-entry/src/group/relays.rs
+++ b/crates/persimmon-entry/src/group/relays.rs
@@ -282,6 +282,10 @@
                         let events = connection.link.borrow_mut().handle_news(news);
                         self.handle_events(events);
                     });
+                    // Starts that were answered let others be sent.
+                    if connection.link.borrow().has_orders() {
+                        connection.has_orders.notify_one();
+                    }
                 }
                 Ok(RelayReply::Superseded(token)) => self.handle_superseded(token),
                 Ok(RelayReply::Acknowledged | RelayReply::SessionLost) => {
--- a/crates/persimmon-entry/src/relay.rs
+++ b/crates/persimmon-entry/src/relay.rs
@@ -27,6 +27,10 @@
 const CALLS_MAX: usize = 128;
 /// Pause between polls of a runner, so that runs that end together are handled together.
 const POLL_PAUSE: Duration = Duration::from_millis(30);
+/// The pause for each run that a runner lists, and the longest one: what a report takes here and at the
+/// owner grows with its length.
+const POLL_PAUSE_PER_RUN: Duration = Duration::from_micros(50);
+const POLL_PAUSE_MAX: Duration = Duration::from_millis(500);
 /// First and longest delay before a runner that did not answer is polled again.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(50);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
@@ -178,6 +182,7 @@
             .inspect_err(|err| log::debug!("event=runner.poll_failed runner={id} fault=\"{err}\""))
             .ok();
         let is_answered = report.is_some();
+        let runs = report.as_ref().map_or(0, |it| it.running.len() as u32);
         let last_end = {
             let mut state = relay.state.borrow_mut();
             state.finish_poll(runner, &poll, report)
@@ -186,7 +191,8 @@
         if is_answered {
             retry_delay = RETRY_DELAY_MIN;
             wait_for_acknowledgement(&shared, session, runner, last_end).await;
-            tokio::time::sleep(POLL_PAUSE).await;
+            let pause = POLL_PAUSE_PER_RUN * runs;
+            tokio::time::sleep(pause.clamp(POLL_PAUSE, POLL_PAUSE_MAX)).await;
         } else {
             tokio::time::sleep(retry_delay).await;
             retry_delay = (retry_delay * 2).min(RETRY_DELAY_MAX);
--- a/crates/persimmon-relay/src/lib.rs
+++ b/crates/persimmon-relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod assign;
 mod link;
 mod message;
+mod order_queue;
 mod relay;
 
 pub use assign::assign;
--- a/crates/persimmon-relay/src/link.rs
+++ b/crates/persimmon-relay/src/link.rs
@@ -2,17 +2,21 @@
 
 use crate::{
     message::{AnswerWire, Grant, OrderKindWire, OrderWire, Rows},
+    order_queue::OrderQueue,
     Batch, News, RunnerAddress, RunnerIndex,
 };
 use persimmon_sched::{Answer, Order, Report, TaskId};
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
 /// Interval at which a runner's lease is renewed; several fit into the lease term.
 const RENEW_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Most starts that a relay has not answered; as many calls to runners as one may have in flight.
+const STARTS_UNANSWERED_MAX: usize = 128;
+
 /// Size of an order in a batch, estimated.
 const ORDER_BYTES: usize = 48;
 
@@ -52,8 +56,7 @@
     runners: BTreeMap<RunnerIndex, Runner>,
     indexes: HashMap<String, RunnerIndex>,
     removed: Vec<RunnerIndex>,
-    /// Orders that were not sent yet, with their runners.
-    orders: VecDeque<(RunnerIndex, Order)>,
+    orders: OrderQueue,
     /// Starts that were sent and not answered.
     unanswered: BTreeSet<(TaskId, u32)>,
 }
@@ -103,7 +106,7 @@
             runners: BTreeMap::new(),
             indexes: HashMap::new(),
             removed: Vec::new(),
-            orders: VecDeque::new(),
+            orders: OrderQueue::default(),
             unanswered: BTreeSet::new(),
         }
     }
@@ -148,19 +151,14 @@
                 self.removed.push(index);
             }
         }
-        let (dropped, orders) = std::mem::take(&mut self.orders)
-            .into_iter()
-            .partition(|(runner, _)| *runner == index);
-        self.orders = orders;
-        let dropped: VecDeque<_> = dropped;
-        withheld(&dropped)
+        withheld(&self.orders.remove_runner(index))
     }
 
     /// Queues an order; returns the event to handle instead if the runner is not one of the
     /// relay's.
     pub fn push_order(&mut self, order: Order) -> Option<Event> {
         if let Some(&index) = self.indexes.get(order.runner()) {
-            self.orders.push_back((index, order));
+            self.orders.push(index, order);
             return None;
         }
         match order {
@@ -170,12 +168,18 @@
         }
     }
 
-    /// Returns whether an order waits.
+    /// Returns whether an order can be sent.
     pub fn has_orders(&self) -> bool {
-        !self.orders.is_empty()
+        self.orders.has_next(self.may_start())
+    }
+
+    /// Returns whether a start can be sent.
+    fn may_start(&self) -> bool {
+        self.unanswered.len() < STARTS_UNANSWERED_MAX
     }
 
-    /// Moves orders of up to about `bytes_max` into a batch, at least one. `start_deadline_ms`
+    /// Moves orders of up to about `bytes_max` into a batch, at least one, as far as they can be sent:
+    /// a start that waits at the relay gets too old, and keeps those of other jobs waiting. `start_deadline_ms`
     /// returns the lease deadline of a start, or the answer to handle if it must not be sent.
     /// Returns the size, and what is to be handled.
     pub fn add_orders(
@@ -186,7 +190,7 @@
     ) -> (usize, Vec<Event>) {
         let (mut bytes, mut events) = (0, Vec::new());
         while bytes < bytes_max {
-            let Some((index, order)) = self.orders.pop_front() else {
+            let Some((index, order)) = self.orders.pop(self.may_start()) else {
                 break;
             };
             bytes += ORDER_BYTES;
@@ -231,7 +235,7 @@
     /// acknowledged.
     pub fn is_urgent(&self, acknowledged_end: impl Fn(&str) -> u64) -> bool {
         let mut runners = self.runners.values();
-        !self.orders.is_empty()
+        self.has_orders()
             || !self.removed.is_empty()
             || runners.any(|it| !it.is_added || acknowledged_end(&it.address.id) > it.granted_end)
     }
@@ -324,14 +328,14 @@
         let unanswered = std::mem::take(&mut self.unanswered).into_iter();
         let unknown = unanswered.map(|(task, run)| Event::Started(task, run, Answer::Unknown));
         let mut events: Vec<_> = unknown.collect();
-        events.extend(withheld(&std::mem::take(&mut self.orders)));
+        events.extend(withheld(&self.orders.clear()));
         events
     }
 }
 
 /// Answers the starts among orders that were not sent; other orders are repeated by the engine.
-fn withheld(orders: &VecDeque<(RunnerIndex, Order)>) -> Vec<Event> {
-    let starts = orders.iter().filter_map(|(_, order)| match order {
+fn withheld(orders: &[Order]) -> Vec<Event> {
+    let starts = orders.iter().filter_map(|order| match order {
         Order::Start { task, run, .. } => Some(Event::Started(*task, *run, Answer::Withheld)),
         Order::Stop { .. } | Order::Throttle { .. } => None,
     });
--- a/crates/persimmon-relay/src/message.rs
+++ b/crates/persimmon-relay/src/message.rs
@@ -248,6 +248,11 @@
 }
 
 impl ReportWire {
+    /// Number of runs that it tells of.
+    pub(crate) fn rows(&self) -> usize {
+        self.gone.len() + self.changed.len() + self.ended.len()
+    }
+
     /// Completes the report with the rows of the earlier ones, which it updates.
     pub(crate) fn into_report(self, rows: &mut Rows) -> Report {
         for run in &self.gone {
--- a/crates/persimmon-relay/src/relay.rs
+++ b/crates/persimmon-relay/src/relay.rs
@@ -21,6 +21,9 @@
 const POLL_INTERVAL_MAX: Duration = Duration::from_millis(2_600);
 /// Messages of which the relay remembers when they were sent.
 const SENT_NEWS_MAX: usize = 64;
+/// Rows of reports in a message from which on the reports of other runners wait for the next one, so
+/// that it stays well below the size limit of messages.
+const NEWS_ROWS_MAX: usize = 20_000;
 /// A measurement that changed by less than this fraction is not sent again.
 const MEASUREMENT_CHANGE_FRACTION: u64 = 20;
 
@@ -132,6 +135,8 @@
     last_news: u64,
     /// When the last messages were sent, by number.
     sent_news: VecDeque<(u64, Instant)>,
+    /// The runner whose report is the first in the next message.
+    first_to_report: RunnerIndex,
 }
 
 #[derive(Debug)]
@@ -293,13 +298,10 @@
         if session.sent_news.len() > SENT_NEWS_MAX {
             session.sent_news.pop_front();
         }
-        let runners = session.runners.iter_mut();
         Some(News {
             session: key.number,
             number,
-            reports: runners
-                .filter_map(|(&index, it)| it.take_report(index, number))
-                .collect(),
+            reports: session.take_reports(number),
             missed: std::mem::take(&mut session.missed),
             answers: std::mem::take(&mut session.answers),
         })
@@ -328,6 +330,7 @@
             answers: Vec::new(),
             last_news: 0,
             sent_news: VecDeque::new(),
+            first_to_report: RunnerIndex(0),
         }
     }
 
@@ -359,6 +362,27 @@
         actions
     }
 
+    /// Returns the reports for the message with this number, first those that did not fit into the last
+    /// one.
+    fn take_reports(&mut self, number: u64) -> Vec<ReportWire> {
+        let from = self.first_to_report;
+        let behind: Vec<_> = self.runners.range(from..).map(|it| *it.0).collect();
+        let before = self.runners.range(..from).map(|it| *it.0);
+        let indexes: Vec<_> = behind.into_iter().chain(before).collect();
+        let (mut reports, mut rows) = (Vec::new(), 0);
+        for index in indexes {
+            if rows >= NEWS_ROWS_MAX {
+                self.first_to_report = index;
+                break;
+            }
+            let runner = self.runners.get_mut(&index);
+            let report = runner.and_then(|it| it.take_report(index, number));
+            rows += report.as_ref().map_or(0, ReportWire::rows);
+            reports.extend(report);
+        }
+        reports
+    }
+
     /// Returns when a message was sent; an owner that had handled it spoke later than that.
     fn sent_at(&self, number: u64) -> Option<Instant> {
         let mut sent = self.sent_news.iter();
--- a/crates/persimmon-relay/tests/all/exchange.rs
+++ b/crates/persimmon-relay/tests/all/exchange.rs
@@ -1,6 +1,8 @@
 use crate::support::{address, calls, end, report, row, start, task, Pair, GROUP};
-use persimmon_relay::{Event, Link, OrderKind, Outcome, Refusal, RunnerIndex, SessionKey};
-use persimmon_sched::{Answer, Order};
+use persimmon_relay::{
+    Event, Link, OrderCall, OrderKind, Outcome, Refusal, RunnerIndex, SessionKey,
+};
+use persimmon_sched::{Answer, JobId, Order, TaskId};
 use std::time::Duration;
 
 /// Oldest order that a start is sent for.
@@ -298,3 +300,126 @@
     assert_eq!(calls.len(), 1);
     assert_eq!(calls[0].task, task(1));
 }
+
+fn order_of(job: u64, index: u16, order: fn(TaskId) -> Order) -> Order {
+    order(TaskId {
+        job: JobId(job),
+        ..task(index)
+    })
+}
+
+fn start_of(task: TaskId) -> Order {
+    match start("a", task.index) {
+        Order::Start {
+            runner,
+            run,
+            job,
+            checkpoint,
+            ..
+        } => Order::Start {
+            runner,
+            task,
+            run,
+            job,
+            checkpoint,
+        },
+        other => other,
+    }
+}
+
+fn stop_of(task: TaskId) -> Order {
+    Order::Stop {
+        runner: "a".to_owned(),
+        task,
+        run: 1,
+    }
+}
+
+/// Delivers a batch with this number of orders at the most; returns the calls.
+fn deliver_some(pair: &mut Pair, orders: usize) -> Vec<OrderCall> {
+    let (end, now) = (|_: &str| 0, pair.now);
+    let mut batch = pair.link.take_batch(now, 0, Duration::ZERO, end, |_| None);
+    let bytes_max = 48 * orders;
+    pair.link
+        .add_orders(&mut batch, bytes_max, |_, _, _| Ok(9_000));
+    calls(pair.relay.handle_batch(batch, now).expect("accepted"))
+}
+
+/// Guards against jobs that wait until all orders of a large one have been sent.
+#[test]
+fn orders_of_a_job_do_not_wait_for_those_of_a_large_one() {
+    for order in [start_of, stop_of] {
+        let mut pair = Pair::connected();
+        for index in 0..10_000 {
+            pair.link.push_order(order_of(1, index, order));
+        }
+        pair.link.push_order(order_of(2, 0, order));
+        let sent = deliver_some(&mut pair, 4);
+        assert!(
+            sent.iter().any(|it| it.task.job == JobId(2)),
+            "first {sent:?}"
+        );
+    }
+}
+
+/// Guards against starts that wait for the stops of a large job that was cancelled.
+#[test]
+fn starts_do_not_wait_for_many_stops() {
+    let mut pair = Pair::connected();
+    for index in 0..10_000 {
+        pair.link.push_order(order_of(1, index, stop_of));
+    }
+    pair.link.push_order(order_of(1, 0, start_of));
+    let sent = deliver_some(&mut pair, 4);
+    let is_start = |it: &OrderCall| matches!(it.kind, OrderKind::Start { .. });
+    assert!(sent.iter().any(is_start), "first {sent:?}");
+}
+
+/// Guards against starts that get too old while they wait at the relay for those before them.
+#[test]
+fn starts_wait_for_answers_to_earlier_ones() {
+    let mut pair = Pair::connected();
+    for index in 0..1_000 {
+        pair.link.push_order(start("a", index));
+    }
+    let sent = calls(pair.deliver_batch(0, None).expect("accepted"));
+    assert!((64..=256).contains(&sent.len()), "{} starts", sent.len());
+    assert!(!pair.link.has_orders(), "the others wait");
+    pair.link.push_order(stop(0));
+    assert_eq!(
+        calls(pair.deliver_batch(0, None).expect("accepted")).len(),
+        1,
+        "a stop does not"
+    );
+    for call in &sent[..10] {
+        let started = Outcome::Start(Answer::Started);
+        pair.relay.finish_order(call, started);
+    }
+    pair.exchange_news();
+    assert!(pair.link.has_orders());
+    let sent = calls(pair.deliver_batch(0, None).expect("accepted"));
+    assert_eq!(sent.len(), 10);
+}
+
+/// Guards against a queue that grows while the engine repeats stops and limits that wait in it.
+#[test]
+fn repeated_orders_wait_once() {
+    let mut pair = Pair::connected();
+    for percent in [0, 50, 100] {
+        pair.link.push_order(stop(0));
+        pair.link.push_order(Order::Throttle {
+            runner: "a".to_owned(),
+            task: task(1),
+            run: 1,
+            percent,
+        });
+    }
+    let sent = calls(pair.deliver_batch(0, None).expect("accepted"));
+    assert_eq!(sent.len(), 2, "{sent:?}");
+    let is_latest = |it: &OrderCall| matches!(it.kind, OrderKind::Throttle(100));
+    assert!(sent.iter().any(is_latest), "{sent:?}");
+    pair.relay.finish_order(&sent[0], Outcome::Failed);
+    pair.link.push_order(stop(0));
+    let again = calls(pair.deliver_batch(0, None).expect("accepted"));
+    assert_eq!(again.len(), 1, "{again:?}");
+}
