fix(sched): commits and loads of many large jobs end in time

A commit took up to 15 jobs however large, and a record holds all tasks of its job; an owner that loads its jobs added all of them without a pause.

A commit ends with the job that brings it to 10,000 tasks, and an owner yields after as many while it loads, so that the session is renewed. By reading: the two tests that come with it, records of 15 jobs of 40,000 tasks in bounds and jobs of a less urgent queue that start within 2 s beside a large one, hold on the commit before as well on this machine.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -23,6 +23,9 @@
     confirms_backlog: false,
 };
 
+/// Tasks of the jobs that are loaded without a pause: the session is renewed meanwhile.
+const LOADED_TASKS_MAX: u32 = 10_000;
+
 /// Interval at which an owner that does not serve its group yet is logged.
 pub(crate) const LOADING_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -71,8 +74,13 @@
             jobs.values().filter(has_ended).count(),
             self.owned_for().as_millis()
         );
-        let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
+        let mut tasks = 0;
         for (id, stored) in jobs {
+            if tasks >= LOADED_TASKS_MAX {
+                tokio::task::yield_now().await;
+                tasks = 0;
+            }
+            let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
             if let Some(phase) = stored.ended_as {
                 self.engine.borrow_mut().add_ended_job(id, phase, now);
                 continue;
@@ -80,6 +88,7 @@
             let Some(job) = stored.job else {
                 continue;
             };
+            tasks += job.spec.steps.iter().map(|it| it.count).sum::<u32>();
             self.add_job(job, stored.stored, wall_ms, now);
             if stored.is_cancelled {
                 self.engine.borrow_mut().cancel(id, now);
--- a/crates/persimmon-sched/src/engine/dirty.rs
+++ b/crates/persimmon-sched/src/engine/dirty.rs
@@ -2,6 +2,10 @@
 use crate::JobId;
 use std::collections::{HashMap, HashSet, VecDeque};
 
+/// Tasks of the jobs in a commit from which on no other job is added: a record holds all tasks of its
+/// job, and the largest of several would take long to make.
+const TASKS_MAX: usize = 10_000;
+
 /// Jobs whose changes are not part of a commit yet, ordered by the oldest such change.
 #[derive(Debug, Default)]
 pub(super) struct DirtyJobs {
@@ -23,12 +27,13 @@
         self.queued.retain(|&id| keep(id));
     }
 
-    /// Removes and returns the first `max` jobs that have no commit in flight. The others keep
-    /// their place.
+    /// Removes and returns the first `max` jobs that have no commit in flight, fewer if they have
+    /// [`TASKS_MAX`] tasks. The others keep their place.
     pub(super) fn take(&mut self, max: usize, jobs: &HashMap<JobId, Job>) -> Vec<JobId> {
         let mut taken = Vec::new();
         let mut in_flight = Vec::new();
-        while taken.len() < max {
+        let mut tasks = 0;
+        while taken.len() < max && tasks < TASKS_MAX {
             let Some(id) = self.queue.pop_front() else {
                 break;
             };
@@ -36,6 +41,7 @@
                 in_flight.push(id);
             } else {
                 self.queued.remove(&id);
+                tasks += jobs.get(&id).map_or(0, Job::task_count);
                 taken.push(id);
             }
         }
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Number of tasks of the occurrences that have begun.
+    pub(crate) fn task_count(&self) -> usize {
+        let each: u64 = self.spec.steps.iter().map(|it| u64::from(it.count)).sum();
+        self.tasks.len() * each as usize
+    }
+
     /// Returns whether a final phase is committed.
     pub(crate) fn is_end_committed(&self) -> bool {
         self.phase.is_final() && self.committed_version >= self.final_version
--- a/crates/persimmon-sched/tests/all/large_jobs.rs
+++ b/crates/persimmon-sched/tests/all/large_jobs.rs
@@ -1,9 +1,9 @@
 //! Jobs of as many tasks as are allowed. No part of the owner's work may take so long that its session
 //! ends meanwhile, and no job waits for the tasks of another while there is room for both.
 
-use crate::support::{job, listed, report, starts, step, task, TestEngine};
+use crate::support::{job, listed, policy, report, starts, step, task, TestEngine};
 use persimmon_sched::{
-    Answer, End, EndKind, JobId, JobSpec, Report, RunStatus, Schedule, StepSpec, TaskId,
+    Answer, End, EndKind, JobId, JobSpec, Queue, Report, RunStatus, Schedule, StepSpec, TaskId,
 };
 use persimmon_types::Size;
 use std::{
@@ -260,6 +260,50 @@
     }
 }
 
+/// Guards against commits of which each holds the tasks of many large jobs.
+#[test]
+fn records_of_many_large_jobs_are_made_in_time() {
+    let mut world = World::new();
+    for id in 1..=15 {
+        world.submit(job(id, vec![small(TASKS); 4]));
+    }
+    for _ in 0..30 {
+        world.round();
+    }
+    world.assert_parts_end_in_time();
+    for id in 1..=15 {
+        assert!(world.running(id) > 0, "nothing of job {id} runs");
+    }
+}
+
+/// Guards against jobs of a less urgent queue that wait while a large job of another one starts.
+#[test]
+fn less_urgent_jobs_start_beside_a_large_one() {
+    let mut world = World::new();
+    world.starts_per_round = 100;
+    let mut policy = policy();
+    policy.version += 1;
+    policy.queues.push(Queue {
+        name: "less urgent".to_owned(),
+        priority: 3,
+        ..policy.queues[0].clone()
+    });
+    world.harness.engine.configure(policy);
+    world.submit(job(1, vec![small(TASKS); 4]));
+    for id in 2..10 {
+        world.submit(JobSpec {
+            queue: "less urgent".to_owned(),
+            ..job(id, vec![step(1)])
+        });
+        let after_ms = world.runs_after_ms(id, 1);
+        assert!(
+            after_ms <= STARTS_WITHIN_MS,
+            "job {id} runs after {after_ms} ms"
+        );
+    }
+    world.assert_parts_end_in_time();
+}
+
 /// Guards against failures of which each goes through the tasks of the step: the owner lost its
 /// session while it counted them.
 #[test]
