fix(entry,sched): a job belongs to its queue, also if another queue has its number

Callers saw: a job under an id that another queue has was answered 200, shown as completed and never run; a GET at a queue showed the job of another; a DELETE at a queue where the id was never submitted cancelled the job of another.

Cause: one space of ids for all queues. Submission, cancellation and record were stored by the id alone, and submit, phase and cancel found the queue of the path and never compared it with that of the job.

- `JobId` is the number that the caller chose and, for a job of another queue that comes later, a hash of the queue's name.
All that is keyed by it (keys, caches, peers' requests, the engine's state, orders) tells the two apart.
- submit, phase and cancel compare queues, at the owner and in the store.
What remains of an ended or never submitted job names its queue.
- The first job with a number is stored as before.
A later one is stored beside it, in a transaction that depends on the first one's key, which is kept as long as there are later ones.
- Runners know tasks by the number alone, so what they report counts for the job with a claim there, or else for that of their service.
A job is refused (503, never runs) if the queue of another one with its number has the same service, as PROTOCOL.md gives the two tasks one name there.
If queues change their service later, one waits for the other.

The store of the version before is read: keys and values of jobs whose number is not shared have the form that they had, and what follows them (a queue's name) earlier versions ignore. Of what the version before wrote as ended or never submitted the queue is not known; it is shown at all queues as before, until it is forgotten 130 s after the owner loads it. Messages between processes changed, so their protocol name is persimmonshift/2: processes of two versions call no relays of each other.

Seven tests of entry, with real bytes of the version before, kills of all processes and a random one: all fail on the commit before and pass now. Five of the engine.

--- a/crates/persimmon-entry/src/group/commit.rs
+++ b/crates/persimmon-entry/src/group/commit.rs
@@ -3,7 +3,7 @@
     handle::Rejection,
     keys,
     platform::{CallError, Item, Platform, Precondition, Txn, TxnOutcome, Write},
-    requests::Submission,
+    submission::Submission,
 };
 use persimmon_sched::{Commit, JobId, Phase};
 use serde::Serialize;
@@ -241,7 +241,8 @@
     fn shortening_txn(&self, jobs: &[(JobId, Phase)]) -> Result<Txn, Rejection> {
         let mut txn = self.owned_txn();
         for &(job, phase) in jobs {
-            let value = Submission::Ended(phase).encode()?;
+            let queue = self.engine.borrow().queue_of(job).map(str::to_owned);
+            let value = Submission::Ended { phase, queue }.encode()?;
             let key = keys::submission(self.id, job);
             txn.writes.push(Write::unleased(key, value));
             txn.remove.push(keys::record(self.id, job));
--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -3,7 +3,7 @@
     keys::{self, JobKey},
     platform::{Change, Item, Platform},
     prefix_watch::{self, ListProgress, WatchEvent, WatchOptions},
-    requests::{AcceptedJob, Submission},
+    submission::{AcceptedJob, Submission},
 };
 use persimmon_sched::{JobId, Phase, Record, StoredRecord};
 use std::{
@@ -32,8 +32,8 @@
 #[derive(Default)]
 struct StoredJob {
     job: Option<AcceptedJob>,
-    /// The phase that a settled job ended in.
-    ended_as: Option<Phase>,
+    /// The queue of a settled job, and the phase that it ended in.
+    ended_as: Option<(String, Phase)>,
     is_cancelled: bool,
     stored: Option<StoredRecord>,
 }
@@ -81,8 +81,9 @@
                 tasks = 0;
             }
             let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
-            if let Some(phase) = stored.ended_as {
-                self.engine.borrow_mut().add_ended_job(id, phase, now);
+            if let Some((queue, phase)) = stored.ended_as {
+                let mut engine = self.engine.borrow_mut();
+                engine.add_ended_job(id, queue, phase, now);
                 continue;
             }
             let Some(job) = stored.job else {
@@ -121,8 +122,10 @@
             Some(JobKey::Submission(id)) => {
                 let stored = jobs.entry(id).or_default();
                 match decode_submission(item) {
-                    Some(Submission::Ended(phase)) => stored.ended_as = Some(phase),
-                    submission => stored.job = submission.and_then(Submission::into_job),
+                    Some(Submission::Ended { phase, queue }) => {
+                        stored.ended_as = Some((queue.unwrap_or_default(), phase));
+                    }
+                    submission => stored.job = submission.and_then(|it| it.into_job(id)),
                 }
             }
             Some(JobKey::Cancellation(id)) => jobs.entry(id).or_default().is_cancelled = true,
@@ -170,7 +173,7 @@
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                let job = decode_submission(item).and_then(Submission::into_job);
+                let job = decode_submission(item).and_then(|it| it.into_job(id));
                 let Some(job) = job else {
                     return;
                 };
--- a/crates/persimmon-entry/src/job_cache.rs
+++ b/crates/persimmon-entry/src/job_cache.rs
@@ -3,8 +3,8 @@
 use crate::{
     keys::{self, GroupId},
     platform::{CallError, Item, Platform},
-    requests::Submission,
     state::Shared,
+    submission::Submission,
 };
 use persimmon_sched::{JobId, JobSpec};
 use std::{
@@ -107,13 +107,13 @@
     if item.is_none() {
         item = shared.platform.get(&key).await.map_err(text)?;
     }
-    decode(item.as_ref())
+    decode(item.as_ref(), job)
 }
 
-fn decode(item: Option<&Item>) -> Result<Rc<JobSpec>, String> {
+fn decode(item: Option<&Item>, id: JobId) -> Result<Rc<JobSpec>, String> {
     let item = item.ok_or("the store does not have it")?;
     let submission = Submission::decode(&item.value).map_err(|err| err.to_string())?;
-    let job = submission.into_job();
+    let job = submission.into_job(id);
     let job = job.ok_or("the job was cancelled before it was submitted, or has ended")?;
     Ok(Rc::new(job.spec))
 }
--- a/crates/persimmon-entry/src/keys.rs
+++ b/crates/persimmon-entry/src/keys.rs
@@ -39,6 +39,11 @@
     format!("ps/job/{}/in/", group.0)
 }
 
+/// Prefix of the submission keys of all jobs with this number.
+pub(crate) fn submissions(group: GroupId, number: u64) -> String {
+    submission(group, JobId::new(number))
+}
+
 pub(crate) fn submission(group: GroupId, job: JobId) -> String {
     format!("ps/job/{}/in/q/{job}", group.0)
 }
@@ -98,7 +103,7 @@
 /// Parses a key under [`jobs`].
 pub(crate) fn parse(group: GroupId, key: &str) -> Option<JobKey> {
     let suffix = key.strip_prefix(&jobs(group))?;
-    let parse = |id: &str| id.parse().ok();
+    let parse = JobId::parse_whole;
     if let Some(id) = suffix.strip_prefix("in/q/") {
         return parse(id).map(JobKey::Submission);
     }
--- a/crates/persimmon-entry/src/lib.rs
+++ b/crates/persimmon-entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod job_cache;
 mod keys;
 mod member;
+mod namesakes;
 mod ownership;
 mod peers;
 mod platform;
@@ -24,6 +25,7 @@
 mod retry;
 mod session;
 mod state;
+mod submission;
 
 pub use handle::{call_channel, Accepted, CallReceiver, Cancelled, Handle, Rejection, Request};
 pub use persimmon_relay::RunnerAddress;
--- a/crates/persimmon-entry/src/peers.rs
+++ b/crates/persimmon-entry/src/peers.rs
@@ -10,8 +10,8 @@
     keys::{self, GroupId},
     platform::{Platform, Txn, TxnOutcome},
     relay::{self, RelayReply},
-    requests::AcceptedJob,
     state::Shared,
+    submission::AcceptedJob,
 };
 use persimmon_mesh::{Authority, Credentials, Handler, Mesh, Options, SetupError};
 use persimmon_relay::Batch;
@@ -37,12 +37,12 @@
 /// A notification or request to a group's owner; [`Self::OwnerView`] is sent to all members.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
-    /// The job has been written to the store.
-    Submitted(Box<AcceptedJob>),
+    /// The job has been written to the store, under this id.
+    Submitted(JobId, Box<AcceptedJob>),
     /// The job's cancellation has been written to the store.
     Cancelled(JobId),
-    /// Asks for the phase of a job.
-    Phase(JobId),
+    /// Asks for the phase of the job of a queue with this number.
+    Phase(String, u64),
     /// Asks for the number of waiting jobs of a group, by queue.
     Waiting(u16),
     /// Asks what the process knows of a group's owner.
@@ -182,8 +182,8 @@
         return PeerReply::OwnerView(owner_view(shared, GroupId(group)));
     }
     let group = match &request {
-        PeerRequest::Submitted(job) => shared.home_group(job.spec.id),
-        PeerRequest::Cancelled(job) | PeerRequest::Phase(job) => shared.home_group(*job),
+        PeerRequest::Submitted(id, _) | PeerRequest::Cancelled(id) => shared.home_group(id.number),
+        PeerRequest::Phase(_, number) => shared.home_group(*number),
         PeerRequest::Waiting(group) | PeerRequest::OwnerView(group) => GroupId(*group),
         PeerRequest::Relay(..) => return PeerReply::Unknown,
     };
@@ -193,8 +193,8 @@
     };
     let (wall_ms, now) = (shared.wall_ms(), shared.now());
     match request {
-        PeerRequest::Submitted(job) => {
-            group.add_job(*job, None, wall_ms, now);
+        PeerRequest::Submitted(id, job) => {
+            group.add_job(job.with_id(id), None, wall_ms, now);
             group.wake();
             PeerReply::Acknowledged
         }
@@ -203,8 +203,8 @@
             group.wake();
             PeerReply::Acknowledged
         }
-        PeerRequest::Phase(job) => {
-            let phase = group.engine.borrow().phase(job);
+        PeerRequest::Phase(queue, number) => {
+            let phase = group.engine.borrow().phase_of(&queue, number);
             phase.map_or(PeerReply::Unknown, PeerReply::Phase)
         }
         PeerRequest::Waiting(_) | PeerRequest::OwnerView(_) | PeerRequest::Relay(..) => {
--- a/crates/persimmon-entry/src/platform.rs
+++ b/crates/persimmon-entry/src/platform.rs
@@ -94,6 +94,13 @@
     pub revision: u64,
 }
 
+impl Precondition {
+    /// Creates the precondition that a key does not exist.
+    pub fn absent(key: String) -> Self {
+        Self { key, revision: 0 }
+    }
+}
+
 /// A write in a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Write {
@@ -131,10 +138,7 @@
     /// Creates a transaction that writes a key if it does not exist.
     pub fn create(key: String, value: Vec<u8>) -> Self {
         Self {
-            preconditions: vec![Precondition {
-                key: key.clone(),
-                revision: 0,
-            }],
+            preconditions: vec![Precondition::absent(key.clone())],
             writes: vec![Write::unleased(key, value)],
             remove: Vec::new(),
         }
--- a/crates/persimmon-entry/src/requests.rs
+++ b/crates/persimmon-entry/src/requests.rs
@@ -3,12 +3,13 @@
 use crate::{
     handle::{Accepted, Cancelled, Rejection, Request},
     keys,
+    namesakes::{self, claim_number, Claimed},
     peers::{self, PeerReply, PeerRequest},
     platform::{CallError, Effect, Platform, Txn, TxnOutcome},
     state::Shared,
+    submission::{AcceptedJob, Submission},
 };
 use persimmon_sched::{JobId, JobSpec, Phase, Queue, Record};
-use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     future::Future,
@@ -39,52 +40,10 @@
     reason: "the store does not answer",
 };
 
-/// A job and its queue, which may be removed from the policy before the job has run.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct AcceptedJob {
-    pub(crate) spec: JobSpec,
-    /// `None` for jobs that an earlier version accepted.
-    pub(crate) queue: Option<Queue>,
-}
-
-/// Value of a job's submission key.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Submission {
-    /// A submitted job, as written by earlier versions.
-    Job(JobSpec),
-    /// The job was cancelled before it was submitted, and never runs.
-    Tombstone,
-    /// A submitted job.
-    Accepted(AcceptedJob),
-    /// A submitted job that has ended and has no runs left. It has no record any more.
-    Ended(Phase),
-}
-
-impl Submission {
-    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
-    }
-
-    /// The accepted job; `None` for a tombstone and a job that has ended.
-    pub(crate) fn into_job(self) -> Option<AcceptedJob> {
-        match self {
-            Self::Accepted(job) => Some(job),
-            Self::Job(spec) => Some(AcceptedJob { spec, queue: None }),
-            Self::Tombstone | Self::Ended(_) => None,
-        }
-    }
-
-    pub(crate) fn encode(&self) -> Result<Vec<u8>, Rejection> {
-        postcard::to_stdvec(self).map_err(|err| Rejection::Invalid {
-            reason: err.to_string(),
-        })
-    }
-}
-
-/// Id and queue of the job that a request's path names.
+/// Queue and number of the job that a request's path names.
 struct JobTarget {
     queue: Queue,
-    job: JobId,
+    number: u64,
 }
 
 fn find_queue<P>(shared: &Shared<P>, request: &Request) -> Result<Queue, Rejection> {
@@ -100,10 +59,14 @@
 fn parse_target<P>(shared: &Shared<P>, request: &Request) -> Result<JobTarget, Rejection> {
     let queue = find_queue(shared, request)?;
     let id = &request.path[queue.prefix.len()..];
-    let job = id.parse().map_err(|err| Rejection::Invalid {
+    let job: Result<JobId, _> = id.parse();
+    let job = job.map_err(|err| Rejection::Invalid {
         reason: format!("{err}"),
     })?;
-    Ok(JobTarget { queue, job })
+    Ok(JobTarget {
+        queue,
+        number: job.number,
+    })
 }
 
 /// When the answer must be ready.
@@ -114,7 +77,7 @@
 }
 
 /// Runs a future until the deadline at the latest.
-async fn run_until<P, T>(
+pub(crate) async fn run_until<P, T>(
     shared: &Shared<P>,
     deadline: Instant,
     future: impl Future<Output = T>,
@@ -124,7 +87,7 @@
 }
 
 /// Sends a transaction until its outcome is certain or the deadline has passed.
-async fn send_until_settled<P: Platform>(
+pub(crate) async fn send_until_settled<P: Platform>(
     shared: &Shared<P>,
     txn: &Txn,
     deadline: Instant,
@@ -178,9 +141,9 @@
     spec: JobSpec,
 ) -> Result<Accepted, Rejection> {
     let deadline = deadline(shared, request);
-    let JobTarget { queue, job } = parse_target(shared, request)?;
+    let JobTarget { queue, number } = parse_target(shared, request)?;
     let spec = JobSpec {
-        id: job,
+        id: JobId::new(number),
         queue: queue.name.clone(),
         submitted_at_ms: shared.wall_ms(),
         ..spec
@@ -189,20 +152,19 @@
         reason: err.to_string(),
     })?;
     reject_in_outage(shared)?;
-    let group = shared.home_group(job);
-    let key = keys::submission(group, job);
+    let group = shared.home_group(number);
     let accepted = AcceptedJob {
         spec,
-        queue: Some(queue),
+        queue: Some(queue.clone()),
     };
-    let txn = Txn::create(key, Submission::Accepted(accepted.clone()).encode()?);
-    match send_until_settled(shared, &txn, deadline).await? {
-        TxnOutcome::Done { .. } => {
-            peers::notify_owner(shared, group, PeerRequest::Submitted(Box::new(accepted)));
+    let submission = Submission::Accepted(accepted.clone());
+    match claim_number(shared, &queue, number, &submission, deadline).await? {
+        Claimed::New(id) => {
+            let submitted = PeerRequest::Submitted(id, Box::new(accepted));
+            peers::notify_owner(shared, group, submitted);
             Ok(Accepted { is_new: true })
         }
-        TxnOutcome::Conflict { .. } => Ok(Accepted { is_new: false }),
-        TxnOutcome::NoLease => Err(Rejection::Unknown),
+        Claimed::Known(_) => Ok(Accepted { is_new: false }),
     }
 }
 
@@ -212,28 +174,27 @@
     request: &Request,
 ) -> Result<Cancelled, Rejection> {
     let deadline = deadline(shared, request);
-    let JobTarget { job, .. } = parse_target(shared, request)?;
+    let JobTarget { queue, number } = parse_target(shared, request)?;
     reject_in_outage(shared)?;
-    let group = shared.home_group(job);
-    let txn = Txn::create(
-        keys::submission(group, job),
-        Submission::Tombstone.encode()?,
-    );
-    let items = match send_until_settled(shared, &txn, deadline).await? {
-        TxnOutcome::Done { .. } => return Ok(Cancelled::Unknown),
-        TxnOutcome::NoLease => return Err(Rejection::Unknown),
-        TxnOutcome::Conflict { items } => items,
+    let group = shared.home_group(number);
+    let tombstone = Submission::Tombstone {
+        queue: Some(queue.name.clone()),
+    };
+    let known = match claim_number(shared, &queue, number, &tombstone, deadline).await? {
+        Claimed::New(_) => return Ok(Cancelled::Unknown),
+        Claimed::Known(known) => known,
     };
-    match items.first().map(|item| Submission::decode(&item.value)) {
-        Some(Ok(Submission::Tombstone)) => return Ok(Cancelled::Unknown),
-        Some(Ok(Submission::Ended(_))) => return Ok(Cancelled::Known),
-        Some(Ok(Submission::Job(_) | Submission::Accepted(_)) | Err(_)) | None => {}
+    match known.submission {
+        Some(Submission::Tombstone { .. }) => return Ok(Cancelled::Unknown),
+        Some(Submission::Ended { .. }) => return Ok(Cancelled::Known),
+        Some(Submission::Job(_) | Submission::Accepted(_)) | None => {}
     }
-    let txn = Txn::create(keys::cancellation(group, job), Vec::new());
+    let id = known.id;
+    let txn = Txn::create(keys::cancellation(group, id), Vec::new());
     if send_until_settled(shared, &txn, deadline).await? == TxnOutcome::NoLease {
         return Err(Rejection::Unknown);
     }
-    peers::notify_owner(shared, group, PeerRequest::Cancelled(job));
+    peers::notify_owner(shared, group, PeerRequest::Cancelled(id));
     Ok(Cancelled::Known)
 }
 
@@ -243,30 +204,30 @@
     request: &Request,
 ) -> Result<Option<Phase>, Rejection> {
     let deadline = deadline(shared, request);
-    let JobTarget { job, .. } = parse_target(shared, request)?;
-    if let Some(phase) = local_phase(shared, job) {
+    let target = parse_target(shared, request)?;
+    if let Some(phase) = local_phase(shared, &target) {
         return Ok(Some(phase));
     }
-    let phase = run_until(shared, deadline, remote_phase(shared, job)).await;
+    let phase = run_until(shared, deadline, remote_phase(shared, &target)).await;
     phase.unwrap_or(Err(STORE_DOES_NOT_ANSWER))
 }
 
 /// Returns the phase of a job from its group's owner or from the store.
 async fn remote_phase<P: Platform>(
     shared: &Shared<P>,
-    job: JobId,
+    target: &JobTarget,
 ) -> Result<Option<Phase>, Rejection> {
-    let group = shared.home_group(job);
-    if let Some(PeerReply::Phase(phase)) =
-        peers::call_owner(shared, group, &PeerRequest::Phase(job)).await
-    {
+    let group = shared.home_group(target.number);
+    let request = PeerRequest::Phase(target.queue.name.clone(), target.number);
+    if let Some(PeerReply::Phase(phase)) = peers::call_owner(shared, group, &request).await {
         return Ok(Some(phase));
     }
     loop {
-        let error = match read_phase(shared, job).await {
+        let error = match read_phase(shared, target).await {
             Ok(phase) => return Ok(phase),
             Err(err) => err,
         };
+        let job = JobId::new(target.number);
         log::debug!("event=job.phase job={job} fault=\"{error}\"");
         if shared.store_is_unreachable() {
             return Err(STORE_DOES_NOT_ANSWER);
@@ -275,45 +236,47 @@
     }
 }
 
-fn local_phase<P>(shared: &Shared<P>, job: JobId) -> Option<Phase> {
+fn local_phase<P>(shared: &Shared<P>, target: &JobTarget) -> Option<Phase> {
     let groups = shared.groups.borrow();
-    let phase = groups
-        .get(&shared.home_group(job))?
+    let group = groups.get(&shared.home_group(target.number))?;
+    let phase = group
         .engine
         .borrow()
-        .phase(job);
+        .phase_of(&target.queue.name, target.number);
     phase
 }
 
 async fn read_phase<P: Platform>(
     shared: &Shared<P>,
-    job: JobId,
+    target: &JobTarget,
 ) -> Result<Option<Phase>, CallError> {
-    let group = shared.home_group(job);
-    let record = shared.platform.get(&keys::record(group, job)).await?;
-    shared.record_store_answer();
-    let recorded = record.and_then(|item| match Record::decode(&item.value) {
-        Ok(record) => Some(record.phase),
-        Err(err) => {
-            log::error!("event=record.invalid job={job} fault=\"{err}\"");
-            None
+    let group = shared.home_group(target.number);
+    let queue = &target.queue.name;
+    // Between the two reads the job may have ended and its record been removed.
+    for is_last in [false, true] {
+        let own = namesakes::read(shared, target.number).await?;
+        let Some(own) = own.into_iter().find(|it| it.is_of(queue)) else {
+            return Ok(None);
+        };
+        match own.submission {
+            Some(Submission::Tombstone { .. }) => return Ok(Some(Phase::Cancelled)),
+            Some(Submission::Ended { phase, .. }) => return Ok(Some(phase)),
+            Some(Submission::Job(_) | Submission::Accepted(_)) | None => {}
         }
-    });
-    if recorded.is_some_and(Phase::is_final) {
-        return Ok(recorded);
-    }
-    // The delayed repetition of a write may have left a record of a job that has ended.
-    let submission = shared.platform.get(&keys::submission(group, job)).await?;
-    let Some(item) = submission else {
-        return Ok(recorded);
-    };
-    Ok(Some(match Submission::decode(&item.value) {
-        Ok(Submission::Tombstone) => Phase::Cancelled,
-        Ok(Submission::Ended(phase)) => phase,
-        Ok(Submission::Job(_) | Submission::Accepted(_)) | Err(_) => {
-            recorded.unwrap_or(Phase::Queued)
+        let record = shared.platform.get(&keys::record(group, own.id)).await?;
+        shared.record_store_answer();
+        let recorded = record.map(|item| match Record::decode(&item.value) {
+            Ok(record) => record.phase,
+            Err(err) => {
+                log::error!("event=record.invalid job={} fault=\"{err}\"", own.id);
+                Phase::Queued
+            }
+        });
+        if is_last || recorded.is_some() {
+            return Ok(Some(recorded.unwrap_or(Phase::Queued)));
         }
-    }))
+    }
+    Ok(Some(Phase::Queued))
 }
 
 /// Returns the number of a queue's jobs that wait for their first start.
--- a/crates/persimmon-entry/src/state.rs
+++ b/crates/persimmon-entry/src/state.rs
@@ -80,9 +80,10 @@
         persimmon_types::unix_ms(self.clock.wall())
     }
 
-    /// Returns the group that a job is assigned to.
-    pub(crate) fn home_group(&self, job: JobId) -> GroupId {
-        GroupId(shard_of(&job.to_string(), self.options.group_count))
+    /// Returns the group that the jobs with this number are assigned to.
+    pub(crate) fn home_group(&self, number: u64) -> GroupId {
+        let number = JobId::new(number).to_string();
+        GroupId(shard_of(&number, self.options.group_count))
     }
 
     pub(crate) fn record_store_answer(&self) {
--- a/crates/persimmon-entry/tests/all/main.rs
+++ b/crates/persimmon-entry/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod jobs;
 mod log_lines;
+mod namesakes;
 mod owners;
 mod platform;
 mod runners;
--- a/crates/persimmon-mesh/src/tls.rs
+++ b/crates/persimmon-mesh/src/tls.rs
@@ -10,7 +10,7 @@
 /// The subject alternative name of every daemon's certificate; the connecting daemon verifies it.
 pub const TLS_SERVER_NAME: &str = "persimmonshift-mesh";
 
-const ALPN_PROTOCOL: &[u8] = b"persimmonshift/1";
+const ALPN_PROTOCOL: &[u8] = b"persimmonshift/2";
 
 /// A daemon's certificates and private key for mutual TLS, in PEM.
 #[derive(Clone)]
--- a/crates/persimmon-sched/src/engine/add_job.rs
+++ b/crates/persimmon-sched/src/engine/add_job.rs
@@ -19,7 +19,7 @@
         // An earlier version may have accepted it; one owner after another would end from it.
         if let Err(err) = spec.check() {
             log::error!("event=job.invalid job={} fault=\"{err}\"", spec.id);
-            self.add_ended_job(spec.id, Phase::Failed, now);
+            self.add_ended_job(spec.id, spec.queue, Phase::Failed, now);
             return;
         }
         let accepted_queue = self.accepted_queues.get(&spec.queue);
@@ -65,6 +65,7 @@
         }
         let is_final = job.phase.is_final();
         self.jobs.insert(id, job);
+        self.note_number(id);
         if is_final {
             // An earlier owner may have ended the job without stopping its runs.
             for task in self.task_ids(id) {
--- a/crates/persimmon-sched/src/engine/mod.rs
+++ b/crates/persimmon-sched/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod learned;
 mod lease_expiry;
 mod load;
+mod namesakes;
 mod place;
 mod report;
 mod settled;
@@ -97,6 +98,7 @@
     unexplained_crashes: Vec<Instant>,
     /// Jobs that were cancelled before their submission arrived.
     cancelled_before_submission: HashSet<JobId>,
+    later_jobs: namesakes::LaterJobs,
     /// When all runs started by earlier owners on unreachable runners have ended.
     orphan_runs_until: Instant,
     /// Added to the maximum age of reports in the options.
@@ -135,6 +137,7 @@
             late_ends: HashMap::new(),
             unexplained_crashes: Vec::new(),
             cancelled_before_submission: HashSet::new(),
+            later_jobs: namesakes::LaterJobs::new(),
             orphan_runs_until: now + options.orphan_run_max,
             options,
             extra_report_age: Duration::ZERO,
@@ -359,13 +362,15 @@
                 && job.is_end_committed()
                 && !job.commit_in_flight
         };
-        let ids: Vec<_> = self.jobs.iter().filter(|(_, job)| expired(job)).collect();
-        let ids: Vec<_> = ids.into_iter().map(|(&id, _)| id).collect();
+        let ids = self.jobs.iter().filter(|(_, job)| expired(job));
+        let ids = ids.map(|(&id, _)| id);
+        let ids: Vec<_> = ids.filter(|&id| !self.has_later_jobs(id)).collect();
         if ids.is_empty() {
             return ids;
         }
-        for id in &ids {
-            self.jobs.remove(id);
+        for &id in &ids {
+            self.jobs.remove(&id);
+            self.forget_number(id);
         }
         let jobs = &self.jobs;
         self.late_ends
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -225,6 +225,9 @@
         pass.work.spend(1);
         // All tasks of a step have the same demand.
         let first = candidate.first.task;
+        if self.waits_for_namesake(first.job) {
+            return;
+        }
         let Some(claim) = self.claim_of(first, now) else {
             return;
         };
--- a/crates/persimmon-sched/src/engine/report.rs
+++ b/crates/persimmon-sched/src/engine/report.rs
@@ -96,6 +96,7 @@
         now: Instant,
     ) {
         let key = self.runner_key(runner);
+        let report = &*self.identify(key, report);
         self.handle_restart(key, report, requested_at, now);
         let lease_term_max = self.options.lease_term_max;
         let it = self.runner_mut(key);
--- a/crates/persimmon-sched/src/engine/settled.rs
+++ b/crates/persimmon-sched/src/engine/settled.rs
@@ -6,16 +6,18 @@
 use std::{collections::VecDeque, sync::Arc, time::Instant};
 
 impl Engine {
-    /// Adds a job of which only the phase that it ended in is known. Does nothing for a known job.
-    pub fn add_ended_job(&mut self, id: JobId, phase: Phase, now: Instant) {
+    /// Adds a job of which only the queue and the phase that it ended in are known; of one that an
+    /// earlier version of the owner ended, the queue is not and is empty. Does nothing for a known job.
+    pub fn add_ended_job(&mut self, id: JobId, queue: String, phase: Phase, now: Instant) {
         let spec = JobSpec {
             id,
-            queue: String::new(),
+            queue,
             payload: String::new(),
             submitted_at_ms: 0,
             steps: Vec::new(),
             schedule: None,
         };
+        self.note_number(id);
         self.jobs.entry(id).or_insert_with(|| Job {
             spec: Arc::new(spec),
             service: String::new(),
--- a/crates/persimmon-sched/src/spec.rs
+++ b/crates/persimmon-sched/src/spec.rs
@@ -15,7 +15,8 @@
 /// A job as submitted by its client account.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
-    /// The id of the job.
+    /// The id of the job. Only its number is stored with the specification; the key tells the rest.
+    #[serde(with = "number_of_job")]
     pub id: JobId,
     /// The queue that the job was submitted to.
     pub queue: String,
@@ -29,6 +30,20 @@
     pub schedule: Option<Schedule>,
 }
 
+/// The number of a job, as which specifications hold its id.
+mod number_of_job {
+    use crate::JobId;
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(id: &JobId, out: S) -> Result<S::Ok, S::Error> {
+        id.number.serialize(out)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(input: D) -> Result<JobId, D::Error> {
+        u64::deserialize(input).map(JobId::new)
+    }
+}
+
 /// Recurrence of a job's steps.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
--- a/crates/persimmon-sched/tests/all/main.rs
+++ b/crates/persimmon-sched/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod interference;
 mod large_jobs;
 mod late_ends;
+mod namesakes;
 mod paused_runs;
 mod policy;
 mod record;
--- a/crates/persimmon-types/src/id.rs
+++ b/crates/persimmon-types/src/id.rs
@@ -41,15 +41,20 @@
     }
 }
 
+/// Returns a hash of a name that is the same on all instances and in all versions: 64-bit FNV-1a.
+pub fn name_hash(name: &str) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    name.bytes().fold(OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
+
 /// Maps `name` (a rack or an idempotency key) to one of `shard_count` shards.
 ///
 /// Uses 64-bit FNV-1a, with the upper half folded into the lower by XOR: daemons of all versions
 /// must map a name to the same shard.
 pub fn shard_of(name: &str, shard_count: u16) -> u16 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let hash = name.bytes().fold(OFFSET_BASIS, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    });
+    let hash = name_hash(name);
     ((hash ^ (hash >> 32)) % u64::from(shard_count.max(1))) as u16
 }
--- a/crates/persimmon-types/src/lib.rs
+++ b/crates/persimmon-types/src/lib.rs
@@ -8,6 +8,6 @@
 mod step;
 
 pub use clock::{unix_ms, BootClock, Clock, SystemClock};
-pub use id::{shard_of, JobId, ParseJobIdError};
+pub use id::{name_hash, shard_of, JobId, ParseJobIdError};
 pub use size::Size;
 pub use step::StepError;
--- a/crates/persimmonshift-load/src/experiment/engine.rs
+++ b/crates/persimmonshift-load/src/experiment/engine.rs
@@ -178,7 +178,7 @@
     fn submit(&mut self, queue: &str, at_ms: u64, steps: Vec<StepSpec>) {
         self.jobs += 1;
         let spec = JobSpec {
-            id: JobId(self.jobs),
+            id: JobId::new(self.jobs),
             queue: queue.to_owned(),
             payload: String::new(),
             submitted_at_ms: at_ms,
