fix(sched): a job with nothing running is placed while a large gang starts

In each pass 16 tasks of jobs with nothing running are placed all the same. Test: small_job_is_placed_while_a_large_gang_starts, fails on the commit before.

Also a bound of 10,000 on the interference weights that an owner hands on, by reading, and the part of claim_number that refuses as a function of its own.

--- a/crates/persimmon-entry/src/namesakes.rs
+++ b/crates/persimmon-entry/src/namesakes.rs
@@ -17,8 +17,11 @@
 
 /// Most attempts to store a job while jobs with its number come and end.
 const ATTEMPTS_MAX: u32 = 8;
-/// Retry time given to callers for whose job there was no answer to the read of others.
-const RETRY_AFTER_READ: Duration = Duration::from_secs(2);
+
+const NUMBER_NOT_READ: Rejection = Rejection::NotRun {
+    retry_after: Duration::from_secs(2),
+    reason: "the jobs with this number can't be read, or change all the time",
+};
 
 /// The outcome of [`claim_number`].
 pub(crate) enum Claimed {
@@ -108,42 +111,30 @@
     let later = JobId::of_queue(number, &queue.name);
     for _ in 0..ATTEMPTS_MAX {
         let mut txn = Txn::create(keys::submission(group, first), submission.encode()?);
-        txn.preconditions
-            .push(Precondition::absent(keys::submission(group, later)));
+        let no_later = Precondition::absent(keys::submission(group, later));
+        txn.preconditions.push(no_later);
         let items = match send_until_settled(shared, &txn, deadline).await? {
             TxnOutcome::Done { .. } => return Ok(Claimed::New(first)),
             TxnOutcome::NoLease => return Err(Rejection::Unknown),
             TxnOutcome::Conflict { items } => items,
         };
-        let known = stored_jobs(group, items).find(|it| it.is_of(&queue.name));
-        if let Some(known) = known {
-            return Ok(Claimed::Known(Box::new(known)));
+        if let Some(own) = stored_jobs(group, items).find(|it| it.is_of(&queue.name)) {
+            return Ok(Claimed::Known(Box::new(own)));
         }
         let jobs = run_until(shared, deadline, read(shared, number)).await;
         let Some(Ok(jobs)) = jobs else {
-            return Err(Rejection::NotRun {
-                retry_after: RETRY_AFTER_READ,
-                reason: "the store does not answer",
-            });
+            return Err(NUMBER_NOT_READ);
         };
         let (own, others): (Vec<_>, Vec<_>) =
             jobs.into_iter().partition(|it| it.is_of(&queue.name));
         if let Some(own) = own.into_iter().next() {
             return Ok(Claimed::Known(Box::new(own)));
         }
+        check_runners(shared, queue, later, &others, submission)?;
+        // It may have been removed since.
         let Some(first_job) = others.iter().find(|it| it.id == first) else {
             continue;
         };
-        let is_tombstone = matches!(submission, Submission::Tombstone { .. });
-        let is_taken = others
-            .iter()
-            .any(|it| it.id == later || it.shares_runners(shared, queue));
-        if is_taken && !is_tombstone {
-            return Err(Rejection::NotRun {
-                retry_after: shared.options.engine.retention,
-                reason: "a job of another queue with the same runners has this number",
-            });
-        }
         let txn = txn_of_later_job(&first_job.item, keys::submission(group, later), submission)?;
         match send_until_settled(shared, &txn, deadline).await? {
             TxnOutcome::Done { .. } => return Ok(Claimed::New(later)),
@@ -151,9 +142,27 @@
             TxnOutcome::Conflict { .. } => {}
         }
     }
+    Err(NUMBER_NOT_READ)
+}
+
+/// Fails if a job with this id can't be stored beside others with its number: runners would take its
+/// tasks for theirs, or the hashes of two queues are the same.
+fn check_runners<P>(
+    shared: &Shared<P>,
+    queue: &Queue,
+    id: JobId,
+    others: &[StoredJob],
+    submission: &Submission,
+) -> Result<(), Rejection> {
+    let has_tasks = !matches!(submission, Submission::Tombstone { .. });
+    let mut others = others.iter();
+    let is_taken = others.any(|it| it.id == id || (has_tasks && it.shares_runners(shared, queue)));
+    if !is_taken {
+        return Ok(());
+    }
     Err(Rejection::NotRun {
-        retry_after: RETRY_AFTER_READ,
-        reason: "the jobs with this number change",
+        retry_after: shared.options.engine.retention,
+        reason: "a job of another queue with the same runners has this number",
     })
 }
 
--- a/crates/persimmon-sched/src/engine/learned.rs
+++ b/crates/persimmon-sched/src/engine/learned.rs
@@ -3,6 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
+/// Most weights that are handed on: more would not fit into a value of the store.
+const WEIGHTS_MAX: usize = 10_000;
+
 /// Estimates learned by an owner, handed to its successor.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Learned {
@@ -25,7 +28,7 @@
                 Some((name(service.0)?, name(class.0)?, weight))
             });
         Learned {
-            interference_weights: weights.collect(),
+            interference_weights: weights.take(WEIGHTS_MAX).collect(),
             durations_ms: self.durations.iter().collect(),
         }
     }
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -23,6 +23,9 @@
 const TRIAL_WORK_MAX: usize = 100_000;
 /// Part of the runs that may be on their way which is left to steps that others keep from their turn.
 const SHARED_STARTS_DIVISOR: usize = 4;
+/// Runs of jobs with nothing running that may be placed in a pass, also while too many others are on their
+/// way: the tasks of a gang are placed together, however many.
+const IDLE_STARTS_MIN: usize = 16;
 /// Most tasks of a step that are placed in its share of a pass.
 const SHARED_STEP_TASKS_MAX: usize = 8;
 /// Time for which a best-effort step is held back by estimates before one of its tasks is placed on
@@ -156,7 +159,8 @@
             (self.resume_at, self.resume_idle_at) = (None, None);
             return;
         };
-        pass.starts_left = window.saturating_sub(self.start_window.on_their_way());
+        let starts_left = window.saturating_sub(self.start_window.on_their_way());
+        pass.starts_left = starts_left.max(IDLE_STARTS_MIN);
         let rest = &candidates[ended_at..];
         let idle = rest
             .iter()
@@ -165,6 +169,7 @@
         pass.work = Work::new(PASS_WORK_MAX / 4);
         pass.step_tasks_max = 1;
         self.resume_idle_at = self.place_in_turn(&idle, self.resume_idle_at, pass, now);
+        pass.starts_left = window.saturating_sub(self.start_window.on_their_way());
         pass.work.add(PASS_WORK_MAX / 4);
         pass.step_tasks_max = SHARED_STEP_TASKS_MAX;
         self.resume_at = self.place_in_turn(rest, self.resume_at, pass, now);
--- a/crates/persimmon-sched/tests/all/large_jobs.rs
+++ b/crates/persimmon-sched/tests/all/large_jobs.rs
@@ -190,6 +190,28 @@
     world.assert_parts_end_in_time();
 }
 
+/// Guards against jobs that wait until all members of a large gang, which are placed together, have
+/// started.
+#[test]
+fn small_job_is_placed_while_a_large_gang_starts() {
+    let mut world = World::new();
+    world.starts_per_round = 0;
+    let gang = StepSpec {
+        gang: true,
+        ..small(TASKS)
+    };
+    world.submit(job(1, vec![gang]));
+    for _ in 0..3 {
+        world.round();
+    }
+    world.submit(job(2, vec![step(1)]));
+    for _ in 0..3 {
+        world.round();
+    }
+    let is_placed = world.waiting.iter().any(|it| it.1 == task(2, 0, 0));
+    assert!(is_placed, "it waits for {} starts", world.waiting.len());
+}
+
 /// Guards against passes that go through all tasks of a job for each of its steps.
 #[test]
 fn jobs_of_many_steps_that_fit_nowhere_do_not_hold_up_others() {
