--- a/crates/persimmon-interference/src/model.rs
+++ b/crates/persimmon-interference/src/model.rs
@@ -53,14 +53,9 @@
 }
 
 impl InterferenceModel {
-    /// Updates the model with a sample: the tail latency of `service` was `ratio` times its target
-    /// while each class used the given share of the worker's processors.
-    pub fn learn(&mut self, service: ServiceKey, ratio: f64, shares: &[(ClassKey, f64)]) {
-        self.learn_all([(service, ratio)], shares);
-    }
-
-    /// Updates the model with samples that were taken at the same time, see [`Self::learn`].
-    pub fn learn_all(
+    /// Updates the model with samples that were taken at the same time: the tail latency of each service
+    /// was so many times its target while each class used the given share of the worker's processors.
+    pub fn learn(
         &mut self,
         samples: impl IntoIterator<Item = (ServiceKey, f64)>,
         shares: &[(ClassKey, f64)],
--- a/crates/persimmon-interference/tests/all/model.rs
+++ b/crates/persimmon-interference/tests/all/model.rs
@@ -18,7 +18,7 @@
         let harmless_share = f64::from(sample % 4) * 0.05;
         let load = 1.0 + f64::from(sample % 7) / 20.0 - 0.15;
         let shares = [(HARMFUL, harmful_share), (HARMLESS, harmless_share)];
-        model.learn(SERVICE, ratio(harmful_share, load), &shares);
+        model.learn([(SERVICE, ratio(harmful_share, load))], &shares);
     }
     let (harmful_weight, harmless_weight) = (
         model.weight(SERVICE, HARMFUL),
@@ -36,8 +36,8 @@
     let other = ServiceKey(2);
     for sample in 0_u32..200 {
         let share = f64::from(sample % 3) * 0.06;
-        model.learn(SERVICE, ratio(share, 1.0), &[(HARMFUL, share)]);
-        model.learn(other, 0.5, &[(HARMFUL, share)]);
+        model.learn([(SERVICE, ratio(share, 1.0))], &[(HARMFUL, share)]);
+        model.learn([(other, 0.5)], &[(HARMFUL, share)]);
     }
     assert!(model.weight(SERVICE, HARMFUL) > 3.0);
     assert!(model.weight(other, HARMFUL) < 1.0);
@@ -49,7 +49,7 @@
     fn learn_stays_bounded(samples in prop::collection::vec((0.0..1e9_f64, 0.0..1.0_f64), 1..200)) {
         let mut model = InterferenceModel::default();
         for (ratio, share) in samples {
-            model.learn(SERVICE, ratio, &[(HARMFUL, share)]);
+            model.learn([(SERVICE, ratio)], &[(HARMFUL, share)]);
             let weight = model.weight(SERVICE, HARMFUL);
             assert!((0.0..=12.0).contains(&weight), "{weight}");
         }
--- a/crates/persimmon-sched/src/engine/candidates.rs
+++ b/crates/persimmon-sched/src/engine/candidates.rs
@@ -2,10 +2,7 @@
 
 use super::{Engine, Rank, Task};
 use crate::TaskId;
-use std::{
-    collections::BTreeSet,
-    ops::Bound::{Excluded, Included, Unbounded},
-};
+use std::ops::Bound::{Excluded, Included, Unbounded};
 
 /// Most steps that a pass considers if more have ready tasks. It looks at each of them.
 const STEPS_MAX: usize = 8_192;
@@ -55,15 +52,16 @@
         });
         let mut candidates: Vec<_> = steps.chain(restarts).collect();
         candidates.sort_unstable();
+        candidates.dedup();
         candidates
     }
 
-    /// Returns the first ready task of each step that a pass considers.
-    fn steps_to_consider(&mut self, wall_ms: u64) -> BTreeSet<Rank> {
+    /// Returns the first ready task of each step that a pass considers, of some more than once.
+    fn steps_to_consider(&mut self, wall_ms: u64) -> Vec<Rank> {
         let mut steps: Vec<_> = self.ready_steps(None).take(STEPS_MAX + 1).collect();
         if steps.len() <= STEPS_MAX {
             self.listed_until = None;
-            return steps.into_iter().collect();
+            return steps;
         }
         steps.truncate(STEPS_MAX / 2);
         self.add_steps_on_time(&mut steps, wall_ms);
@@ -71,7 +69,7 @@
         let in_turn: Vec<_> = in_turn.take(STEPS_MAX / 4).collect();
         self.listed_until = in_turn.last().copied();
         steps.extend(in_turn);
-        steps.into_iter().collect()
+        steps
     }
 
     /// Adds steps whose jobs are not late, up to a quarter of [`STEPS_MAX`].
--- a/crates/persimmon-sched/src/engine/gang.rs
+++ b/crates/persimmon-sched/src/engine/gang.rs
@@ -1,7 +1,7 @@
 //! Gangs, whose tasks are placed together or not at all.
 
 use super::{
-    place::{could_take, Placement, Siblings, Trust},
+    place::{could_take, Placement, Siblings},
     work::Work,
     Engine, State,
 };
@@ -66,11 +66,7 @@
         if !self.has_room_for(members, placement.claim.size) {
             return None;
         }
-        let runners = if members.len() <= COMPARED_MEMBERS_MAX {
-            self.claim_each(members, run, placement, work, now)
-        } else {
-            self.claim_alike(members, run, placement, work, now)
-        };
+        let runners = self.claim_each(members, run, placement, work, now);
         if runners.len() == members.len() {
             return Some(runners);
         }
@@ -99,6 +95,8 @@
         room.map(u64::from).sum::<u64>() >= members.len() as u64
     }
 
+    /// Claims a runner for each member while they fit. The runners are compared for each of them; for
+    /// those of a large gang once, and again once their rack is known.
     fn claim_each(
         &mut self,
         members: &[TaskId],
@@ -107,35 +105,24 @@
         work: &mut Work,
         now: Instant,
     ) -> Vec<RunnerKey> {
+        let is_large = members.len() > COMPARED_MEMBERS_MAX;
         let mut siblings = Siblings::new();
         let mut runners = Vec::with_capacity(members.len());
-        for &member in members {
-            let Some(key) = self.choose(&siblings, member, placement, work, now) else {
-                break;
-            };
-            self.runner_mut(key).claim(member, run, placement.claim);
-            *siblings.entry(key).or_default() += 1;
-            runners.push(key);
-        }
-        runners
-    }
-
-    /// As [`Self::claim_each`] for members that are taken to be alike: the runners are compared once,
-    /// and again once their rack is known.
-    fn claim_alike(
-        &mut self,
-        members: &[TaskId],
-        run: u32,
-        placement: &Placement,
-        work: &mut Work,
-        now: Instant,
-    ) -> Vec<RunnerKey> {
-        let mut siblings = Siblings::new();
-        let mut runners = Vec::with_capacity(members.len());
+        // The best last.
         let mut ranked = BinaryHeap::new();
         for (at, &member) in members.iter().enumerate() {
-            if at <= 1 {
-                ranked = self.rank_runners(&siblings, member, placement, work, now);
+            if at <= 1 || !is_large {
+                ranked.clear();
+                self.compare_runners(
+                    &siblings,
+                    member,
+                    placement,
+                    work,
+                    now,
+                    |trust, score, key| {
+                        ranked.push((trust, score, Reverse(key)));
+                    },
+                );
             }
             let Some((_, _, Reverse(key))) = ranked.pop() else {
                 break;
@@ -144,29 +131,15 @@
             let count = siblings.entry(key).or_default();
             *count += 1;
             runners.push(key);
-            work.spend(1);
-            let rank = self.rank_runner(key, *count, members[0], placement, now);
-            ranked.extend(rank.map(|(trust, score)| (trust, score, Reverse(key))));
+            if is_large {
+                work.spend(1);
+                let rank = self.rank_runner(key, *count, members[0], placement, now);
+                ranked.extend(rank.map(|(trust, score)| (trust, score, Reverse(key))));
+            }
         }
         runners
     }
 
-    /// Ranks the runners that a task may be placed on, the best last.
-    fn rank_runners(
-        &self,
-        siblings: &Siblings,
-        id: TaskId,
-        placement: &Placement,
-        work: &mut Work,
-        now: Instant,
-    ) -> BinaryHeap<(Trust, i64, Reverse<RunnerKey>)> {
-        let mut ranked = BinaryHeap::new();
-        self.compare_runners(siblings, id, placement, work, now, |trust, score, key| {
-            ranked.push((trust, score, Reverse(key)));
-        });
-        ranked
-    }
-
     /// Stops the members of a gang that are placed in a run which another member has left: an
     /// earlier owner may have ended before it stopped them.
     pub(super) fn stop_incomplete_gangs(&mut self, id: crate::JobId, now: Instant) {
--- a/crates/persimmon-sched/src/engine/interference.rs
+++ b/crates/persimmon-sched/src/engine/interference.rs
@@ -142,7 +142,7 @@
         let samples = tails
             .iter()
             .map(|tail| (ServiceKey(tail.image.0), tail.ratio));
-        self.interference.learn_all(samples, &used);
+        self.interference.learn(samples, &used);
         let runner = self.runner_mut(key);
         for batch_run in &batch_runs {
             if let Some(claim) = runner.claims.get_mut(&batch_run.run) {
@@ -444,14 +444,16 @@
             return Some(0);
         }
         let service = ServiceKey(claim.image.0);
-        let images = runner.image_claims().iter();
-        let rises = images.map(|(image, claims)| {
+        let images = runner.image_claims();
+        let rises = images.iter().map(|(image, claims)| {
             let share = runner.share(claims.best_effort_cpu_millis);
             self.interference.weight(service, ClassKey(image.0)) * share
         });
         let rise: f64 = rises.sum();
-        let other_images = runner.other_latency_critical_images(claim.image);
-        Some((rise * RISE_PENALTY) as i64 + i64::from(other_images) * OTHER_IMAGE_PENALTY)
+        let others = images
+            .iter()
+            .filter(|(&image, claims)| image != claim.image && claims.latency_critical_runs > 0);
+        Some((rise * RISE_PENALTY) as i64 + others.count() as i64 * OTHER_IMAGE_PENALTY)
     }
 
     /// Penalty for the predicted effect of a best-effort run on the tail latencies of a runner;
--- a/crates/persimmon-sched/src/engine/job.rs
+++ b/crates/persimmon-sched/src/engine/job.rs
@@ -140,8 +140,13 @@
 
     /// Number of tasks of the occurrences that have begun.
     pub(crate) fn task_count(&self) -> usize {
-        let each: u64 = self.spec.steps.iter().map(|it| u64::from(it.count)).sum();
-        self.tasks.len() * each as usize
+        self.tasks.len() * self.spec.tasks_each() as usize
+    }
+
+    /// Returns whether any of its tasks is placed on a runner.
+    pub(crate) fn has_claims(&self) -> bool {
+        let mut tasks = self.tasks.iter().flatten().flat_map(|step| &step.tasks);
+        tasks.any(|task| matches!(task.state(), State::Placed { .. }))
     }
 
     /// Returns whether a final phase is committed.
--- a/crates/persimmon-sched/src/engine/namesakes.rs
+++ b/crates/persimmon-sched/src/engine/namesakes.rs
@@ -1,6 +1,6 @@
 //! Jobs of different queues with the same number, whose tasks have the same names on runners.
 
-use super::{Engine, Job, State};
+use super::Engine;
 use crate::{fleet::RunnerKey, JobId, Phase, Report, TaskId};
 use std::{
     borrow::Cow,
@@ -107,16 +107,7 @@
         others.any(|it| {
             let other = self.jobs.get(&it);
             let other = other.filter(|other| other.service == job.service);
-            other.is_some_and(|other| {
-                other.has_placed_tasks() || (it < id && !other.phase.is_final())
-            })
+            other.is_some_and(|other| other.has_claims() || (it < id && !other.phase.is_final()))
         })
     }
 }
-
-impl Job {
-    fn has_placed_tasks(&self) -> bool {
-        let mut tasks = self.tasks.iter().flatten().flat_map(|step| &step.tasks);
-        tasks.any(|it| matches!(it.state(), State::Placed { .. }))
-    }
-}
--- a/crates/persimmon-sched/src/engine/place.rs
+++ b/crates/persimmon-sched/src/engine/place.rs
@@ -115,6 +115,14 @@
         self.work.is_spent() || self.starts_left == 0
     }
 
+    /// Returns whether a demand is known to fit on no runner which this admission allows.
+    fn rules_out(&mut self, admission: Admission, demand: &Demand) -> bool {
+        let mut work = self.work;
+        let is_ruled_out = self.infeasible(admission).rules_out(demand, &mut work);
+        self.work = work;
+        is_ruled_out
+    }
+
     /// Demands that fit on no runner which this admission allows.
     fn infeasible(&mut self, admission: Admission) -> &mut InfeasibleDemands {
         match admission {
@@ -135,7 +143,7 @@
         }
         let mut pass = Pass::default();
         self.place_in_order(&mut pass, wall_ms, now);
-        pass.starts_left = usize::MAX;
+        (pass.starts_left, pass.step_tasks_max) = (usize::MAX, usize::MAX);
         pass.work = Work::new(RETRY_WORK_MAX);
         self.place_retries(&mut pass, now);
         pass.work = Work::new(TRIAL_WORK_MAX);
@@ -217,7 +225,6 @@
                 claim,
                 admission: Admission::Retry,
             };
-            pass.step_tasks_max = usize::MAX;
             self.place_tasks(&candidate, &placement, pass, now);
             if pass.work.is_spent() {
                 return;
@@ -240,7 +247,7 @@
             return;
         };
         let is_best_effort = demand.best_effort_cpu_millis > 0;
-        let is_ruled_out = pass.infeasible.rules_out(&demand, &mut pass.work);
+        let is_ruled_out = pass.rules_out(Admission::Predicted, &demand);
         if is_ruled_out && !is_best_effort {
             self.keep_runner_free(first, &claim, pass, now);
             return;
@@ -388,17 +395,12 @@
         } else {
             Admission::Trial
         };
-        let mut work = pass.work;
-        let is_ruled_out = pass.infeasible(admission).rules_out(demand, &mut work);
-        let mut siblings = self.siblings(id, &mut work);
-        let placement = Placement { claim, admission };
-        let is_placed =
-            !is_ruled_out && self.place_task(&mut siblings, id, &placement, &mut work, now);
-        pass.work = work;
-        if is_ruled_out {
+        if pass.rules_out(admission, demand) {
             return false;
         }
-        if !is_placed {
+        let mut siblings = self.siblings(id, &mut pass.work);
+        let placement = Placement { claim, admission };
+        if !self.place_task(&mut siblings, id, &placement, &mut pass.work, now) {
             pass.infeasible(admission).insert(demand.clone());
             return false;
         }
@@ -496,7 +498,7 @@
 
     /// Chooses the best runner for a task while its step has this number of tasks on each; `None` if it
     /// fits on none.
-    pub(super) fn choose(
+    fn choose(
         &self,
         siblings: &Siblings,
         id: TaskId,
--- a/crates/persimmon-sched/src/engine/settled.rs
+++ b/crates/persimmon-sched/src/engine/settled.rs
@@ -1,7 +1,7 @@
 //! Jobs that have ended and have no runs left: nothing about them changes any more, so that the
 //! store need only keep the phase that they ended in.
 
-use super::{Engine, Job, State};
+use super::{Engine, Job};
 use crate::{JobId, JobSpec, Phase};
 use std::{collections::VecDeque, sync::Arc, time::Instant};
 
@@ -82,9 +82,8 @@
 
 /// Returns whether a job has ended, has no runs left and is committed as it is.
 fn is_settled(job: &Job) -> bool {
-    let mut tasks = job.tasks.iter().flatten().flat_map(|step| &step.tasks);
     job.is_end_committed()
         && job.committed_version == job.version
         && !job.commit_in_flight
-        && !tasks.any(|task| matches!(task.state(), State::Placed { .. }))
+        && !job.has_claims()
 }
--- a/crates/persimmon-sched/src/fleet.rs
+++ b/crates/persimmon-sched/src/fleet.rs
@@ -294,8 +294,6 @@
     pub(crate) claims: BTreeMap<(TaskId, u32), Claim>,
     /// Sums of the claims by image, without those that are neither latency-critical nor best-effort.
     image_claims: BTreeMap<ImageKey, ImageClaims>,
-    /// Number of images with latency-critical claims.
-    latency_critical_images: u32,
     /// Number of claims by [`Claim::placed_at`].
     placement_times: BTreeMap<Instant, u32>,
     /// Sum of [`Claim::busy_cpu_millis`].
@@ -423,7 +421,6 @@
             lease: Lease::new(unknown_leases_until),
             claims: BTreeMap::new(),
             image_claims: BTreeMap::new(),
-            latency_critical_images: 0,
             placement_times: BTreeMap::new(),
             busy_cpu_millis: 0,
             used: Size::ZERO,
@@ -481,7 +478,6 @@
             self.latency_critical_cpu_millis += claim.size.cpu_millis;
             let image = self.image_claims.entry(claim.image).or_default();
             image.latency_critical_runs += 1;
-            self.latency_critical_images += u32::from(image.latency_critical_runs == 1);
         }
         if claim.best_effort_cpu_millis > 0 {
             let image = self.image_claims.entry(claim.image).or_default();
@@ -508,7 +504,6 @@
             let left = self.latency_critical_cpu_millis;
             self.latency_critical_cpu_millis = left.saturating_sub(claim.size.cpu_millis);
             image.latency_critical_runs -= 1;
-            self.latency_critical_images -= u32::from(image.latency_critical_runs == 0);
         }
         if claim.best_effort_cpu_millis > 0 {
             image.best_effort_runs -= 1;
@@ -524,13 +519,6 @@
         &self.image_claims
     }
 
-    /// Number of latency-critical images on the runner other than this one.
-    pub(crate) fn other_latency_critical_images(&self, image: ImageKey) -> u32 {
-        let own = self.image_claims.get(&image);
-        let has_own = own.is_some_and(|it| it.latency_critical_runs > 0);
-        self.latency_critical_images - u32::from(has_own)
-    }
-
     /// Processor time in use by the last report, in thousandths of a core.
     pub(crate) fn busy_cpu_millis(&self) -> i64 {
         self.busy_cpu_millis
--- a/crates/persimmon-sched/src/spec.rs
+++ b/crates/persimmon-sched/src/spec.rs
@@ -150,14 +150,18 @@
         }
         let each = self.steps.iter().enumerate();
         each.into_iter().try_for_each(|(step, it)| it.check(step))?;
-        let tasks_each: u64 = self.steps.iter().map(|it| u64::from(it.count)).sum();
-        let tasks = tasks_each * u64::from(self.occurrences());
+        let tasks = self.tasks_each() * u64::from(self.occurrences());
         if tasks > JOB_TASKS_MAX {
             return Err(SpecError::JobTasks { tasks });
         }
         self.schedule.map_or(Ok(()), Schedule::check)
     }
 
+    /// Number of tasks of an occurrence.
+    pub fn tasks_each(&self) -> u64 {
+        self.steps.iter().map(|it| u64::from(it.count)).sum()
+    }
+
     /// Number of times that the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.count)
