refactor(entry,relay): submissions are decoded in one place and read once

Behaviour as before.

- The decoder of submissions with its log line stood twice; two types were called StoredJob.
- A submission is encoded once for all attempts, and without a copy of the job.
- The phase of a queued job was read from the store in four calls where its owner does not answer.
- Starts that a link drops are answered in the same order in each run.

--- a/crates/persimmon-entry/src/group/inbox.rs
+++ b/crates/persimmon-entry/src/group/inbox.rs
@@ -24,7 +24,7 @@
 };
 
 /// Tasks of the jobs that are loaded without a pause: the session is renewed meanwhile.
-const LOADED_TASKS_MAX: u32 = 10_000;
+const LOADED_TASKS_MAX: u64 = 10_000;
 
 /// Interval at which an owner that does not serve its group yet is logged.
 pub(crate) const LOADING_LOG_INTERVAL: Duration = Duration::from_secs(2);
@@ -89,7 +89,7 @@
             let Some(job) = stored.job else {
                 continue;
             };
-            tasks += job.spec.steps.iter().map(|it| it.count).sum::<u32>();
+            tasks += job.spec.tasks_each();
             self.add_job(job, stored.stored, wall_ms, now);
             if stored.is_cancelled {
                 self.engine.borrow_mut().cancel(id, now);
@@ -121,7 +121,7 @@
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
                 let stored = jobs.entry(id).or_default();
-                match decode_submission(item) {
+                match Submission::of_item(item) {
                     Some(Submission::Ended { phase, queue }) => {
                         stored.ended_as = Some((queue.unwrap_or_default(), phase));
                     }
@@ -173,7 +173,7 @@
         let (wall_ms, now) = (self.shared.wall_ms(), self.shared.now());
         match keys::parse(self.id, &item.key) {
             Some(JobKey::Submission(id)) => {
-                let job = decode_submission(item).and_then(|it| it.into_job(id));
+                let job = Submission::of_item(item).and_then(|it| it.into_job(id));
                 let Some(job) = job else {
                     return;
                 };
@@ -189,13 +189,3 @@
         self.wake.notify_one();
     }
 }
-
-fn decode_submission(item: &Item) -> Option<Submission> {
-    match Submission::decode(&item.value) {
-        Ok(submission) => Some(submission),
-        Err(err) => {
-            log::error!("event=submission.invalid key={} fault=\"{err}\"", item.key);
-            None
-        }
-    }
-}
--- a/crates/persimmon-entry/src/handle.rs
+++ b/crates/persimmon-entry/src/handle.rs
@@ -190,7 +190,7 @@
     // Sending a reply fails if the caller is gone, which is fine.
     match call {
         Call::Submit(request, spec, reply) => {
-            let tasks = spec.steps.iter().map(|step| u64::from(step.count)).sum();
+            let tasks = spec.tasks_each();
             let outcome = requests::submit(&shared, &request, *spec).await;
             log_submission(&shared, &request, tasks, &outcome);
             let _ = reply.send(outcome);
--- a/crates/persimmon-entry/src/namesakes.rs
+++ b/crates/persimmon-entry/src/namesakes.rs
@@ -12,7 +12,7 @@
     state::Shared,
     submission::Submission,
 };
-use persimmon_sched::{JobId, Queue};
+use persimmon_sched::{JobId, Phase, Queue};
 use std::time::{Duration, Instant};
 
 /// Most attempts to store a job while jobs with its number come and end.
@@ -28,30 +28,35 @@
     /// The submission was written, for the job with this id.
     New(JobId),
     /// The queue has this job with the number already.
-    Known(Box<StoredJob>),
+    Known(Box<Namesake>),
 }
 
-/// A job in the store.
-pub(crate) struct StoredJob {
+/// A job in the store, one of those with its number.
+pub(crate) struct Namesake {
     pub(crate) id: JobId,
     /// `None` if it can't be decoded.
     pub(crate) submission: Option<Submission>,
     item: Item,
 }
 
-impl StoredJob {
+impl Namesake {
     fn new(id: JobId, item: Item) -> Self {
-        let submission = Submission::decode(&item.value);
-        let submission = submission.inspect_err(|err| {
-            log::error!("event=submission.invalid key={} fault=\"{err}\"", item.key)
-        });
         Self {
             id,
-            submission: submission.ok(),
+            submission: Submission::of_item(&item),
             item,
         }
     }
 
+    /// The phase that a job ended in that is known by its submission alone.
+    pub(crate) fn ended_phase(&self) -> Option<Phase> {
+        match self.submission {
+            Some(Submission::Tombstone { .. }) => Some(Phase::Cancelled),
+            Some(Submission::Ended { phase, .. }) => Some(phase),
+            Some(Submission::Job(_) | Submission::Accepted(_)) | None => None,
+        }
+    }
+
     /// Returns whether it is the job of this queue. One whose queue is not known, as an earlier version
     /// wrote it, had the number for all queues.
     pub(crate) fn is_of(&self, queue: &str) -> bool {
@@ -76,11 +81,18 @@
     }
 }
 
-/// Reads all jobs with this number, the first one first.
-pub(crate) async fn read<P: Platform>(
+/// Reads the job of a queue with this number.
+pub(crate) async fn find<P: Platform>(
     shared: &Shared<P>,
+    queue: &str,
     number: u64,
-) -> Result<Vec<StoredJob>, CallError> {
+) -> Result<Option<Namesake>, CallError> {
+    let jobs = read(shared, number).await?;
+    Ok(jobs.into_iter().find(|it| it.is_of(queue)))
+}
+
+/// Reads all jobs with this number, the first one first.
+async fn read<P: Platform>(shared: &Shared<P>, number: u64) -> Result<Vec<Namesake>, CallError> {
     let group = shared.home_group(number);
     let prefix = keys::submissions(group, number);
     // As many as fit in a page: each has a service of its own.
@@ -89,10 +101,10 @@
     Ok(stored_jobs(group, page.items).collect())
 }
 
-fn stored_jobs(group: GroupId, items: Vec<Item>) -> impl Iterator<Item = StoredJob> {
+fn stored_jobs(group: GroupId, items: Vec<Item>) -> impl Iterator<Item = Namesake> {
     let items = items.into_iter();
     items.filter_map(move |item| match keys::parse(group, &item.key) {
-        Some(JobKey::Submission(id)) => Some(StoredJob::new(id, item)),
+        Some(JobKey::Submission(id)) => Some(Namesake::new(id, item)),
         _ => None,
     })
 }
@@ -109,8 +121,9 @@
     let group = shared.home_group(number);
     let first = JobId::new(number);
     let later = JobId::of_queue(number, &queue.name);
+    let value = submission.encode()?;
     for _ in 0..ATTEMPTS_MAX {
-        let mut txn = Txn::create(keys::submission(group, first), submission.encode()?);
+        let mut txn = Txn::create(keys::submission(group, first), value.clone());
         let no_later = Precondition::absent(keys::submission(group, later));
         txn.preconditions.push(no_later);
         let items = match send_until_settled(shared, &txn, deadline).await? {
@@ -135,7 +148,8 @@
         let Some(first_job) = others.iter().find(|it| it.id == first) else {
             continue;
         };
-        let txn = txn_of_later_job(&first_job.item, keys::submission(group, later), submission)?;
+        let create = Txn::create(keys::submission(group, later), value.clone());
+        let txn = after_first_job(create, &first_job.item);
         match send_until_settled(shared, &txn, deadline).await? {
             TxnOutcome::Done { .. } => return Ok(Claimed::New(later)),
             TxnOutcome::NoLease => return Err(Rejection::Unknown),
@@ -151,7 +165,7 @@
     shared: &Shared<P>,
     queue: &Queue,
     id: JobId,
-    others: &[StoredJob],
+    others: &[Namesake],
     submission: &Submission,
 ) -> Result<(), Rejection> {
     let has_tasks = !matches!(submission, Submission::Tombstone { .. });
@@ -166,15 +180,14 @@
     })
 }
 
-/// Writes the submission of a later job. The first one is written again as it is, so that of two such
-/// transactions the second finds that it has changed.
-fn txn_of_later_job(first: &Item, key: String, submission: &Submission) -> Result<Txn, Rejection> {
-    let mut txn = Txn::create(key, submission.encode()?);
+/// Makes the transaction that writes a later job depend on the first one, which it writes again as it
+/// is, so that of two such transactions the second finds that it has changed.
+fn after_first_job(mut txn: Txn, first: &Item) -> Txn {
     txn.preconditions.push(Precondition {
         key: first.key.clone(),
         revision: first.revision,
     });
     txn.writes
         .push(Write::unleased(first.key.clone(), first.value.clone()));
-    Ok(txn)
+    txn
 }
--- a/crates/persimmon-entry/src/ownership.rs
+++ b/crates/persimmon-entry/src/ownership.rs
@@ -391,10 +391,7 @@
     };
     let name = own_name(shared);
     let txn = Txn {
-        preconditions: vec![Precondition {
-            key: key.clone(),
-            revision: 0,
-        }],
+        preconditions: vec![Precondition::absent(key.clone())],
         writes: vec![
             Write {
                 key,
--- a/crates/persimmon-entry/src/requests.rs
+++ b/crates/persimmon-entry/src/requests.rs
@@ -250,33 +250,37 @@
     shared: &Shared<P>,
     target: &JobTarget,
 ) -> Result<Option<Phase>, CallError> {
-    let group = shared.home_group(target.number);
-    let queue = &target.queue.name;
-    // Between the two reads the job may have ended and its record been removed.
-    for is_last in [false, true] {
-        let own = namesakes::read(shared, target.number).await?;
-        let Some(own) = own.into_iter().find(|it| it.is_of(queue)) else {
+    let mut id = JobId::new(target.number);
+    loop {
+        // Read first: once the job has ended, its record may be removed, or be a delayed write.
+        let recorded = read_recorded_phase(shared, id).await?;
+        let own = namesakes::find(shared, &target.queue.name, target.number).await?;
+        let Some(own) = own else {
             return Ok(None);
         };
-        match own.submission {
-            Some(Submission::Tombstone { .. }) => return Ok(Some(Phase::Cancelled)),
-            Some(Submission::Ended { phase, .. }) => return Ok(Some(phase)),
-            Some(Submission::Job(_) | Submission::Accepted(_)) | None => {}
-        }
-        let record = shared.platform.get(&keys::record(group, own.id)).await?;
-        shared.record_store_answer();
-        let recorded = record.map(|item| match Record::decode(&item.value) {
-            Ok(record) => record.phase,
-            Err(err) => {
-                log::error!("event=record.invalid job={} fault=\"{err}\"", own.id);
-                Phase::Queued
-            }
-        });
-        if is_last || recorded.is_some() {
-            return Ok(Some(recorded.unwrap_or(Phase::Queued)));
+        if own.id == id {
+            let phase = own.ended_phase().or(recorded);
+            return Ok(Some(phase.unwrap_or(Phase::Queued)));
         }
+        id = own.id;
     }
-    Ok(Some(Phase::Queued))
+}
+
+/// Returns the phase in the record of a job; `None` if there is none that can be decoded.
+async fn read_recorded_phase<P: Platform>(
+    shared: &Shared<P>,
+    id: JobId,
+) -> Result<Option<Phase>, CallError> {
+    let group = shared.home_group(id.number);
+    let record = shared.platform.get(&keys::record(group, id)).await?;
+    shared.record_store_answer();
+    Ok(record.and_then(|item| match Record::decode(&item.value) {
+        Ok(record) => Some(record.phase),
+        Err(err) => {
+            log::error!("event=record.invalid job={id} fault=\"{err}\"");
+            None
+        }
+    }))
 }
 
 /// Returns the number of a queue's jobs that wait for their first start.
--- a/crates/persimmon-entry/src/submission.rs
+++ b/crates/persimmon-entry/src/submission.rs
@@ -1,8 +1,9 @@
 //! Values of the submission keys of jobs.
 
-use crate::handle::Rejection;
+use crate::{handle::Rejection, platform::Item};
 use persimmon_sched::{JobId, JobSpec, Phase, Queue};
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 
 /// A job and its queue, which may be removed from the policy before the job has run.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -43,14 +44,22 @@
 
 /// The part of a [`Submission`] that all versions know; the name of a queue may follow it.
 #[derive(Serialize, Deserialize)]
-enum SubmissionWire {
-    Job(JobSpec),
+enum SubmissionWire<'a> {
+    Job(Cow<'a, JobSpec>),
     Tombstone,
-    Accepted(AcceptedJob),
+    Accepted(Cow<'a, AcceptedJob>),
     Ended(Phase),
 }
 
 impl Submission {
+    /// Decodes the value of a key; logs it if it is invalid.
+    pub(crate) fn of_item(item: &Item) -> Option<Self> {
+        let invalid = |err: &postcard::Error| {
+            log::error!("event=submission.invalid key={} fault=\"{err}\"", item.key);
+        };
+        Self::decode(&item.value).inspect_err(invalid).ok()
+    }
+
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let (wire, rest) = postcard::take_from_bytes(bytes)?;
         let queue = || match rest {
@@ -58,9 +67,9 @@
             rest => postcard::from_bytes(rest).map(Some),
         };
         Ok(match wire {
-            SubmissionWire::Job(spec) => Self::Job(spec),
+            SubmissionWire::Job(spec) => Self::Job(spec.into_owned()),
             SubmissionWire::Tombstone => Self::Tombstone { queue: queue()? },
-            SubmissionWire::Accepted(job) => Self::Accepted(job),
+            SubmissionWire::Accepted(job) => Self::Accepted(job.into_owned()),
             SubmissionWire::Ended(phase) => Self::Ended {
                 phase,
                 queue: queue()?,
@@ -76,9 +85,9 @@
 
     fn try_encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let (wire, queue) = match self {
-            Self::Job(spec) => (SubmissionWire::Job(spec.clone()), None),
+            Self::Job(spec) => (SubmissionWire::Job(Cow::Borrowed(spec)), None),
             Self::Tombstone { queue } => (SubmissionWire::Tombstone, queue.as_ref()),
-            Self::Accepted(job) => (SubmissionWire::Accepted(job.clone()), None),
+            Self::Accepted(job) => (SubmissionWire::Accepted(Cow::Borrowed(job)), None),
             Self::Ended { phase, queue } => (SubmissionWire::Ended(*phase), queue.as_ref()),
         };
         let mut bytes = postcard::to_stdvec(&wire)?;
--- a/crates/persimmon-relay/src/link.rs
+++ b/crates/persimmon-relay/src/link.rs
@@ -179,8 +179,9 @@
     }
 
     /// Moves orders of up to about `bytes_max` into a batch, at least one, as far as they can be sent:
-    /// a start that waits at the relay gets too old, and keeps those of other jobs waiting. `start_deadline_ms`
-    /// returns the lease deadline of a start, or the answer to handle if it must not be sent.
+    /// a start that waits at the relay gets too old, and keeps those of other jobs waiting.
+    /// `start_deadline_ms` returns the lease deadline of a start, or the answer to handle if it must
+    /// not be sent.
     /// Returns the size, and what is to be handled.
     pub fn add_orders(
         &mut self,
--- a/crates/persimmon-relay/src/order_queue.rs
+++ b/crates/persimmon-relay/src/order_queue.rs
@@ -2,7 +2,7 @@
 
 use crate::RunnerIndex;
 use persimmon_sched::{JobId, Order, TaskId};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Orders that were not sent yet. The jobs take turns, so that the many orders of a large one don't
 /// keep those of others waiting, and so do starts and other orders.
@@ -20,7 +20,7 @@
 /// Orders of one kind by job, with the jobs in the order of their turns.
 #[derive(Debug, Default)]
 struct Turns {
-    orders: HashMap<JobId, VecDeque<(RunnerIndex, Order)>>,
+    orders: BTreeMap<JobId, VecDeque<(RunnerIndex, Order)>>,
     turns: VecDeque<JobId>,
 }
 
