review 11 and 12: jobs shown as failed for crashes of runners; a lasting task that waits 28 s

11: a task whose runners crash within half a second of its start ends its job as failed, though no run ended failed.

--- /dev/null
+++ b/review/common-3/cases.rs
@@ -0,0 +1,119 @@
+//! The cases.
+
+use super::*;
+
+/// Plays a case; returns whether the rule held, `None` if the case could not run.
+pub fn play(number: &str, folder: PathBuf, trouble: bool) -> Option<bool> {
+    let held = match number {
+        "11" => crashing_runner(folder, trouble),
+        "12" => lone_survivor(folder, trouble),
+        _ => return None,
+    };
+    (!NOT_RUN.load(Ordering::SeqCst)).then_some(held)
+}
+
+fn words(text: &str) -> HashMap<&str, &str> {
+    text.split_whitespace()
+        .filter_map(|it| it.split_once('='))
+        .collect()
+}
+
+/// The only runner that may run a job of one short task crashes while it runs, twice.
+fn crashing_runner(folder: PathBuf, trouble: bool) -> bool {
+    let mut it = Deployment::new(folder);
+    it.write_manifest(4);
+    it.add_machine("edge-a-1", "z-a");
+    it.add_machine("edge-a-2", "z-a");
+    for at in 0..9 {
+        it.add_runner(&format!("i-{at}"), 16_000, &format!("a,r1-{}", at / 4));
+    }
+    let labelled = it.add_runner("i-9", 16_000, "b,r1-2");
+    it.wait_ready();
+    it.settle();
+    let began = Instant::now();
+    it.submit(
+        0,
+        "00000000000000a1",
+        "{\"spec\":\"work=400\",\"phases\":[{\"count\":1,\"cpu\":1000,\"memMb\":100,\"estimateMs\":400,\"constraints\":\"b\"}]}",
+    );
+    for run in (1..=2).filter(|_| trouble) {
+        it.wait_said(
+            &format!(" start task=00000000000000a1.0.0.0 run={run}"),
+            20_000,
+        );
+        thread::sleep(millis(200));
+        it.kill_runner(labelled);
+        thread::sleep(millis(1_500));
+        it.start_runner(labelled);
+    }
+    let mut state = String::new();
+    while began.elapsed() < millis(45_000) {
+        state = it.state(1, "00000000000000a1");
+        if ["completed", "failed", "cancelled", "410"].contains(&state.as_str()) {
+            break;
+        }
+        thread::sleep(millis(500));
+    }
+    let failed = it
+        .said()
+        .iter()
+        .any(|(_, text)| text.contains("how=failed"));
+    it.record.note(&format!(
+        "the job is shown as {state}; a run has ended failed: {failed}"
+    ));
+    state != "failed" || failed
+}
+
+/// Two of three machines and a runner are lost for good.
+fn lone_survivor(folder: PathBuf, trouble: bool) -> bool {
+    let mut it = Deployment::new(folder);
+    it.write_manifest(4);
+    for at in 1..4 {
+        it.add_machine(&format!("edge-a-{at}"), "z-a");
+    }
+    for at in 0..8 {
+        it.add_runner(&format!("i-{at}"), 16_000, &format!("a,r1-{}", at / 4));
+    }
+    it.wait_ready();
+    it.settle();
+    it.submit(
+        0,
+        "00000000000000b1",
+        "{\"spec\":\"last\",\"phases\":[{\"count\":4,\"cpu\":1000,\"memMb\":100,\"estimateMs\":500,\"longRunning\":true,\"maxPerServer\":1}]}",
+    );
+    thread::sleep(millis(4_000));
+    let said = it.said();
+    let first = said
+        .iter()
+        .find(|(_, text)| text.contains(" start task=00000000000000b1.0.0.0"));
+    let Some((_, first)) = first else {
+        it.give_up("the task doesn't start");
+    };
+    let runner = words(first)["runner"].to_owned();
+    let lost = it
+        .runners
+        .iter()
+        .position(|it| it.id == runner)
+        .unwrap_or(0);
+    let owner = it.owner().unwrap_or(0);
+    let others: Vec<_> = (0..3).filter(|at| *at != owner).collect();
+    let lost_at = unix_ms();
+    if trouble {
+        it.kill_runner(lost);
+        it.kill_machine(owner);
+        it.kill_machine(others[0]);
+    }
+    thread::sleep(millis(40_000));
+    it.state(others[1], "00000000000000b1");
+    let said = it.said();
+    if !trouble {
+        return !said.iter().any(|it| it.1.contains(" end task="));
+    }
+    let again = said
+        .iter()
+        .find(|(at, text)| *at > lost_at && text.contains(" start task=00000000000000b1.0.0.0"));
+    let idle = again.map(|it| it.0 - lost_at);
+    it.record
+        .note(&format!("the task runs again after {idle:?} ms"));
+    idle.is_some_and(|it| it < 14_000)
+}
