--- a/review/common-3/cases.rs
+++ b/review/common-3/cases.rs
@@ -7,6 +7,7 @@
     let held = match number {
         "11" => crashing_runner(folder, trouble),
         "12" => lone_survivor(folder, trouble),
+        "13" => hopeless_jobs(folder, trouble),
         _ => return None,
     };
     (!NOT_RUN.load(Ordering::SeqCst)).then_some(held)
@@ -117,3 +118,70 @@
         .note(&format!("the task runs again after {idle:?} ms"));
     idle.is_some_and(|it| it < 14_000)
 }
+
+/// Among a hundred jobs are five that can never be done; they need the label of one runner.
+fn hopeless_jobs(folder: PathBuf, trouble: bool) -> bool {
+    let mut it = Deployment::new(folder);
+    it.write_manifest(4);
+    it.add_machine("edge-a-1", "z-a");
+    it.add_machine("edge-a-2", "z-a");
+    for at in 0..9 {
+        it.add_runner(&format!("i-{at}"), 16_000, &format!("a,r1-{}", at / 4));
+    }
+    it.add_runner("i-9", 16_000, "b,r1-2");
+    it.wait_ready();
+    it.settle();
+    let mut hopeless = Vec::new();
+    for n in 0..100 {
+        let id = format!("{:016x}", 0xc000 + n);
+        let step = "\"count\":1,\"cpu\":500,\"memMb\":100,\"estimateMs\":50";
+        if n % 20 < 19 {
+            it.submit(
+                n % 2,
+                &id,
+                &format!("{{\"spec\":\"work=50\",\"phases\":[{{{step}}}]}}"),
+            );
+        } else if trouble {
+            let step = format!("{step},\"constraints\":\"b\"");
+            it.submit(
+                n % 2,
+                &id,
+                &format!("{{\"spec\":\"work=50 fail=99\",\"phases\":[{{{step}}}]}}"),
+            );
+            hopeless.push(id);
+        }
+        thread::sleep(millis(25));
+    }
+    let traffic_ends_ms = unix_ms();
+    it.record.note("the traffic ends");
+    thread::sleep(millis(14_000));
+    let mut idle = Vec::new();
+    while unix_ms() < traffic_ends_ms + 45_000 {
+        let from_ms = unix_ms();
+        let states: Vec<_> = hopeless.iter().map(|id| it.state(1, id)).collect();
+        thread::sleep(millis(3_000));
+        let said = it.said();
+        for (id, state) in hopeless.iter().zip(states) {
+            let of_job = format!(" start task={id}.");
+            let has_begun = said
+                .iter()
+                .any(|it| it.0 > from_ms && it.1.contains(&of_job));
+            // A run takes 50 ms, so none that began before lasts for the three seconds.
+            if !has_begun && ["queued", "active"].contains(&state.as_str()) {
+                idle.push(id.clone());
+            }
+        }
+    }
+    let jobs: HashSet<_> = idle.iter().collect();
+    it.record.note(&format!(
+        "jobs that are open and have nothing running for 3 s on end, from 14 s after the traffic: {}",
+        jobs.len()
+    ));
+    for n in 0..100 {
+        let id = format!("{:016x}", 0xc000 + n);
+        if trouble || n % 20 < 19 {
+            it.state(0, &id);
+        }
+    }
+    idle.is_empty()
+}
