review 12: reports with long checkpoints exceed a message between members, and all leases lapse

16 jobs of 300 tasks whose runners report checkpoints of 3,400 characters: no report reaches the owner, some 4,000 runs are killed on sound runners, and tasks that last have no run for 17 to 22 s: rule LOST (9 s), and AVAIL. Cases 13 and 14 were 12 and 13.

--- a/review/common-3/cases.rs
+++ b/review/common-3/cases.rs
@@ -5,9 +5,10 @@
 /// Plays a case; returns whether the rule held, `None` if the case could not run.
 pub fn play(number: &str, folder: PathBuf, trouble: bool) -> Option<bool> {
     let held = match number {
-        "12" => lone_survivor(folder, trouble),
+        "12" => checkpoints_at_once(folder, trouble),
+        "13" => lone_survivor(folder, trouble),
         "11" => large_checkpoints(folder, trouble),
-        "13" => hopeless_jobs(folder, trouble),
+        "14" => hopeless_jobs(folder, trouble),
         _ => return None,
     };
     (!NOT_RUN.load(Ordering::SeqCst)).then_some(held)
@@ -201,3 +202,70 @@
     ));
     open.is_empty()
 }
+
+/// Sixteen large jobs at once whose tasks save their progress, beside a job whose tasks last.
+fn checkpoints_at_once(folder: PathBuf, trouble: bool) -> bool {
+    let mut it = Deployment::new(folder);
+    it.write_manifest(4);
+    for at in 1..4 {
+        it.add_machine(&format!("edge-a-{at}"), "z-a");
+    }
+    for at in 0..8 {
+        it.add_runner(&format!("i-{at}"), 32_000, &format!("a,r1-{}", at / 4));
+    }
+    it.wait_ready();
+    it.settle();
+    let lasting = "00000000000000a1";
+    it.submit(
+        0,
+        lasting,
+        "{\"spec\":\"last\",\"phases\":[{\"count\":8,\"cpu\":100,\"memMb\":100,\"estimateMs\":500,\"longRunning\":true,\"maxPerServer\":1,\"mayMiss\":1}]}",
+    );
+    thread::sleep(millis(7_000));
+    let length = if trouble { 3_400 } else { 16 };
+    let step =
+        "{\"count\":100,\"cpu\":45,\"memMb\":10,\"estimateMs\":30000,\"checkpointing\":true}";
+    let steps = [step; 3].join(",");
+    let spec = format!("work=30000 checkpoint={length}");
+    for n in 0..16 {
+        let id = format!("{:016x}", 0xe00 + n);
+        it.submit(
+            n % 3,
+            &id,
+            &format!("{{\"spec\":\"{spec}\",\"phases\":[{steps}]}}"),
+        );
+        thread::sleep(millis(200));
+    }
+    it.record.note("the traffic ends");
+    let traffic_ends_ms = unix_ms();
+    thread::sleep(millis(32_000));
+    let ends_ms = unix_ms();
+    let said = it.said();
+    let lapsed = said
+        .iter()
+        .filter(|it| it.1.ends_with("how=lapsed"))
+        .count();
+    it.record
+        .note(&format!("runs whose lease lapsed: {lapsed}"));
+    let mut longest = 0;
+    for index in 0..8 {
+        let task = format!("task={lasting}.0.0.{index} ");
+        let mut idle_since = None;
+        for (at, text) in said.iter().filter(|it| it.1.contains(&task)) {
+            if text.contains(" end number=") {
+                idle_since = Some(*at);
+            } else if text.contains(" start ") {
+                longest = longest.max(idle_since.map_or(0, |since: u64| at - since));
+                idle_since = None;
+            }
+        }
+        longest = longest.max(idle_since.map_or(0, |since| ends_ms - since));
+    }
+    it.state(1, lasting);
+    it.record.note(&format!(
+        "longest time without a run of a task that lasts: {longest} ms; the last disturbance was {} ms before the end",
+        ends_ms - traffic_ends_ms
+    ));
+    // Due from 6 s after its last run; the rule allows 3 s.
+    longest <= 9_000
+}
--- a/review/common-3/standins.rs
+++ b/review/common-3/standins.rs
@@ -748,6 +748,8 @@
 #[derive(Default)]
 struct Running {
     fence: u64,
+    /// Whether the lease has run out, also with nothing running.
+    is_over: bool,
     deadline_ms: u64,
     runs: BTreeMap<String, Run>,
     /// Number, task, run and how.
@@ -772,11 +774,21 @@
         self.last_end += 1;
         self.ended
             .push((self.last_end, task.to_owned(), run.number, how, run.saved()));
-        say(id, &format!("end task={task} run={} how={how}", run.number));
+        say(
+            id,
+            &format!(
+                "end number={} task={task} run={} how={how}",
+                self.last_end, run.number
+            ),
+        );
     }
 
     fn advance(&mut self, id: &str, clock_ms: u64) -> bool {
         let before = self.last_end;
+        if clock_ms >= self.deadline_ms && !std::mem::replace(&mut self.is_over, true) {
+            say(id, &format!("lease over deadline={}", self.deadline_ms));
+        }
+        self.is_over = clock_ms >= self.deadline_ms;
         if !self.runs.is_empty() && clock_ms >= self.deadline_ms {
             let tasks: Vec<_> = self.runs.keys().cloned().collect();
             tasks.iter().for_each(|task| self.end(id, task, "lapsed"));
